--- /dev/null
+++ b/honeywood/__init__.py
@@ -0,0 +1,1 @@
+"""honeywood: a front that routes RPCs and guards releases."""
--- /dev/null
+++ b/honeywood/decide.py
@@ -0,0 +1,545 @@
+"""All decisions of a front: which server an RPC goes to, when it goes again or is given up, and what the
+front votes on the build on trial.
+
+The host (interface.Host) makes one Front an instance and calls it as interface.Decisions lists. An RPC runs
+down a chain of stages, Intake - Trial - Routing - Gate; a stage passes it on, keeps it or ends it, and what
+comes back runs up the chain. Judge looks at what came back and votes. Times are tenths of a millisecond.
+"""
+from collections import deque
+from math import erfc, inf, isfinite, sqrt
+from random import Random
+
+from honeywood.interface import (CONNECT_FAILED, DRAINING, ERROR, FULL, GO_BACK, GO_ON, GOING_BACK, GONE, HOLD,
+                                 NEVER_RAN, NO_VOTE, NON_IDEMPOTENT, OK, ON_TRIAL, READY, RELEASED, RESET, SECOND,
+                                 TIMEOUT, TOKENED, Pick)
+
+# The design page's figures.
+Q = 0.05                       # level of the sorted cut
+FAIL_MARGIN, SLOW_MARGIN = 0.02, 0.10
+LEAST = 20                     # outcomes a method needs before it is tested
+YOUNG = 3 * SECOND             # servers under this age are no evidence; also the wait with short samples
+CONFIRM = 1 * SECOND           # a rejection must still stand after this
+# Ours.
+LOOK = SECOND // 20            # how often the front looks around by itself
+SLOW_SHARE = 0.25              # the earlier build's share that counts as slow
+EDGES = [n / 16 for n in (1, 2, 3, 4, 6, 8, 12, 16)]  # bins of answer times, in soft deadlines
+HALVE = 12 * SECOND            # how often counts are halved
+VOTE_AGAIN = SECOND // 2
+LISTED_LATE = 8 * SECOND       # a step counts as fully started after this
+TIP_SAFE = 0.7                 # how much of a cold server's budget is used
+SILENT = 9 * SECOND // 10      # a server that holds picks and answers none for so long is left alone
+SHUN, SHUN_MOST = SECOND // 2, 4 * SECOND
+REPORT_AGE = SECOND            # a load report older than this is dropped
+PROBE_EVERY = SECOND // 2
+WAIT_SHARE = 0.2               # share of its soft deadline an RPC may wait for a server
+REPEATS = 0.1                  # further picks earned by an RPC
+ASK_EVERY = 3 * SECOND
+
+
+def sorted_cut(ps, q):
+    """Procedure (1): the indexes of the rejected p-values.
+
+    >>> sorted_cut([0.04, 0.045], 0.05)
+    [0, 1]
+    """
+    order = sorted(range(len(ps)), key=lambda i: ps[i])
+    k = max((i for i, at in enumerate(order, 1) if ps[at] <= i / len(ps) * q), default=0)
+    return sorted(order[:k])
+
+
+def trails(k1, n1, k0, n0, margin):
+    """One-sided two-proportion z-test: the p-value of 'the first share leads the second by no more than margin'."""
+    a, b = k1 / n1, k0 / n0
+    spread = sqrt(a * (1 - a) / n1 + b * (1 - b) / n0)
+    ahead = a - b - margin
+    return 0.5 * erfc(ahead / spread / sqrt(2)) if spread else float(ahead <= 0)
+
+
+class Counts:
+    """What one method got from one build: failures, and a histogram of answer times."""
+    __slots__ = ("failed", "bins")
+
+    def __init__(self):
+        self.failed, self.bins = 0.0, [0.0] * (len(EDGES) + 1)
+
+    def add(self, method, result, latency):
+        self.failed += result == ERROR
+        if result != ERROR:
+            self.bins[sum(latency > edge * method.soft for edge in EDGES)] += 1
+
+    def all(self):
+        return self.failed + sum(self.bins)
+
+    def halve(self):
+        self.failed, self.bins = self.failed / 2, [n / 2 for n in self.bins]
+
+
+class Judge:
+    """Counts outcomes per build and method, applies the sorted cut and votes."""
+
+    def __init__(self, front, settings):
+        self.front, self.rule = front, settings.vote_rule
+        self.methods, self.waves, self.first_cap = settings.methods, settings.waves, settings.caps[0]
+        self.renew = settings.vote_life // 2
+        self.give_up_on = settings.vote_wait + 2 * LOOK
+        self.build = self.step = self.standing = None
+        self.cap, self.since = 0.0, 0
+        self.counts, self.halved = {}, 0
+        self.places = 0            # servers of the earlier build when the trial was first seen
+        self.suspect_since = None
+        self.bad = []              # builds this front has found bad
+        self.vote, self.voted_at, self.asked, self.asked_at = None, 0, None, -inf
+
+    def cap_of(self, build):
+        """The cap and step of a build on trial, or None for one that is not."""
+        if self.build is None:
+            newest = max((s.build for s in self.front.servers), default=build)
+            oldest = min((s.build for s in self.front.servers), default=build)
+            return (self.first_cap, 0) if build == newest > oldest else None
+        if build < self.build or (build == self.build and self.standing == RELEASED):
+            return None
+        return (self.cap, self.step) if build == self.build else (self.first_cap, 0)
+
+    def news(self, now, result, reply, build, step, cap, standing, age):
+        if reply and self.asked:
+            # What may or may not count is asked again; a vote is the same however often it is cast.
+            if result == OK:
+                self.vote, self.voted_at = self.asked, now
+            self.asked = None
+        if result != OK:
+            return
+        if (build, step, standing) != (self.build, self.step, self.standing):
+            if build != self.build:
+                self.suspect_since = None
+                self.places = sum(s.build < build for s in self.front.ready)
+            self.since = now - age
+        self.build, self.step, self.cap, self.standing = build, step, cap, standing
+
+    def back(self, pick):
+        if pick.young or pick.result not in (OK, ERROR, TIMEOUT):
+            return
+        per_method = self.counts.setdefault(pick.build, [Counts() for _ in self.methods])
+        per_method[pick.rpc.method.place].add(pick.rpc.method, pick.result, pick.latency)
+
+    def p_values(self):
+        """One p-value per method and kind of trouble, from the methods with samples enough."""
+        trial = self.counts.get(self.build)
+        earlier = max((b for b in self.counts if b < self.build), default=None)
+        ps = []
+        for one, other in zip(trial or (), self.counts.get(earlier, ())):
+            n1, n0 = one.all(), other.all()
+            if n1 < LEAST or n0 < LEAST:
+                continue
+            ps.append(trails(one.failed, n1, other.failed, n0, FAIL_MARGIN))
+            # Slow is what the earlier build exceeds in about SLOW_SHARE of its answers.
+            edge = min((at for at in range(1, len(other.bins)) if sum(other.bins[at:]) <= SLOW_SHARE * n0),
+                       default=len(other.bins) - 1)
+            ps.append(trails(sum(one.bins[edge:]), n1, sum(other.bins[edge:]), n0, SLOW_MARGIN))
+        return ps
+
+    def started(self, now):
+        """Whether the step's servers are all listed and the newest is no longer young."""
+        mine = [s for s in self.front.ready if s.build == self.build]
+        if len(mine) < 0.9 * self.waves[self.step] * self.places and now - self.since < LISTED_LATE:
+            return False
+        return bool(mine) and now - max(max(s.booted for s in mine), self.since) >= YOUNG
+
+    def look(self, now):
+        if now - self.halved >= HALVE:
+            self.halved = now
+            for per_method in self.counts.values():
+                for counts in per_method:
+                    counts.halve()
+        if self.build is None or self.standing not in (ON_TRIAL, RELEASED):
+            return
+        ps = self.p_values()
+        if not sorted_cut(ps, Q):
+            self.suspect_since = None
+        elif self.suspect_since is None:
+            self.suspect_since = now
+        elif now - self.suspect_since >= CONFIRM and self.build not in self.bad:
+            self.bad.append(self.build)
+            self.front.log(f"build {self.build} found bad at step {self.step}: {min(ps):.4f} of {len(ps)}")
+        self.cast(now, self.verdict(now, ps))
+
+    def verdict(self, now, ps):
+        if self.build in self.bad:
+            return GO_BACK
+        if self.standing != ON_TRIAL:
+            return None
+        if self.rule == "clock":
+            return HOLD if min(ps, default=1) <= Q else NO_VOTE if self.vote and self.vote[2] == HOLD else None
+        if self.suspect_since is None and self.started(now):
+            return GO_ON
+        return None
+
+    def cast(self, now, verdict):
+        wanted = (self.build, self.step, verdict)
+        if verdict is None or (self.vote == wanted and now - self.voted_at < self.renew):
+            return
+        if now - self.asked_at < (self.give_up_on if self.asked else VOTE_AGAIN):
+            return
+        self.asked, self.asked_at = wanted, now
+        self.front.host.vote(*wanted)
+
+
+class Stage:
+    """A link of the chain: take() passes an RPC down and tells whether it went out; back() runs up."""
+
+    def __init__(self, front, below):
+        self.front, self.below = front, below
+
+
+class Gate(Stage):
+    """The one place that every send passes; here the five rules hold."""
+
+    def __init__(self, front, settings):
+        super().__init__(front, None)
+        self.tick, self.max_picks, self.duplicate = settings.tick, settings.max_picks, settings.may_duplicate
+        self.window, self.free = settings.exposure_window, settings.free_picks
+        self.guarded, self.one_way, self.per_method = settings.guarded_steps, settings.one_way, settings.per_method
+        self.cold_share, self.cold_time = settings.cold_share, settings.cold_time
+        self.tip, self.tip_time = settings.tip_multiple * TIP_SAFE, settings.tip_time
+        lanes = len(settings.methods) if settings.per_method else 1
+        self.taken, self.tried = [deque() for _ in range(lanes)], {}
+        self.keys = {}             # keys the build on trial has answered, under a one-way rule
+        self.oks = deque()
+
+    def lane(self, method):
+        return method.place if self.per_method else 0
+
+    def room(self, now, build, method):
+        """Whether one more pick at this build keeps to the cap; one tick strict at both ends of the window."""
+        on_trial = self.front.judge.cap_of(build)
+        if on_trial is None:
+            return True
+        cap, step = on_trial
+        if step < self.guarded and method.kind in (NON_IDEMPOTENT, TOKENED):
+            return False
+        taken, tried = self.taken[self.lane(method)], self.tried.get((build, self.lane(method)), ())
+        while taken and taken[0] <= now - self.window + self.tick:
+            taken.popleft()
+        while tried and tried[0] < now - self.window - self.tick:
+            tried.popleft()
+        return cap > 0 and len(tried) + 1 <= self.free + cap * len(taken)
+
+    def cold_room(self, now, server):
+        """A cold server gets no more than its part of what this front's warm servers bear, so that all
+        fronts together stay under its budget; what it holds is bounded too, against builds that need more work."""
+        age = now - server.booted
+        if age >= self.cold_time + self.tip_time:
+            return True
+        warm = [s.open for s in self.front.ready if now - s.booted >= self.cold_time]
+        while self.oks and self.oks[0] < now - self.tip_time:
+            self.oks.popleft()
+        while server.sent and server.sent[0] < now - self.tip_time - self.tick:
+            server.sent.popleft()
+        share = min(1.0, self.cold_share + (1 - self.cold_share) * max(0, age) / self.cold_time)
+        most = self.tip * share * len(self.oks) / max(1, len(self.front.ready))
+        held = 1 + sum(warm) / max(1, len(warm))
+        return len(server.sent) + 1 <= max(1, most) and server.open + 1 <= held + self.tip * (share - self.cold_share)
+
+    def may(self, now, rpc, server):
+        if rpc.done or server.status != READY or len(rpc.picks) >= self.max_picks or now >= rpc.deadline:
+            return False
+        risky = [p for p in rpc.picks if p.result not in NEVER_RAN]
+        if risky:
+            if rpc.method.kind == NON_IDEMPOTENT:
+                return False
+            if not self.duplicate and any(p.result is None for p in risky):
+                return False
+            if rpc.method.kind == TOKENED and not all(self.drops(now, p, server) for p in risky):
+                return False
+        if self.one_way and self.keys.get(rpc.key, 0) > server.build:
+            return False
+        return self.room(now, server.build, rpc.method) and self.cold_room(now, server)
+
+    def drops(self, now, pick, server):
+        """Whether this server drops a repeat of that pick."""
+        group, method = pick.rpc.method.group, pick.rpc.method
+        same = group == "all" or getattr(pick.server, group) == getattr(server, group)
+        return same and now + self.tick < pick.sent + method.window
+
+    def may_push_back(self, rpc):
+        risky = any(p.result not in NEVER_RAN for p in rpc.picks)
+        return not risky or (rpc.method.kind != NON_IDEMPOTENT and
+                             (rpc.method.kind != TOKENED or rpc.method.group == "all"))
+
+    def take(self, now, rpc, server):
+        if not self.may(now, rpc, server):
+            return False
+        pick = Pick(rpc=rpc, server=server, number=len(rpc.picks), build=server.build, sent=now,
+                    young=now - server.booted < YOUNG)
+        rpc.picks.append(pick)
+        if not server.open:
+            server.answered_at = now
+        server.open += 1
+        server.sent.append(now)
+        self.tried.setdefault((server.build, self.lane(rpc.method)), deque()).append(now)
+        self.front.host.send(pick, rpc.deadline)
+        return True
+
+    def back(self, now, pick):
+        pick.server.open -= 1
+        if pick.result == OK:
+            self.oks.append(now)
+            on_trial = self.front.judge.build
+            if self.one_way and pick.rpc.key and pick.build == on_trial:
+                self.keys[pick.rpc.key] = pick.build
+
+
+class Routing(Stage):
+    """Inside a build, the less busy of two random servers wins; sick servers are left out while others stand."""
+
+    def __init__(self, front, below, settings):
+        super().__init__(front, below)
+        self.zone = settings.zone if settings.cross_price else None
+        self.load_at = next((settings.report_fields.index(f) for f in ("active",) if f in settings.report_fields), None)
+        self.probes = settings.may_probe and self.load_at is not None and not settings.answers_report
+        self.mean = [None] * len(settings.methods)
+
+    def busy(self, now, server):
+        others = server.reported if now - server.reported_at < REPORT_AGE else 0
+        return (server.open + others + 1) * server.pace
+
+    def well(self, now, server):
+        return now >= server.shun_until and (not server.open or now - server.answered_at < SILENT)
+
+    def two(self, now, rpc, servers):
+        """The less busy of two random ones, or None."""
+        able = [s for s in servers if self.below.may(now, rpc, s)]
+        able = [s for s in able if s not in [p.server for p in rpc.picks]] or able
+        able = [s for s in able if self.well(now, s)] or able
+        best = None
+        for here in ([s for s in able if s.zone == self.zone], [s for s in able if s.zone != self.zone]):
+            if here:
+                near = min(self.front.random.sample(here, min(2, len(here))), key=lambda s: self.busy(now, s))
+                if best is None or self.busy(now, near) + 2 < self.busy(now, best):
+                    best = near
+        return best
+
+    def take(self, now, rpc, first, second):
+        """Sends to the first group, unless its server is far busier than the second group's."""
+        one, other = self.two(now, rpc, first), self.two(now, rpc, second)
+        if one is None or (other is not None and self.busy(now, one) > 1.5 * self.busy(now, other) + 2):
+            one, other = other, one
+        return one is not None and self.below.take(now, rpc, one)
+
+    def report(self, now, server, load):
+        if self.load_at is not None and len(load) > self.load_at and isfinite(load[self.load_at]):
+            server.reported, server.reported_at = max(0.0, load[self.load_at] - server.open), now
+
+    def back(self, now, pick, load):
+        self.below.back(now, pick)
+        server, place = pick.server, pick.rpc.method.place
+        self.report(now, server, load)
+        if pick.result in (CONNECT_FAILED, RESET, TIMEOUT):
+            server.bad_row += 1
+            server.shun_until = now + min(SHUN_MOST, SHUN << min(8, server.bad_row - 1))
+        elif pick.result in (OK, ERROR, FULL):
+            server.bad_row, server.answered_at = 0, now
+        if pick.result == OK:
+            mean = self.mean[place] or max(1, pick.latency)
+            self.mean[place] = mean + (pick.latency - mean) * 0.02
+            server.pace += (min(10.0, pick.latency / mean) - server.pace) * 0.1
+
+    def look(self, now):
+        for server in self.front.ready:
+            server.pace += (1 - server.pace) * 0.005
+            if self.probes and now - server.probed_at >= PROBE_EVERY * len(self.front.ready) / 10:
+                server.probed_at = now
+                self.front.host.probe(server)
+
+
+class Trial(Stage):
+    """Trial picks fill the cap; the rest goes to the builds before."""
+
+    def take(self, now, rpc):
+        judge, ready = self.front.judge, self.front.ready
+        new = [s for s in ready if judge.cap_of(s.build) is not None]
+        old = [s for s in ready if judge.cap_of(s.build) is None]
+        if judge.bad:
+            first = [s for s in ready if s.build not in judge.bad]
+            return self.below.take(now, rpc, first, [s for s in ready if s.build in judge.bad])
+        return self.below.take(now, rpc, new, old)
+
+    def back(self, now, pick, load):
+        self.below.back(now, pick, load)
+        self.front.judge.back(pick)
+
+
+class Intake(Stage):
+    """Takes RPCs, holds or pushes back what cannot be served, and gives each its one final answer."""
+
+    def __init__(self, front, below, settings):
+        super().__init__(front, below)
+        self.max_wait, self.cancels = settings.max_wait, settings.may_cancel
+        self.duplicate = settings.may_duplicate
+        most = max((m.utility for m in settings.methods), default=1) or 1
+        self.rank = [0.75 + 0.25 * m.utility / most for m in settings.methods]
+        self.open, self.waiting = [], deque()
+        self.limit, self.cut_at, self.spare = None, 0, 1.0
+
+    def take(self, now, rpc):
+        method = rpc.method
+        rpc.soft = min(rpc.deadline, now + method.soft + int(method.soft_stretch * rpc.work))
+        gate = self.front.gate
+        gate.taken[gate.lane(method)].append(now)
+        self.spare = min(10.0, self.spare + REPEATS)
+        if self.limit is not None and len(self.open) >= self.limit * self.rank[method.place]:
+            return self.give_up(now, rpc)
+        self.open.append(rpc)
+        if not self.below.take(now, rpc):
+            self.waiting.append(rpc)
+
+    def end(self, rpc):
+        rpc.done = True
+        if rpc in self.open:
+            self.open.remove(rpc)
+        if rpc in self.waiting:
+            self.waiting.remove(rpc)
+        if self.cancels:
+            for pick in rpc.picks:
+                if pick.result is None:
+                    self.front.host.cancel(pick)
+
+    def give_up(self, now, rpc):
+        """The final answer at once: a pushback while the client may still gain by it, else an abort."""
+        self.end(rpc)
+        if self.front.gate.may_push_back(rpc) and now < rpc.soft:
+            self.front.host.push_back(rpc, min(self.max_wait, rpc.method.soft // 4))
+        else:
+            self.front.host.abort(rpc)
+
+    def back(self, now, pick, load, ended):
+        rpc = pick.rpc
+        self.below.back(now, pick, load)
+        self.learn(now, pick)
+        if rpc.done:
+            return
+        if ended or pick.result == OK:
+            self.end(rpc)
+        elif not any(p.result is None for p in rpc.picks):
+            never_ran = pick.result in NEVER_RAN
+            if now < rpc.soft and (never_ran or self.spare >= 1):
+                self.spare -= not never_ran
+                if self.below.take(now, rpc):
+                    return
+                if never_ran:
+                    return self.waiting.append(rpc)
+            self.give_up(now, rpc)
+
+    def learn(self, now, pick):
+        """The bound on open RPCs grows while answers come well within the soft deadline and shrinks when late."""
+        if self.limit is None:
+            self.limit = 6.0 * max(1, len(self.front.ready))
+        soft = pick.rpc.method.soft
+        if pick.result == OK and pick.latency < 0.6 * soft:
+            if len(self.open) > 0.5 * self.limit:
+                self.limit += 1
+        elif pick.result in (OK, TIMEOUT, FULL) and now - self.cut_at > SECOND // 4 and not pick.young:
+            self.cut_at = now
+            self.limit = max(2.0 * len(self.front.ready), min(self.limit, len(self.open) + 1) * 0.9, 4.0)
+
+    def look(self, now):
+        for rpc in list(self.waiting):
+            if now >= rpc.taken + WAIT_SHARE * rpc.method.soft or now >= rpc.soft:
+                self.give_up(now, rpc)
+            elif self.below.take(now, rpc):
+                self.waiting.remove(rpc)
+        for rpc in list(self.open):
+            out = [p for p in rpc.picks if p.result is None]
+            # Against servers that fall silent: one more try elsewhere while it can still be in time.
+            if (len(out) == 1 and rpc.method.kind != NON_IDEMPOTENT and self.spare >= 1 and now < rpc.soft
+                    and now - out[0].sent > 0.4 * rpc.method.soft and out[0].server.open
+                    and now - out[0].server.answered_at > SILENT // 2):
+                if self.duplicate:
+                    self.spare -= self.below.take(now, rpc)
+                elif self.cancels:
+                    self.front.host.cancel(out[0])
+
+
+class Front:
+    """One front's decisions: the list, the chain and the judge, as interface.Decisions."""
+
+    def __init__(self, settings, host):
+        self.host, self.random = host, Random(settings.seed)
+        self.log = host.log
+        self.servers, self.ready = [], []
+        self.judge = Judge(self, settings)
+        self.gate = Gate(self, settings)
+        self.routing = Routing(self, self.gate, settings)
+        self.intake = Intake(self, Trial(self, self.routing), settings)
+        self.must_ask, self.ask_every = settings.must_ask, min(ASK_EVERY, settings.ask_within // 3 or ASK_EVERY)
+        self.asked_at, self.watching = -inf, False
+
+    def start(self, now):
+        self.host.wake(LOOK)
+        self.ask(now)
+
+    def ask(self, now):
+        # Asked again only while the watch is not known to stand, so that the list is not flooded.
+        if self.must_ask and not self.watching and now - self.asked_at >= self.ask_every:
+            self.asked_at = now
+            self.host.watch()
+
+    def listed(self, now, lines, whole, asked=True):
+        for server, build, zone, cell, scale, status, booted in lines:
+            if server.status in (None, GONE) or booted != server.booted or build != server.build:
+                # New, or back under its old id: what was seen of the earlier process says nothing.
+                server.pace, server.bad_row, server.shun_until = 1.0, 0, 0
+                server.reported, server.reported_at, server.probed_at = 0.0, -inf, -inf
+                server.sent, server.answered_at = deque(), now
+                server.open = server.open or 0
+            server.build, server.zone, server.cell, server.scale = build, zone, cell, scale
+            server.status, server.booted = status, booted
+        named = [line[0] for line in lines]
+        if whole:
+            for server in self.servers:
+                if server not in named:
+                    server.status = GONE
+        self.servers += [s for s in named if s not in self.servers]
+        self.servers = [s for s in self.servers if s.status != GONE]
+        self.ready = [s for s in self.servers if s.status == READY]
+        if self.asked_at > -inf:
+            self.watching = True
+
+    def list_failed(self, now):
+        self.watching = False
+
+    def news(self, now, *said):
+        self.judge.news(now, *said)
+
+    def take(self, now, rpc):
+        self.intake.take(now, rpc)
+
+    def back(self, now, pick, result, latency, load, ended):
+        pick.result, pick.latency = result, latency
+        self.intake.back(now, pick, load, ended)
+
+    def started(self, now, pick):
+        """A stream belongs to its client from here on: no further pick, no final answer is owed."""
+        pick.rpc.done = True
+        if pick.rpc in self.intake.open:
+            self.intake.open.remove(pick.rpc)
+
+    def left(self, now, rpc):
+        if not rpc.done:
+            self.intake.end(rpc)
+
+    def probed(self, now, server, result, latency, load):
+        if result == OK:
+            self.routing.report(now, server, load)
+
+    def tallied(self, now, build, method, count, failed, latency, age):
+        pass
+
+    def found_wrong(self, now, server, method, age):
+        pass
+
+    def woken(self, now):
+        self.host.wake(LOOK)
+        self.ask(now)
+        self.routing.look(now)
+        self.intake.look(now)
+        self.judge.look(now)
--- /dev/null
+++ b/honeywood/interface.py
@@ -0,0 +1,95 @@
+"""What passes between the decisions (decide.py) and whatever hosts them. Nothing is decided here.
+
+All times are whole tenths of a millisecond on the host's clock. Objects point to each other; ids stay
+with the host.
+"""
+from typing import Protocol
+
+SECOND = 10_000
+
+# How a pick ended.
+ERROR, OK, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, MOOT = range(8)
+NEVER_RAN = (FULL, CONNECT_FAILED, MOOT)
+# What a method allows.
+IDEMPOTENT, TOKENED, NON_IDEMPOTENT = "idempotent", "tokened", "non-idempotent"
+# Where a server stands in the list.
+GONE, DRAINING, READY = range(3)
+# Where a build stands, and what a vote says of it.
+ON_TRIAL, GOING_BACK, RELEASED, WITHDRAWN = range(4)
+NO_VOTE, GO_ON, HOLD, GO_BACK = range(4)
+
+
+class Record:
+    """A plain record: named slots, filled by keyword, the rest None."""
+    __slots__ = ()
+
+    def __init__(self, **given):
+        for name in self.__slots__:
+            setattr(self, name, given.pop(name, None))
+        if given:
+            raise TypeError(f"{type(self).__name__} has no {sorted(given)}")
+
+
+class Method(Record):
+    __slots__ = ("kind", "soft", "soft_stretch", "deadline", "utility", "late_utility", "group", "window", "place")
+
+
+class Server(Record):
+    """A server: what the list says of it, then what the decisions keep about it."""
+    __slots__ = ("build", "zone", "cell", "scale", "status", "booted",
+                 "told_out", "open", "sent", "pace", "reported", "reported_at", "bad_row", "shun_until",
+                 "answered_at", "probed_at")
+
+
+class Rpc(Record):
+    """An RPC taken from a client. `deadline` is when this try's client gives up."""
+    __slots__ = ("method", "customer", "key", "deadline", "work", "repeat", "taken", "soft", "picks", "done",
+                 "held", "avoid")
+
+
+class Pick(Record):
+    """One send of an RPC to a server. `result` is None while it is out."""
+    __slots__ = ("rpc", "server", "number", "build", "sent", "result", "latency", "young")
+
+
+class Settings(Record):
+    """What a front is told at start, in this project's words and times."""
+    __slots__ = ("seed", "tick", "zone", "zones", "fronts", "me", "methods", "customers", "over_share_utility",
+                 "max_picks", "may_duplicate", "may_cancel", "may_probe", "max_wait", "must_ask", "ask_within",
+                 "drain_grace", "cold_share", "cold_time", "tip_multiple", "tip_time", "answers_report",
+                 "report_fields", "probe_price", "cross_price", "utility_by_work", "caps", "waves", "free_picks",
+                 "exposure_window", "per_method", "guarded_steps", "one_way", "vote_rule", "vote_life",
+                 "vote_wait", "bake", "rolling", "tally_period", "flags")
+
+
+class Host(Protocol):
+    """What the decisions ask of whoever hosts them."""
+
+    def send(self, pick: Pick, until: int) -> None: ...
+    def push_back(self, rpc: Rpc, wait: int) -> None: ...
+    def abort(self, rpc: Rpc) -> None: ...
+    def cancel(self, pick: Pick) -> None: ...
+    def probe(self, server: Server) -> None: ...
+    def wake(self, after: int) -> None: ...
+    def vote(self, build: int, step: int, verdict: int) -> None: ...
+    def watch(self) -> None: ...
+    def log(self, text: str) -> None: ...
+
+
+class Decisions(Protocol):
+    """What the host calls, with the time of each call first."""
+
+    def start(self, now: int) -> None: ...
+    def listed(self, now: int, lines: list[tuple], whole: bool) -> None: ...
+    def list_failed(self, now: int) -> None: ...
+    def news(self, now: int, result: int, reply: bool, build: int, step: int, cap: float, standing: int,
+             age: int) -> None: ...
+    def take(self, now: int, rpc: Rpc) -> None: ...
+    def back(self, now: int, pick: Pick, result: int, latency: int, load: tuple, ended: bool) -> None: ...
+    def started(self, now: int, pick: Pick) -> None: ...
+    def left(self, now: int, rpc: Rpc) -> None: ...
+    def probed(self, now: int, server: Server, result: int, latency: int, load: tuple) -> None: ...
+    def tallied(self, now: int, build: int, method: Method, count: int, failed: int, latency: int,
+                age: int) -> None: ...
+    def found_wrong(self, now: int, server: Server, method: Method, age: int) -> None: ...
+    def woken(self, now: int) -> None: ...
