--- a/honeywood/benchlink/adapter.py
+++ b/honeywood/benchlink/adapter.py
@@ -4,7 +4,7 @@
 
 from honeywood import decide
 from honeywood.benchlink import codec
-from honeywood.interface import Pick, Rpc, Server
+from honeywood.interface import LONG_AGO, Pick, Rpc, Server
 
 
 class Instance:
@@ -56,7 +56,7 @@
         if how == 3:
             return self.front.list_failed(now)
         self.front.listed(now, [(self.server(machine), round(build), zone, cell, scale, status,
-                                 codec.units(booted))
+                                 codec.units(booted) if booted else LONG_AGO)
                                 for booted, _, build, machine, cell, zone, status, scale in lines], how != 0)
 
     def knock(self, now, corr, place, customer, key, expires, hint, flags):
--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -390,7 +390,13 @@
             return self.give_up(now, rpc)
         self.open.append(rpc)
         if not self.below.take(now, rpc):
-            self.waiting.append(rpc)
+            self.hold(now, rpc)
+
+    def hold(self, now, rpc):
+        # A client about to leave is answered at once: the next look would come too late for it.
+        if now + 2 * LOOK >= rpc.soft:
+            return self.give_up(now, rpc)
+        self.waiting.append(rpc)
 
     def end(self, rpc):
         rpc.done = True
@@ -426,7 +432,7 @@
                 if self.below.take(now, rpc):
                     return
                 if never_ran:
-                    return self.waiting.append(rpc)
+                    return self.hold(now, rpc)
             self.give_up(now, rpc)
 
     def learn(self, now, pick):
@@ -443,7 +449,7 @@
 
     def look(self, now):
         for rpc in list(self.waiting):
-            if now >= rpc.taken + WAIT_SHARE * rpc.method.soft or now >= rpc.soft:
+            if now >= rpc.taken + WAIT_SHARE * rpc.method.soft or now + 2 * LOOK >= rpc.soft:
                 self.give_up(now, rpc)
             elif self.below.take(now, rpc):
                 self.waiting.remove(rpc)
--- a/honeywood/interface.py
+++ b/honeywood/interface.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 SECOND = 10_000
+LONG_AGO = -10**12  # a start that nobody remembers
 
 # How a pick ended.
 ERROR, OK, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, MOOT = range(8)
@@ -54,12 +55,13 @@
 
 class Settings(Record):
     """What a front is told at start, in this project's words and times."""
-    __slots__ = ("seed", "tick", "zone", "zones", "fronts", "me", "methods", "customers", "over_share_utility",
-                 "max_picks", "may_duplicate", "may_cancel", "may_probe", "max_wait", "must_ask", "ask_within",
-                 "drain_grace", "cold_share", "cold_time", "tip_multiple", "tip_time", "answers_report",
-                 "report_fields", "probe_price", "cross_price", "utility_by_work", "caps", "waves", "free_picks",
-                 "exposure_window", "per_method", "guarded_steps", "one_way", "vote_rule", "vote_life",
-                 "vote_wait", "bake", "rolling", "tally_period", "flags")
+    __slots__ = (
+        "seed", "tick", "zone", "zones", "fronts", "me", "methods", "customers", "over_share_utility",
+        "max_picks", "may_duplicate", "may_cancel", "may_probe", "max_wait", "must_ask", "ask_within",
+        "drain_grace", "cold_share", "cold_time", "tip_multiple", "tip_time", "answers_report",
+        "report_fields", "probe_price", "cross_price", "utility_by_work", "caps", "waves", "free_picks",
+        "exposure_window", "per_method", "guarded_steps", "one_way", "vote_rule", "vote_life",
+        "vote_wait", "bake", "rolling", "tally_period", "flags")
 
 
 class Host(Protocol):
--- /dev/null
+++ b/tests/test_all.py
@@ -0,0 +1,83 @@
+"""The one runner: every scenario file, the worked example of the sorted cut, and the wire's round trips."""
+import io
+import pathlib
+import struct
+
+import pytest
+
+from honeywood.benchlink import adapter, codec
+from honeywood.decide import sorted_cut, trails
+from play import play
+
+FILES = sorted((pathlib.Path(__file__).parent / "scenarios").glob("*.txt"))
+
+
+@pytest.mark.parametrize("path", FILES, ids=lambda p: p.stem)
+def test_scenario(path):
+    play(path)
+
+
+def test_sorted_cut():
+    # The paper's section 3.2: 15 endpoints at 0.05, the four smallest are rejected.
+    paper = [0.0001, 0.0004, 0.0019, 0.0095, 0.0201, 0.0278, 0.0298, 0.0344, 0.0459, 0.3240, 0.4262, 0.5719,
+             0.6528, 0.7590, 1.0]
+    assert sorted_cut(paper, 0.05) == [0, 1, 2, 3]
+    assert sorted_cut(paper[::-1], 0.05) == [11, 12, 13, 14]
+    assert sorted_cut([0.05], 0.05) == [0] and sorted_cut([0.051], 0.05) == []       # m = 1
+    assert sorted_cut([0.03, 0.03, 0.9], 0.05) == [0, 1]                             # ties
+    assert sorted_cut([0.2, 0.9], 0.05) == [] and sorted_cut([], 0.05) == []         # none
+    # The largest i decides: 0.03 fails its own 1/3 of q, and is rejected all the same.
+    assert sorted_cut([0.03, 0.033, 0.9], 0.05) == [0, 1]
+
+
+def test_z_test():
+    # (0.5 - 0.1 - 0.1) / sqrt(0.25/50 + 0.09/100) = 3.906, whose upper tail is 4.7e-5.
+    assert abs(trails(25, 50, 10, 100, 0.1) - 4.7e-5) < 2e-6
+    assert trails(0, 20, 0, 20, 0.02) == 1.0 and trails(20, 20, 0, 20, 0.02) == 0.0
+
+
+def frame(*records, tail=b"", clock=1000):
+    body = b"".join(r.ljust(40, b"\0") for r in records) + tail
+    return struct.pack(">IIQ", len(records), len(body) + 8, clock) + body
+
+
+def pack(code, *values):
+    return struct.pack(">H", code) + codec.EVENTS[code].pack(*values)[2:]
+
+
+SETTINGS = (b'{"new_key": 1, "limits": {"max_attempts": 2},'
+            b'"profiles": [{"idempotency": "unsafe", "aim_us": 1000000, "give_up_us": 4000000}]}')
+ENTRY = codec.ENTRY.pack(0, 0, 3.0, 77, 1, 0, 2, 1.0)
+HELLO = (pack(codec.CONTEXT, 5), pack(codec.HELLO, 9, 0, len(SETTINGS)), pack(codec.ROSTER, 2,
+         len(SETTINGS), 1), pack(codec.VIEW, 2, 1, 2))
+
+
+def test_wire_round_trip():
+    knock = pack(codec.KNOCK, 1 << 50, 0, 0, 0, 5_000_000, 0, 0xF0)
+    unknown = struct.pack(">H", 500)
+    read = codec.read_frame(io.BytesIO(frame(*HELLO, unknown, knock, tail=SETTINGS + ENTRY)))
+    process = adapter.Process()
+    reply = process.answer(*read).frame()
+    count, size = struct.unpack_from(">II", reply)
+    records = [reply[8 + 24 * i:32 + 24 * i] for i in range(count)]
+    assert size == len(reply) - 8
+    assert records[0] == struct.pack(">HI", 68, 5).ljust(24, b"\0")
+    assert struct.pack(">HQIQ", 76, 1 << 50, 77, 5_000_000).ljust(24, b"\0") in records
+    late = pack(codec.OUTCOME, 1 << 50, 1, 1, 77, 900, 0, 0, 0, 0, 0, 0)
+    assert process.answer(2000, [pack(codec.CONTEXT, 5).ljust(40, b"\0"), late, late], b"").count == 0
+    assert not process.instances[5].rpcs
+    assert codec.read_frame(io.BytesIO(b"")) is None
+
+
+@pytest.mark.parametrize("data", [b"\0" * 7, frame(*HELLO)[:-3], struct.pack(">IIQ", 9, 20, 0) + b"\0" * 12])
+def test_bad_frames_end_with_one_line(data, monkeypatch, capsys):
+    monkeypatch.setattr("sys.stdin", type("In", (), {"buffer": io.BytesIO(data)}))
+    assert adapter.main() == 1
+    assert capsys.readouterr().err.count("\n") == 1
+
+
+def test_fault_is_reported(monkeypatch):
+    monkeypatch.setattr(adapter.decide.Front, "take", lambda *_: 1 / 0)
+    knock = pack(codec.KNOCK, 8, 0, 0, 0, 5_000_000, 0, 0)
+    read = codec.read_frame(io.BytesIO(frame(*HELLO, knock, tail=SETTINGS + ENTRY)))
+    assert b"ZeroDivisionError" in adapter.Process().answer(*read).frame()
