--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -9,9 +9,9 @@
 from math import erfc, inf, isfinite, sqrt
 from random import Random
 
-from honeywood.interface import (CONNECT_FAILED, DRAINING, ERROR, FULL, GO_BACK, GO_ON, GOING_BACK, GONE, HOLD,
-                                 NEVER_RAN, NO_VOTE, NON_IDEMPOTENT, OK, ON_TRIAL, READY, RELEASED, RESET, SECOND,
-                                 TIMEOUT, TOKENED, Pick)
+from honeywood.interface import (
+    CONNECT_FAILED, ERROR, FULL, GO_BACK, GO_ON, GONE, HOLD, NEVER_RAN, NO_VOTE, NON_IDEMPOTENT, OK, ON_TRIAL,
+    READY, RELEASED, RESET, SECOND, TIMEOUT, TOKENED, Pick)
 
 # The design page's figures.
 Q = 0.05                       # level of the sorted cut
@@ -32,6 +32,9 @@
 REPORT_AGE = SECOND            # a load report older than this is dropped
 PROBE_EVERY = SECOND // 2
 WAIT_SHARE = 0.2               # share of its soft deadline an RPC may wait for a server
+RATE_OVER = 2 * SECOND         # answers are counted over this,
+SOON = 0.6                     # RPCs may be open that such a rate answers in this share of the soft deadline,
+HELD = 6                       # or so many a server by all fronts together, if that is more
 REPEATS = 0.1                  # further picks earned by an RPC
 ASK_EVERY = 3 * SECOND
 
@@ -48,7 +51,7 @@
 
 
 def trails(k1, n1, k0, n0, margin):
-    """One-sided two-proportion z-test: the p-value of 'the first share leads the second by no more than margin'."""
+    """One-sided two-proportion z-test: the p-value of 'k1/n1 leads k0/n0 by no more than margin'."""
     a, b = k1 / n1, k0 / n0
     spread = sqrt(a * (1 - a) / n1 + b * (1 - b) / n0)
     ahead = a - b - margin
@@ -168,7 +171,8 @@
         if self.standing != ON_TRIAL:
             return None
         if self.rule == "clock":
-            return HOLD if min(ps, default=1) <= Q else NO_VOTE if self.vote and self.vote[2] == HOLD else None
+            held = self.vote and self.vote[2] == HOLD
+            return HOLD if min(ps, default=1) <= Q else NO_VOTE if held else None
         if self.suspect_since is None and self.started(now):
             return GO_ON
         return None
@@ -195,9 +199,10 @@
 
     def __init__(self, front, settings):
         super().__init__(front, None)
-        self.tick, self.max_picks, self.duplicate = settings.tick, settings.max_picks, settings.may_duplicate
-        self.window, self.free = settings.exposure_window, settings.free_picks
-        self.guarded, self.one_way, self.per_method = settings.guarded_steps, settings.one_way, settings.per_method
+        self.tick, self.window, self.free = settings.tick, settings.exposure_window, settings.free_picks
+        self.max_picks, self.duplicate = settings.max_picks, settings.may_duplicate
+        self.guarded, self.one_way = settings.guarded_steps, settings.one_way
+        self.per_method = settings.per_method
         self.cold_share, self.cold_time = settings.cold_share, settings.cold_time
         self.tip, self.tip_time = settings.tip_multiple * TIP_SAFE, settings.tip_time
         lanes = len(settings.methods) if settings.per_method else 1
@@ -209,7 +214,7 @@
         return method.place if self.per_method else 0
 
     def room(self, now, build, method):
-        """Whether one more pick at this build keeps to the cap; one tick strict at both ends of the window."""
+        """Whether one more pick at this build keeps to the cap; a tick strict at both ends of the window."""
         on_trial = self.front.judge.cap_of(build)
         if on_trial is None:
             return True
@@ -224,8 +229,8 @@
         return cap > 0 and len(tried) + 1 <= self.free + cap * len(taken)
 
     def cold_room(self, now, server):
-        """A cold server gets no more than its part of what this front's warm servers bear, so that all
-        fronts together stay under its budget; what it holds is bounded too, against builds that need more work."""
+        """A cold server gets no more than its part of what this front's warm servers bear, so that all fronts
+        together keep to its budget; what it holds is bounded too, against builds that need more work."""
         age = now - server.booted
         if age >= self.cold_time + self.tip_time:
             return True
@@ -237,7 +242,8 @@
         share = min(1.0, self.cold_share + (1 - self.cold_share) * max(0, age) / self.cold_time)
         most = self.tip * share * len(self.oks) / max(1, len(self.front.ready))
         held = 1 + sum(warm) / max(1, len(warm))
-        return len(server.sent) + 1 <= max(1, most) and server.open + 1 <= held + self.tip * (share - self.cold_share)
+        held += self.tip * (share - self.cold_share)
+        return len(server.sent) + 1 <= max(1, most) and server.open + 1 <= held
 
     def may(self, now, rpc, server):
         if rpc.done or server.status != READY or len(rpc.picks) >= self.max_picks or now >= rpc.deadline:
@@ -289,12 +295,13 @@
 
 
 class Routing(Stage):
-    """Inside a build, the less busy of two random servers wins; sick servers are left out while others stand."""
+    """Inside a build, the less busy of two random servers wins; sick ones are left out while others stand."""
 
     def __init__(self, front, below, settings):
         super().__init__(front, below)
         self.zone = settings.zone if settings.cross_price else None
-        self.load_at = next((settings.report_fields.index(f) for f in ("active",) if f in settings.report_fields), None)
+        held = "active" in settings.report_fields
+        self.load_at = settings.report_fields.index("active") if held else None
         self.probes = settings.may_probe and self.load_at is not None and not settings.answers_report
         self.mean = [None] * len(settings.methods)
 
@@ -378,15 +385,16 @@
         most = max((m.utility for m in settings.methods), default=1) or 1
         self.rank = [0.75 + 0.25 * m.utility / most for m in settings.methods]
         self.open, self.waiting = [], deque()
-        self.limit, self.cut_at, self.spare = None, 0, 1.0
+        self.answers, self.began, self.spare, self.fronts = deque(), inf, 1.0, settings.fronts
 
     def take(self, now, rpc):
         method = rpc.method
         rpc.soft = min(rpc.deadline, now + method.soft + int(method.soft_stretch * rpc.work))
+        self.began = min(self.began, now)
         gate = self.front.gate
         gate.taken[gate.lane(method)].append(now)
         self.spare = min(10.0, self.spare + REPEATS)
-        if self.limit is not None and len(self.open) >= self.limit * self.rank[method.place]:
+        if self.full(now, rpc):
             return self.give_up(now, rpc)
         self.open.append(rpc)
         if not self.below.take(now, rpc):
@@ -420,7 +428,8 @@
     def back(self, now, pick, load, ended):
         rpc = pick.rpc
         self.below.back(now, pick, load)
-        self.learn(now, pick)
+        if pick.result in (OK, ERROR):
+            self.answers.append(now)
         if rpc.done:
             return
         if ended or pick.result == OK:
@@ -435,17 +444,15 @@
                     return self.hold(now, rpc)
             self.give_up(now, rpc)
 
-    def learn(self, now, pick):
-        """The bound on open RPCs grows while answers come well within the soft deadline and shrinks when late."""
-        if self.limit is None:
-            self.limit = 6.0 * max(1, len(self.front.ready))
-        soft = pick.rpc.method.soft
-        if pick.result == OK and pick.latency < 0.6 * soft:
-            if len(self.open) > 0.5 * self.limit:
-                self.limit += 1
-        elif pick.result in (OK, TIMEOUT, FULL) and now - self.cut_at > SECOND // 4 and not pick.young:
-            self.cut_at = now
-            self.limit = max(2.0 * len(self.front.ready), min(self.limit, len(self.open) + 1) * 0.9, 4.0)
+    def full(self, now, rpc):
+        """Whether this front holds more than can be answered well within the soft deadline (Little's law on
+        the answers of late). Against queues that jam: then all is late, and repeats keep it so."""
+        while self.answers and self.answers[0] < now - RATE_OVER:
+            self.answers.popleft()
+        over = min(RATE_OVER, now - self.began)
+        soon = len(self.answers) * rpc.method.soft * SOON / max(1, over)
+        least = max(4, HELD * len(self.front.ready) / self.fronts)
+        return over == RATE_OVER and len(self.open) >= max(least, soon) * self.rank[rpc.method.place]
 
     def look(self, now):
         for rpc in list(self.waiting):
@@ -476,7 +483,8 @@
         self.gate = Gate(self, settings)
         self.routing = Routing(self, self.gate, settings)
         self.intake = Intake(self, Trial(self, self.routing), settings)
-        self.must_ask, self.ask_every = settings.must_ask, min(ASK_EVERY, settings.ask_within // 3 or ASK_EVERY)
+        self.must_ask = settings.must_ask
+        self.ask_every = min(ASK_EVERY, settings.ask_within // 3 or ASK_EVERY)
         self.asked_at, self.watching = -inf, False
 
     def start(self, now):
@@ -489,7 +497,7 @@
             self.asked_at = now
             self.host.watch()
 
-    def listed(self, now, lines, whole, asked=True):
+    def listed(self, now, lines, whole):
         for server, build, zone, cell, scale, status, booted in lines:
             if server.status in (None, GONE) or booted != server.booted or build != server.build:
                 # New, or back under its old id: what was seen of the earlier process says nothing.
