--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -10,8 +10,27 @@
 from random import Random
 
 from honeywood.interface import (
-    CONNECT_FAILED, ERROR, FULL, GO_BACK, GO_ON, GONE, HOLD, NEVER_RAN, NO_VOTE, NON_IDEMPOTENT, OK, ON_TRIAL,
-    READY, RELEASED, RESET, SECOND, TIMEOUT, TOKENED, Pick)
+    CANCELLED,
+    CONNECT_FAILED,
+    ERROR,
+    FULL,
+    GO_BACK,
+    GO_ON,
+    GONE,
+    HOLD,
+    NEVER_RAN,
+    NO_VOTE,
+    NON_IDEMPOTENT,
+    OK,
+    ON_TRIAL,
+    READY,
+    RELEASED,
+    RESET,
+    SECOND,
+    TIMEOUT,
+    TOKENED,
+    Pick,
+)
 
 # The design page's figures.
 Q = 0.05                       # level of the sorted cut
@@ -307,7 +326,7 @@
 
     def busy(self, now, server):
         others = server.reported if now - server.reported_at < REPORT_AGE else 0
-        return (server.open + others + 1) * server.pace
+        return (server.open + others + server.failed + 1) * server.pace
 
     def well(self, now, server):
         return now >= server.shun_until and (not server.open or now - server.answered_at < SILENT)
@@ -340,11 +359,13 @@
         self.below.back(now, pick)
         server, place = pick.server, pick.rpc.method.place
         self.report(now, server, load)
-        if pick.result in (CONNECT_FAILED, RESET, TIMEOUT):
+        if pick.result in (CONNECT_FAILED, RESET, TIMEOUT, FULL):
             server.bad_row += 1
             server.shun_until = now + min(SHUN_MOST, SHUN << min(8, server.bad_row - 1))
-        elif pick.result in (OK, ERROR, FULL):
+        elif pick.result in (OK, ERROR):
             server.bad_row, server.answered_at = 0, now
+        # A server that fails at once holds nothing and would draw all traffic: its failures count as held.
+        server.failed += pick.result not in (OK, CANCELLED)
         if pick.result == OK:
             mean = self.mean[place] or max(1, pick.latency)
             self.mean[place] = mean + (pick.latency - mean) * 0.02
@@ -353,6 +374,7 @@
     def look(self, now):
         for server in self.front.ready:
             server.pace += (1 - server.pace) * 0.005
+            server.failed *= 0.95
             if self.probes and now - server.probed_at >= PROBE_EVERY * len(self.front.ready) / 10:
                 server.probed_at = now
                 self.front.host.probe(server)
@@ -501,7 +523,7 @@
         for server, build, zone, cell, scale, status, booted in lines:
             if server.status in (None, GONE) or booted != server.booted or build != server.build:
                 # New, or back under its old id: what was seen of the earlier process says nothing.
-                server.pace, server.bad_row, server.shun_until = 1.0, 0, 0
+                server.pace, server.failed, server.bad_row, server.shun_until = 1.0, 0.0, 0, 0
                 server.reported, server.reported_at, server.probed_at = 0.0, -inf, -inf
                 server.sent, server.answered_at = deque(), now
                 server.open = server.open or 0
--- a/honeywood/interface.py
+++ b/honeywood/interface.py
@@ -32,13 +32,14 @@
 
 
 class Method(Record):
-    __slots__ = ("kind", "soft", "soft_stretch", "deadline", "utility", "late_utility", "group", "window", "place")
+    __slots__ = ("kind", "soft", "soft_stretch", "deadline", "utility", "late_utility", "group", "window",
+                 "place")
 
 
 class Server(Record):
     """A server: what the list says of it, then what the decisions keep about it."""
     __slots__ = ("build", "zone", "cell", "scale", "status", "booted",
-                 "told_out", "open", "sent", "pace", "reported", "reported_at", "bad_row", "shun_until",
+                 "open", "sent", "pace", "reported", "reported_at", "failed", "bad_row", "shun_until",
                  "answered_at", "probed_at")
 
 
