Test few outcomes by the exact tail, and keep failures while they are few

Under 20 trial outcomes the exact binomial tail now stands in for the z-test; a method too rare in the earlier build is held against all.

--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -6,7 +6,7 @@
 comes back runs up the chain. Judge looks at what came back and votes. Times are tenths of a millisecond.
 """
 from collections import deque
-from math import erfc, inf, isfinite, sqrt
+from math import comb, erfc, inf, isfinite, sqrt
 from random import Random
 
 from honeywood.interface import (
@@ -42,7 +42,8 @@
 LOOK = SECOND // 20            # how often the front looks around by itself
 SLOW_SHARE = 0.25              # the earlier build's share that counts as slow
 EDGES = [n / 16 for n in (1, 2, 3, 4, 6, 8, 12, 16)]  # bins of answer times, in soft deadlines
-HALVE = 12 * SECOND            # how often counts are halved
+HALVE = 12 * SECOND            # how often answer times are halved
+MOST = 512                     # failures are halved at so many outcomes
 VOTE_AGAIN = SECOND // 2
 LISTED_LATE = 8 * SECOND       # a step counts as fully started after this
 TIP_SAFE = 0.7                 # how much of a cold server's budget is used
@@ -70,30 +71,36 @@
 
 
 def trails(k1, n1, k0, n0, margin):
-    """One-sided two-proportion z-test: the p-value of 'k1/n1 leads k0/n0 by no more than margin'."""
+    """The p-value of 'k1/n1 leads k0/n0 by no more than margin': a one-sided two-proportion z-test, or with
+    fewer than LEAST trial outcomes, where that is poor, the exact tail of the binomial at the share allowed.
+
+    >>> round(trails(2, 3, 0, 1000, 0.02), 5)   # 3 * 0.02**2 * 0.98 + 0.02**3
+    0.00118
+    """
     a, b = k1 / n1, k0 / n0
+    if n1 < LEAST:
+        n, k, share = round(n1), round(k1), min(1.0, b + margin)
+        return sum(comb(n, i) * share ** i * (1 - share) ** (n - i) for i in range(k, n + 1))
     spread = sqrt(a * (1 - a) / n1 + b * (1 - b) / n0)
     ahead = a - b - margin
     return 0.5 * erfc(ahead / spread / sqrt(2)) if spread else float(ahead <= 0)
 
 
 class Counts:
-    """What one method got from one build: failures, and a histogram of answer times."""
-    __slots__ = ("failed", "bins")
+    """What one method got from one build: failures, and a histogram of answer times. Failures tell of a build
+    at any time and are kept while few; answer times tell only beside those of the same time."""
+    __slots__ = ("failed", "ended", "bins")
 
     def __init__(self):
-        self.failed, self.bins = 0.0, [0.0] * (len(EDGES) + 1)
+        self.failed, self.ended, self.bins = 0.0, 0.0, [0.0] * (len(EDGES) + 1)
 
     def add(self, method, result, latency):
+        self.ended += 1
         self.failed += result == ERROR
         if result != ERROR:
             self.bins[sum(latency > edge * method.soft for edge in EDGES)] += 1
-
-    def all(self):
-        return self.failed + sum(self.bins)
-
-    def halve(self):
-        self.failed, self.bins = self.failed / 2, [n / 2 for n in self.bins]
+        if self.ended >= MOST:
+            self.ended, self.failed = self.ended / 2, self.failed / 2
 
 
 class Judge:
@@ -147,12 +154,17 @@
         """One p-value per method and kind of trouble, from the methods with samples enough."""
         trial = self.counts.get(self.build)
         earlier = max((b for b in self.counts if b < self.build), default=None)
+        others = self.counts.get(earlier, ())
+        failed, ended = sum(c.failed for c in others), sum(c.ended for c in others)
         ps = []
-        for one, other in zip(trial or (), self.counts.get(earlier, ())):
-            n1, n0 = one.all(), other.all()
-            if n1 < LEAST or n0 < LEAST:
+        for one, other in zip(trial or (), others):
+            # A method too rare in the earlier build to be tested by itself is held against all of them.
+            k0, n0 = (other.failed, other.ended) if other.ended >= LEAST else (failed, ended)
+            if one.ended >= 1 and n0 >= LEAST:
+                ps.append(trails(one.failed, one.ended, k0, n0, FAIL_MARGIN))
+            n1, n0 = sum(one.bins), sum(other.bins)
+            if n1 < 1 or n0 < LEAST:
                 continue
-            ps.append(trails(one.failed, n1, other.failed, n0, FAIL_MARGIN))
             # Slow is what the earlier build exceeds in about SLOW_SHARE of its answers.
             edge = min((at for at in range(1, len(other.bins)) if sum(other.bins[at:]) <= SLOW_SHARE * n0),
                        default=len(other.bins) - 1)
@@ -171,7 +183,7 @@
             self.halved = now
             for per_method in self.counts.values():
                 for counts in per_method:
-                    counts.halve()
+                    counts.bins = [n / 2 for n in counts.bins]
         if self.build is None or self.standing not in (ON_TRIAL, RELEASED):
             return
         ps = self.p_values()
