--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -150,26 +150,26 @@
         per_method = self.counts.setdefault(pick.build, [Counts() for _ in self.methods])
         per_method[pick.rpc.method.place].add(pick.rpc.method, pick.result, pick.latency)
 
-    def p_values(self):
-        """One p-value per method and kind of trouble, from the methods with samples enough."""
+    def tests(self):
+        """One test per method and kind of trouble, each its p-value and what it compares."""
         trial = self.counts.get(self.build)
         earlier = max((b for b in self.counts if b < self.build), default=None)
         others = self.counts.get(earlier, ())
         failed, ended = sum(c.failed for c in others), sum(c.ended for c in others)
-        ps = []
+        found = []
         for one, other in zip(trial or (), others):
             # A method too rare in the earlier build to be tested by itself is held against all of them.
             k0, n0 = (other.failed, other.ended) if other.ended >= LEAST else (failed, ended)
             if one.ended >= 1 and n0 >= LEAST:
-                ps.append(trails(one.failed, one.ended, k0, n0, FAIL_MARGIN))
+                found.append(("failed", one.failed, one.ended, k0, n0, FAIL_MARGIN))
             n1, n0 = sum(one.bins), sum(other.bins)
-            if n1 < 1 or n0 < LEAST:
+            if n1 < LEAST or n0 < LEAST:  # answer times are too noisy for an exact tail of a few
                 continue
             # Slow is what the earlier build exceeds in about SLOW_SHARE of its answers.
             edge = min((at for at in range(1, len(other.bins)) if sum(other.bins[at:]) <= SLOW_SHARE * n0),
                        default=len(other.bins) - 1)
-            ps.append(trails(sum(one.bins[edge:]), n1, sum(other.bins[edge:]), n0, SLOW_MARGIN))
-        return ps
+            found.append(("slow", sum(one.bins[edge:]), n1, sum(other.bins[edge:]), n0, SLOW_MARGIN))
+        return [(trails(*test[1:]), *test) for test in found]
 
     def started(self, now):
         """Whether the step's servers are all listed and the newest is no longer young."""
@@ -186,14 +186,17 @@
                     counts.bins = [n / 2 for n in counts.bins]
         if self.build is None or self.standing not in (ON_TRIAL, RELEASED):
             return
-        ps = self.p_values()
+        tests = self.tests()
+        ps = [test[0] for test in tests]
         if not sorted_cut(ps, Q):
             self.suspect_since = None
         elif self.suspect_since is None:
             self.suspect_since = now
         elif now - self.suspect_since >= CONFIRM and self.build not in self.bad:
             self.bad.append(self.build)
-            self.front.log(f"build {self.build} found bad at step {self.step}: {min(ps):.4f} of {len(ps)}")
+            p, kind, k1, n1, k0, n0, _ = min(tests)
+            self.front.log(f"build {self.build} found bad at step {self.step}: {kind} {k1:.0f} of {n1:.0f} against "
+                           f"{k0:.0f} of {n0:.0f} before, p {p:.4f}, {len(ps)} tests")
         self.cast(now, self.verdict(now, ps))
 
     def verdict(self, now, ps):
