--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -156,19 +156,26 @@
         earlier = max((b for b in self.counts if b < self.build), default=None)
         others = self.counts.get(earlier, ())
         failed, ended = sum(c.failed for c in others), sum(c.ended for c in others)
-        found = []
+        found, pooled = [], [0, 0, 0, 0]
         for one, other in zip(trial or (), others):
             # A method too rare in the earlier build to be tested by itself is held against all of them.
             k0, n0 = (other.failed, other.ended) if other.ended >= LEAST else (failed, ended)
             if one.ended >= 1 and n0 >= LEAST:
                 found.append(("failed", one.failed, one.ended, k0, n0, FAIL_MARGIN))
             n1, n0 = sum(one.bins), sum(other.bins)
-            if n1 < LEAST or n0 < LEAST:  # answer times are too noisy for an exact tail of a few
+            if n0 < LEAST:
                 continue
             # Slow is what the earlier build exceeds in about SLOW_SHARE of its answers.
             edge = min((at for at in range(1, len(other.bins)) if sum(other.bins[at:]) <= SLOW_SHARE * n0),
                        default=len(other.bins) - 1)
-            found.append(("slow", sum(one.bins[edge:]), n1, sum(other.bins[edge:]), n0, SLOW_MARGIN))
+            k1, k0 = sum(one.bins[edge:]), sum(other.bins[edge:])
+            pooled = [pooled[0] + k1, pooled[1] + n1, pooled[2] + n1 * k0 / n0, pooled[3] + n0]
+            if n1 >= LEAST:  # answer times come in runs: an exact tail of a few would say too much
+                found.append(("slow", k1, n1, k0, n0, SLOW_MARGIN))
+        # All methods as one more hypothesis, each held against its own share before: it has its sample sooner.
+        k1, n1, k0, n0 = pooled
+        if n1 >= LEAST:
+            found.append(("slow in all", k1, n1, k0 * n0 / n1, n0, SLOW_MARGIN))
         return [(trails(*test[1:]), *test) for test in found]
 
     def started(self, now):
@@ -362,7 +369,7 @@
     def take(self, now, rpc, first, second):
         """Sends to the first group, unless its server is far busier than the second group's."""
         one, other = self.two(now, rpc, first), self.two(now, rpc, second)
-        if one is None or (other is not None and self.busy(now, one) > 1.5 * self.busy(now, other) + 2):
+        if one is None or (other is not None and self.busy(now, one) > self.busy(now, other) + 1):
             one, other = other, one
         return one is not None and self.below.take(now, rpc, one)
 
