--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -39,6 +39,7 @@
 YOUNG = 3 * SECOND             # servers under this age are no evidence; also the wait with short samples
 CONFIRM = 1 * SECOND           # a rejection must still stand after this
 # Ours.
+FEW = 5                        # with fewer failures allowed than this, the exact tail is taken
 LOOK = SECOND // 20            # how often the front looks around by itself
 SLOW_SHARE = 0.25              # the earlier build's share that counts as slow
 EDGES = [n / 16 for n in (1, 2, 3, 4, 6, 8, 12, 16)]  # bins of answer times, in soft deadlines
@@ -71,14 +72,14 @@
 
 
 def trails(k1, n1, k0, n0, margin):
-    """The p-value of 'k1/n1 leads k0/n0 by no more than margin': a one-sided two-proportion z-test, or with
-    fewer than LEAST trial outcomes, where that is poor, the exact tail of the binomial at the share allowed.
+    """The p-value of 'k1/n1 leads k0/n0 by no more than margin': a one-sided two-proportion z-test, or where
+    fewer than FEW are allowed, and the normal curve is poor, the exact tail of the binomial at that share.
 
     >>> round(trails(2, 3, 0, 1000, 0.02), 5)   # 3 * 0.02**2 * 0.98 + 0.02**3
     0.00118
     """
     a, b = k1 / n1, k0 / n0
-    if n1 < LEAST:
+    if n1 * (b + margin) < FEW:
         n, k, share = round(n1), round(k1), min(1.0, b + margin)
         return sum(comb(n, i) * share ** i * (1 - share) ** (n - i) for i in range(k, n + 1))
     spread = sqrt(a * (1 - a) / n1 + b * (1 - b) / n0)
