A slow rejection must stand whichever trial server is left out

Told apart: the excess sat on one server. With a single trial server slowness is not judged. A build sent back by others is also avoided and no baseline.

--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -10,27 +10,8 @@
 from random import Random
 
 from honeywood.interface import (
-    CANCELLED,
-    CONNECT_FAILED,
-    ERROR,
-    FULL,
-    GO_BACK,
-    GO_ON,
-    GONE,
-    HOLD,
-    NEVER_RAN,
-    NO_VOTE,
-    NON_IDEMPOTENT,
-    OK,
-    ON_TRIAL,
-    READY,
-    RELEASED,
-    RESET,
-    SECOND,
-    TIMEOUT,
-    TOKENED,
-    Pick,
-)
+    CANCELLED, CONNECT_FAILED, ERROR, FULL, GO_BACK, GO_ON, GOING_BACK, GONE, HOLD, NEVER_RAN, NO_VOTE,
+    NON_IDEMPOTENT, OK, ON_TRIAL, READY, RELEASED, RESET, SECOND, TIMEOUT, TOKENED, WITHDRAWN, Pick)
 
 # The design page's figures.
 Q = 0.05                       # level of the sorted cut
@@ -104,6 +85,14 @@
             self.ended, self.failed = self.ended / 2, self.failed / 2
 
 
+def merged(counts):
+    """Several Counts as one."""
+    total = Counts()
+    total.failed, total.ended = sum(c.failed for c in counts), sum(c.ended for c in counts)
+    total.bins = [sum(column) for column in zip(*(c.bins for c in counts))]
+    return total
+
+
 class Judge:
     """Counts outcomes per build and method, applies the sorted cut and votes."""
 
@@ -117,7 +106,7 @@
         self.counts, self.halved = {}, 0
         self.places = 0            # servers of the earlier build when the trial was first seen
         self.suspect_since = None
-        self.bad = []              # builds this front has found bad
+        self.bad = []              # builds found bad here or sent back by others
         self.vote, self.voted_at, self.asked, self.asked_at = None, 0, None, -inf
 
     def cap_of(self, build):
@@ -144,40 +133,50 @@
                 self.places = sum(s.build < build for s in self.front.ready)
             self.since = now - age
         self.build, self.step, self.cap, self.standing = build, step, cap, standing
+        if standing in (GOING_BACK, WITHDRAWN) and build not in self.bad:
+            self.bad.append(build)
 
     def back(self, pick):
         if pick.young or pick.result not in (OK, ERROR, TIMEOUT):
             return
-        per_method = self.counts.setdefault(pick.build, [Counts() for _ in self.methods])
-        per_method[pick.rpc.method.place].add(pick.rpc.method, pick.result, pick.latency)
+        servers, method = self.counts.setdefault(pick.build, {}), pick.rpc.method
+        counts = servers.setdefault(pick.server, [Counts() for _ in self.methods])
+        counts[method.place].add(method, pick.result, pick.latency)
 
     def tests(self):
         """One test per method and kind of trouble, each its p-value and what it compares."""
-        trial = self.counts.get(self.build)
-        earlier = max((b for b in self.counts if b < self.build), default=None)
-        others = self.counts.get(earlier, ())
-        failed, ended = sum(c.failed for c in others), sum(c.ended for c in others)
-        found, pooled = [], [0, 0, 0, 0]
-        for one, other in zip(trial or (), others):
+        trial = list(self.counts.get(self.build, {}).values())
+        earlier = max((b for b in self.counts if b < self.build and b not in self.bad), default=None)
+        before = [merged(counts) for counts in zip(*self.counts.get(earlier, {}).values())]
+        failed, ended = sum(c.failed for c in before), sum(c.ended for c in before)
+        found, slow, everywhere = [], [], [0.0, 0.0]
+        for place, old in enumerate(before if trial else ()):
+            new = merged([counts[place] for counts in trial])
             # A method too rare in the earlier build to be tested by itself is held against all of them.
-            k0, n0 = (other.failed, other.ended) if other.ended >= LEAST else (failed, ended)
-            if one.ended >= 1 and n0 >= LEAST:
-                found.append(("failed", one.failed, one.ended, k0, n0, FAIL_MARGIN))
-            n1, n0 = sum(one.bins), sum(other.bins)
+            k0, n0 = (old.failed, old.ended) if old.ended >= LEAST else (failed, ended)
+            if new.ended >= 1 and n0 >= LEAST:
+                p = trails(new.failed, new.ended, k0, n0, FAIL_MARGIN)
+                found.append((p, f"failures of method {place}", new.failed, new.ended, k0, n0))
+            n0 = sum(old.bins)
             if n0 < LEAST:
                 continue
             # Slow is what the earlier build exceeds in about SLOW_SHARE of its answers.
-            edge = min((at for at in range(1, len(other.bins)) if sum(other.bins[at:]) <= SLOW_SHARE * n0),
-                       default=len(other.bins) - 1)
-            k1, k0 = sum(one.bins[edge:]), sum(other.bins[edge:])
-            pooled = [pooled[0] + k1, pooled[1] + n1, pooled[2] + n1 * k0 / n0, pooled[3] + n0]
-            if n1 >= LEAST:  # answer times come in runs: an exact tail of a few would say too much
-                found.append(("slow", k1, n1, k0, n0, SLOW_MARGIN))
-        # All methods as one more hypothesis, each held against its own share before: it has its sample sooner.
-        k1, n1, k0, n0 = pooled
-        if n1 >= LEAST:
-            found.append(("slow in all", k1, n1, k0 * n0 / n1, n0, SLOW_MARGIN))
-        return [(trails(*test[1:]), *test) for test in found]
+            edge = next((at for at in range(len(EDGES)) if sum(old.bins[at:]) <= SLOW_SHARE * n0), len(EDGES))
+            share = sum(old.bins[edge:]) / n0
+            pairs = [(sum(c[place].bins[edge:]), sum(c[place].bins)) for c in trial]
+            slow.append((f"slow answers of method {place}", pairs, share, n0))
+            everywhere = [everywhere[0] + share * sum(n for _, n in pairs), everywhere[1] + n0]
+        # All methods as one more hypothesis, each held against its own share: it has its sample sooner.
+        pairs = [tuple(map(sum, zip(*row))) for row in zip(*(test[1] for test in slow))]
+        if sum(n for _, n in pairs):
+            slow.append(("slow answers", pairs, everywhere[0] / sum(n for _, n in pairs), everywhere[1]))
+        for what, pairs, share, n0 in slow:
+            # One slow server is not a slow build: a rejection must stand whichever trial server is left out.
+            k1, n1 = sum(k for k, _ in pairs), sum(n for _, n in pairs)
+            if all(n1 - n >= LEAST for _, n in pairs):
+                p = max(trails(k1 - k, n1 - n, share * n0, n0, SLOW_MARGIN) for k, n in pairs)
+                found.append((p, what, k1, n1, share * n0, n0))
+        return found
 
     def started(self, now):
         """Whether the step's servers are all listed and the newest is no longer young."""
@@ -189,9 +188,8 @@
     def look(self, now):
         if now - self.halved >= HALVE:
             self.halved = now
-            for per_method in self.counts.values():
-                for counts in per_method:
-                    counts.bins = [n / 2 for n in counts.bins]
+            for counts in (c for build in self.counts.values() for row in build.values() for c in row):
+                counts.bins = [n / 2 for n in counts.bins]
         if self.build is None or self.standing not in (ON_TRIAL, RELEASED):
             return
         tests = self.tests()
@@ -202,9 +200,9 @@
             self.suspect_since = now
         elif now - self.suspect_since >= CONFIRM and self.build not in self.bad:
             self.bad.append(self.build)
-            p, kind, k1, n1, k0, n0, _ = min(tests)
-            self.front.log(f"build {self.build} found bad at step {self.step}: {kind} {k1:.0f} of {n1:.0f} against "
-                           f"{k0:.0f} of {n0:.0f} before, p {p:.4f}, {len(ps)} tests")
+            p, what, k1, n1, k0, n0 = min(tests)
+            self.front.log(f"build {self.build} found bad at step {self.step}: {what}, {k1:.0f} of {n1:.0f} "
+                           f"against {k0:.0f} of {n0:.0f} before, p {p:.4f} in {len(ps)} tests")
         self.cast(now, self.verdict(now, ps))
 
     def verdict(self, now, ps):
