--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -26,6 +26,8 @@
 EDGES = [n / 16 for n in (1, 2, 3, 4, 6, 8, 12, 16)]  # bins of answer times, in soft deadlines
 HALVE = 12 * SECOND            # how often answer times are halved
 MOST = 512                     # failures are halved at so many outcomes
+RECENT = 2 * SECOND            # how often the counts of just now are halved
+ALIKE_WAIT = 10 * SECOND       # slowness of old and new alike must last so long; most outside trouble passes
 VOTE_AGAIN = SECOND // 2
 LISTED_LATE = 8 * SECOND       # a step counts as fully started after this
 TIP_SAFE = 0.7                 # how much of a cold server's budget is used
@@ -104,8 +106,9 @@
         self.build = self.step = self.standing = None
         self.cap, self.since = 0.0, 0
         self.counts, self.halved = {}, 0
+        self.recent, self.normal, self.recent_at = [Counts() for _ in self.methods], [], 0
         self.places = 0            # servers of the earlier build when the trial was first seen
-        self.suspect_since = None
+        self.suspect_since = self.alike_since = None
         self.bad = []              # builds found bad here or sent back by others
         self.vote, self.voted_at, self.asked, self.asked_at = None, 0, None, -inf
 
@@ -129,7 +132,9 @@
             return
         if (build, step, standing) != (self.build, self.step, self.standing):
             if build != self.build:
-                self.suspect_since = None
+                self.suspect_since = self.alike_since = None
+                good = [self.counts[at].values() for at in self.counts if at not in self.bad]
+                self.normal = [merged(row) for row in zip(*(row for rows in good for row in rows))]
                 self.places = sum(s.build < build for s in self.front.ready)
             self.since = now - age
         self.build, self.step, self.cap, self.standing = build, step, cap, standing
@@ -140,6 +145,8 @@
         if pick.young or pick.result not in (OK, ERROR, TIMEOUT):
             return
         servers, method = self.counts.setdefault(pick.build, {}), pick.rpc.method
+        if self.cap_of(pick.build) is None:
+            self.recent[method.place].add(method, pick.result, pick.latency)
         counts = servers.setdefault(pick.server, [Counts() for _ in self.methods])
         counts[method.place].add(method, pick.result, pick.latency)
 
@@ -158,8 +165,8 @@
                 p = trails(new.failed, new.ended, k0, n0, FAIL_MARGIN)
                 found.append((p, f"failures of method {place}", new.failed, new.ended, k0, n0))
             n0 = sum(old.bins)
-            if n0 < LEAST:
-                continue
+            if n0 < LEAST or not any(s.build == earlier for s in self.front.ready):
+                continue  # answer times tell only beside those of the same time
             # Slow is what the earlier build exceeds in about SLOW_SHARE of its answers.
             edge = next((at for at in range(len(EDGES)) if sum(old.bins[at:]) <= SLOW_SHARE * n0), len(EDGES))
             share = sum(old.bins[edge:]) / n0
@@ -178,6 +185,19 @@
                 found.append((p, what, k1, n1, share * n0, n0))
         return found
 
+    def alike(self):
+        """The p-value of 'what is not on trial answers no slower than before the trial'. It sees a build that
+        slows old and new alike, and any outside slowness too, which passes: hence a longer wait."""
+        k1 = n1 = k0 = n0 = 0.0
+        for new, old in zip(self.recent, self.normal):
+            n, m = sum(new.bins), sum(old.bins)
+            if m < LEAST:
+                continue
+            edge = next((at for at in range(len(EDGES)) if sum(old.bins[at:]) <= SLOW_SHARE * m), len(EDGES))
+            k1, n1, n0 = k1 + sum(new.bins[edge:]), n1 + n, n0 + m
+            k0 += n * sum(old.bins[edge:]) / m
+        return trails(k1, n1, k0 / n1 * n0, n0, SLOW_MARGIN) if n1 >= LEAST else None
+
     def started(self, now):
         """Whether the step's servers are all listed and the newest is no longer young."""
         mine = [s for s in self.front.ready if s.build == self.build]
@@ -190,8 +210,20 @@
             self.halved = now
             for counts in (c for build in self.counts.values() for row in build.values() for c in row):
                 counts.bins = [n / 2 for n in counts.bins]
+        if now - self.recent_at >= RECENT:
+            self.recent_at = now
+            for counts in self.recent:
+                counts.bins = [n / 2 for n in counts.bins]
         if self.build is None or self.standing not in (ON_TRIAL, RELEASED):
             return
+        p = self.alike()  # None with too few answers: the judgement stays as it was
+        if (p is not None and p > Q) or (self.standing == RELEASED and now - self.since > 2 * ALIKE_WAIT):
+            self.alike_since = None
+        elif p is not None and self.alike_since is None:
+            self.alike_since = now
+        if self.alike_since is not None and now - self.alike_since >= ALIKE_WAIT and self.build not in self.bad:
+            self.bad.append(self.build)
+            self.front.log(f"build {self.build} found bad at step {self.step}: old and new slower than before")
         tests = self.tests()
         ps = [test[0] for test in tests]
         if not sorted_cut(ps, Q):
@@ -213,7 +245,7 @@
         if self.rule == "clock":
             held = self.vote and self.vote[2] == HOLD
             return HOLD if min(ps, default=1) <= Q else NO_VOTE if held else None
-        if self.suspect_since is None and self.started(now):
+        if self.suspect_since is None and self.alike_since is None and self.started(now):
             return GO_ON
         return None
 
