--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -26,8 +26,10 @@
 EDGES = [n / 16 for n in (1, 2, 3, 4, 6, 8, 12, 16)]  # bins of answer times, in soft deadlines
 HALVE = 12 * SECOND            # how often answer times are halved
 MOST = 512                     # failures are halved at so many outcomes
-RECENT = 2 * SECOND            # how often the counts of just now are halved
-ALIKE_WAIT = 10 * SECOND       # slowness of old and new alike must last so long; most outside trouble passes
+RECENT = 1 * SECOND            # how often the counts of just now are halved
+WITHHOLD = 5 * SECOND          # against builds that slow old and new alike: trial picks stop for at most this;
+RELIEFS = 2                    # so many times relief must follow,
+CARRY = 0.7                    # and this part of the earlier servers must still be there
 VOTE_AGAIN = SECOND // 2
 LISTED_LATE = 8 * SECOND       # a step counts as fully started after this
 TIP_SAFE = 0.7                 # how much of a cold server's budget is used
@@ -108,7 +110,8 @@
         self.counts, self.halved = {}, 0
         self.recent, self.normal, self.recent_at = [Counts() for _ in self.methods], [], 0
         self.places = 0            # servers of the earlier build when the trial was first seen
-        self.suspect_since = self.alike_since = None
+        self.suspect_since = self.alike_since = self.withheld = None
+        self.reliefs, self.outside_until = 0, -inf
         self.bad = []              # builds found bad here or sent back by others
         self.vote, self.voted_at, self.asked, self.asked_at = None, 0, None, -inf
 
@@ -132,7 +135,8 @@
             return
         if (build, step, standing) != (self.build, self.step, self.standing):
             if build != self.build:
-                self.suspect_since = self.alike_since = None
+                self.suspect_since = self.alike_since = self.withheld = None
+                self.reliefs, self.outside_until = 0, -inf
                 good = [self.counts[at].values() for at in self.counts if at not in self.bad]
                 self.normal = [merged(row) for row in zip(*(row for rows in good for row in rows))]
                 self.places = sum(s.build < build for s in self.front.ready)
@@ -187,7 +191,7 @@
 
     def alike(self):
         """The p-value of 'what is not on trial answers no slower than before the trial'. It sees a build that
-        slows old and new alike, and any outside slowness too, which passes: hence a longer wait."""
+        slows old and new alike, and any outside slowness too."""
         k1 = n1 = k0 = n0 = 0.0
         for new, old in zip(self.recent, self.normal):
             n, m = sum(new.bins), sum(old.bins)
@@ -198,6 +202,32 @@
             k0 += n * sum(old.bins[edge:]) / m
         return trails(k1, n1, k0 / n1 * n0, n0, SLOW_MARGIN) if n1 >= LEAST else None
 
+    def look_alike(self, now, p):
+        """Slowness of old and new alike is the trial's if it goes when its traffic does, and comes back with it:
+        the front withholds its trial picks for a while and looks. Acts while the earlier servers can carry all."""
+        earlier = sum(self.cap_of(s.build) is None for s in self.front.ready)
+        if self.standing != ON_TRIAL or earlier < CARRY * self.places:
+            self.alike_since = self.withheld = None
+        elif p is None or now < self.outside_until:
+            return
+        elif self.withheld is not None:
+            if p > Q:
+                self.reliefs += 1
+                if self.reliefs >= RELIEFS and self.build not in self.bad:
+                    self.bad.append(self.build)
+                    self.front.log(f"build {self.build} found bad at step {self.step}: slows the others too")
+            elif now - self.withheld < WITHHOLD:
+                return
+            else:
+                self.outside_until = now + 2 * WITHHOLD
+            self.alike_since = self.withheld = None
+        elif p > Q:
+            self.alike_since = None
+        elif self.alike_since is None:
+            self.alike_since = now
+        elif now - self.alike_since >= CONFIRM:
+            self.withheld = now
+
     def started(self, now):
         """Whether the step's servers are all listed and the newest is no longer young."""
         mine = [s for s in self.front.ready if s.build == self.build]
@@ -216,14 +246,7 @@
                 counts.bins = [n / 2 for n in counts.bins]
         if self.build is None or self.standing not in (ON_TRIAL, RELEASED):
             return
-        p = self.alike()  # None with too few answers: the judgement stays as it was
-        if (p is not None and p > Q) or (self.standing == RELEASED and now - self.since > 2 * ALIKE_WAIT):
-            self.alike_since = None
-        elif p is not None and self.alike_since is None:
-            self.alike_since = now
-        if self.alike_since is not None and now - self.alike_since >= ALIKE_WAIT and self.build not in self.bad:
-            self.bad.append(self.build)
-            self.front.log(f"build {self.build} found bad at step {self.step}: old and new slower than before")
+        self.look_alike(now, self.alike())
         tests = self.tests()
         ps = [test[0] for test in tests]
         if not sorted_cut(ps, Q):
@@ -440,6 +463,8 @@
         judge, ready = self.front.judge, self.front.ready
         new = [s for s in ready if judge.cap_of(s.build) is not None]
         old = [s for s in ready if judge.cap_of(s.build) is None]
+        if judge.withheld is not None:
+            return self.below.take(now, rpc, old, new)
         if judge.bad:
             first = [s for s in ready if s.build not in judge.bad]
             return self.below.take(now, rpc, first, [s for s in ready if s.build in judge.bad])
