--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -27,7 +27,7 @@
 HALVE = 12 * SECOND            # how often answer times are halved
 MOST = 512                     # failures are halved at so many outcomes
 RECENT = 1 * SECOND            # how often the counts of just now are halved
-WITHHOLD = 5 * SECOND          # against builds that slow old and new alike: trial picks stop for at most this;
+WITHHOLD = 5 * SECOND          # against builds that slow old and new alike: trial picks stop for so long,
 RELIEFS = 2                    # so many times relief must follow,
 CARRY = 0.7                    # and this part of the earlier servers must still be there
 VOTE_AGAIN = SECOND // 2
@@ -203,8 +203,8 @@
         return trails(k1, n1, k0 / n1 * n0, n0, SLOW_MARGIN) if n1 >= LEAST else None
 
     def look_alike(self, now, p):
-        """Slowness of old and new alike is the trial's if it goes when its traffic does, and comes back with it:
-        the front withholds its trial picks for a while and looks. Acts while the earlier servers can carry all."""
+        """Slowness of old and new alike is the trial's if it goes and comes with the trial's traffic: the front
+        withholds its trial picks for a while and looks. Acts while the earlier servers can carry all."""
         earlier = sum(self.cap_of(s.build) is None for s in self.front.ready)
         if self.standing != ON_TRIAL or earlier < CARRY * self.places:
             self.alike_since = self.withheld = None
@@ -551,6 +551,7 @@
             self.answers.popleft()
         over = min(RATE_OVER, now - self.began)
         soon = len(self.answers) * rpc.method.soft * SOON / max(1, over)
+        soon += 2 * sqrt(soon)  # small fronts: so much comes by chance
         least = max(4, HELD * len(self.front.ready) / self.fronts)
         return over == RATE_OVER and len(self.open) >= max(least, soon) * self.rank[rpc.method.place]
 
