--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -27,7 +27,7 @@
 HALVE = 12 * SECOND            # how often answer times are halved
 MOST = 512                     # failures are halved at so many outcomes
 RECENT = 1 * SECOND            # how often the counts of just now are halved
-WITHHOLD = 5 * SECOND          # against builds that slow old and new alike: trial picks stop for so long,
+WITHHOLD = 8 * SECOND          # against builds that slow old and new alike: trial picks stop for so long,
 RELIEFS = 2                    # so many times relief must follow,
 CARRY = 0.7                    # and this part of the earlier servers must still be there
 VOTE_AGAIN = SECOND // 2
@@ -190,8 +190,8 @@
         return found
 
     def alike(self):
-        """The p-value of 'what is not on trial answers no slower than before the trial'. It sees a build that
-        slows old and new alike, and any outside slowness too."""
+        """The p-value of 'what is not on trial answers no slower than before the trial', and the slow answers
+        among how many. It sees a build that slows old and new alike, and any outside slowness too."""
         k1 = n1 = k0 = n0 = 0.0
         for new, old in zip(self.recent, self.normal):
             n, m = sum(new.bins), sum(old.bins)
@@ -200,33 +200,39 @@
             edge = next((at for at in range(len(EDGES)) if sum(old.bins[at:]) <= SLOW_SHARE * m), len(EDGES))
             k1, n1, n0 = k1 + sum(new.bins[edge:]), n1 + n, n0 + m
             k0 += n * sum(old.bins[edge:]) / m
-        return trails(k1, n1, k0 / n1 * n0, n0, SLOW_MARGIN) if n1 >= LEAST else None
+        return (trails(k1, n1, k0 / n1 * n0, n0, SLOW_MARGIN), k1, n1) if n1 >= LEAST // 2 else None
 
-    def look_alike(self, now, p):
-        """Slowness of old and new alike is the trial's if it goes and comes with the trial's traffic: the front
+    def look_alike(self, now, seen):
+        """Slowness of old and new alike is the trial's if it goes and comes with its traffic: the front
         withholds its trial picks for a while and looks. Acts while the earlier servers can carry all."""
         earlier = sum(self.cap_of(s.build) is None for s in self.front.ready)
         if self.standing != ON_TRIAL or earlier < CARRY * self.places:
             self.alike_since = self.withheld = None
-        elif p is None or now < self.outside_until:
             return
-        elif self.withheld is not None:
-            if p > Q:
+        if seen is None or now < self.outside_until:
+            return
+        p, slow, ended = seen
+        if self.withheld is not None:
+            start, slow_then, ended_then = self.withheld
+            if p > Q or trails(slow_then, ended_then, slow, ended, SLOW_MARGIN / 2) <= Q:
                 self.reliefs += 1
+                self.front.log(f"build {self.build}: relief without its traffic, p {p:.4f}")
                 if self.reliefs >= RELIEFS and self.build not in self.bad:
                     self.bad.append(self.build)
                     self.front.log(f"build {self.build} found bad at step {self.step}: slows the others too")
-            elif now - self.withheld < WITHHOLD:
+            elif now - start < WITHHOLD:
                 return
             else:
-                self.outside_until = now + 2 * WITHHOLD
+                self.outside_until = now + WITHHOLD
+                self.front.log(f"build {self.build}: no relief without its traffic, p {p:.4f}")
             self.alike_since = self.withheld = None
         elif p > Q:
             self.alike_since = None
         elif self.alike_since is None:
             self.alike_since = now
         elif now - self.alike_since >= CONFIRM:
-            self.withheld = now
+            self.withheld = now, slow, ended
+            self.front.log(f"build {self.build}: the others are slower than before it, p {p:.4f}; withheld")
 
     def started(self, now):
         """Whether the step's servers are all listed and the newest is no longer young."""
@@ -464,7 +470,7 @@
         new = [s for s in ready if judge.cap_of(s.build) is not None]
         old = [s for s in ready if judge.cap_of(s.build) is None]
         if judge.withheld is not None:
-            return self.below.take(now, rpc, old, new)
+            return self.below.take(now, rpc, old, []) or self.below.take(now, rpc, new, [])
         if judge.bad:
             first = [s for s in ready if s.build not in judge.bad]
             return self.below.take(now, rpc, first, [s for s in ready if s.build in judge.bad])
