Pushbacks for want of room count as slow when the trial's time is held against the time before

Cause: once the bound on open RPCs cuts in, answers stay quick and the slowness shows as pushbacks only.

--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -108,7 +108,8 @@
         self.build = self.step = self.standing = None
         self.cap, self.since = 0.0, 0
         self.counts, self.halved = {}, 0
-        self.recent, self.normal, self.recent_at = [Counts() for _ in self.methods], [], 0
+        self.recent, self.normal = ([Counts() for _ in self.methods] for _ in range(2))
+        self.recent_at = 0
         self.places = 0            # servers of the earlier build when the trial was first seen
         self.suspect_since = self.alike_since = self.withheld = None
         self.reliefs, self.outside_until = 0, -inf
@@ -137,8 +138,6 @@
             if build != self.build:
                 self.suspect_since = self.alike_since = self.withheld = None
                 self.reliefs, self.outside_until = 0, -inf
-                good = [self.counts[at].values() for at in self.counts if at not in self.bad]
-                self.normal = [merged(row) for row in zip(*(row for rows in good for row in rows))]
                 self.places = sum(s.build < build for s in self.front.ready)
             self.since = now - age
         self.build, self.step, self.cap, self.standing = build, step, cap, standing
@@ -150,10 +149,16 @@
             return
         servers, method = self.counts.setdefault(pick.build, {}), pick.rpc.method
         if self.cap_of(pick.build) is None:
-            self.recent[method.place].add(method, pick.result, pick.latency)
+            self.remember(method, pick.result, pick.latency)
         counts = servers.setdefault(pick.server, [Counts() for _ in self.methods])
         counts[method.place].add(method, pick.result, pick.latency)
 
+    def remember(self, method, result, latency):
+        """Adds to how RPCs fare outside the trial, those pushed back for want of room among the slowest."""
+        self.recent[method.place].add(method, result, latency)
+        if self.standing != ON_TRIAL:
+            self.normal[method.place].add(method, result, latency)
+
     def tests(self):
         """One test per method and kind of trouble, each its p-value and what it compares."""
         trial = list(self.counts.get(self.build, {}).values())
@@ -190,8 +195,8 @@
         return found
 
     def alike(self):
-        """The p-value of 'what is not on trial answers no slower than before the trial', and the slow answers
-        among how many. It sees a build that slows old and new alike, and any outside slowness too."""
+        """The p-value of 'outside the trial RPCs fare no worse than before it', and the slow answers among how
+        many. It sees a build that slows old and new alike, and any outside slowness too."""
         k1 = n1 = k0 = n0 = 0.0
         for new, old in zip(self.recent, self.normal):
             n, m = sum(new.bins), sum(old.bins)
@@ -244,7 +249,8 @@
     def look(self, now):
         if now - self.halved >= HALVE:
             self.halved = now
-            for counts in (c for build in self.counts.values() for row in build.values() for c in row):
+            rows = [row for build in self.counts.values() for row in build.values()]
+            for counts in (c for row in rows + [self.normal] * (self.standing != ON_TRIAL) for c in row):
                 counts.bins = [n / 2 for n in counts.bins]
         if now - self.recent_at >= RECENT:
             self.recent_at = now
@@ -467,13 +473,12 @@
 
     def take(self, now, rpc):
         judge, ready = self.front.judge, self.front.ready
-        new = [s for s in ready if judge.cap_of(s.build) is not None]
-        old = [s for s in ready if judge.cap_of(s.build) is None]
-        if judge.withheld is not None:
-            return self.below.take(now, rpc, old, []) or self.below.take(now, rpc, new, [])
-        if judge.bad:
-            first = [s for s in ready if s.build not in judge.bad]
-            return self.below.take(now, rpc, first, [s for s in ready if s.build in judge.bad])
+        new = [s for s in ready if s.build in judge.bad or judge.cap_of(s.build) is not None]
+        old = [s for s in ready if s not in new]
+        if judge.build in judge.bad or judge.withheld is not None:
+            if len(old) >= CARRY * judge.places:  # then nothing spills over to the trial's servers
+                return self.below.take(now, rpc, old, []) or self.below.take(now, rpc, new, [])
+            new, old = old, new
         return self.below.take(now, rpc, new, old)
 
     def back(self, now, pick, load):
@@ -501,6 +506,7 @@
         gate.taken[gate.lane(method)].append(now)
         self.spare = min(10.0, self.spare + REPEATS)
         if self.full(now, rpc):
+            self.front.judge.remember(method, TIMEOUT, inf)
             return self.give_up(now, rpc)
         self.open.append(rpc)
         if not self.below.take(now, rpc):
