--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -208,8 +208,8 @@
         return (trails(k1, n1, k0 / n1 * n0, n0, SLOW_MARGIN), k1, n1) if n1 >= LEAST // 2 else None
 
     def look_alike(self, now, seen):
-        """Slowness of old and new alike is the trial's if it goes and comes with its traffic: the front
-        withholds its trial picks for a while and looks. Acts while the earlier servers can carry all."""
+        """Slowness of old and new alike is the trial's if it comes and goes with its traffic: the front
+        withholds its trial picks and looks. Acts while the earlier servers can carry all."""
         earlier = sum(self.cap_of(s.build) is None for s in self.front.ready)
         if self.standing != ON_TRIAL or earlier < CARRY * self.places:
             self.alike_since = self.withheld = None
@@ -219,7 +219,7 @@
         p, slow, ended = seen
         if self.withheld is not None:
             start, slow_then, ended_then = self.withheld
-            if p > Q or trails(slow_then, ended_then, slow, ended, SLOW_MARGIN / 2) <= Q:
+            if trails(slow_then, ended_then, slow, ended, SLOW_MARGIN / 2) <= Q:
                 self.reliefs += 1
                 self.front.log(f"build {self.build}: relief without its traffic, p {p:.4f}")
                 if self.reliefs >= RELIEFS and self.build not in self.bad:
@@ -228,7 +228,7 @@
             elif now - start < WITHHOLD:
                 return
             else:
-                self.outside_until = now + WITHHOLD
+                self.outside_until, self.reliefs = now + WITHHOLD, 0
                 self.front.log(f"build {self.build}: no relief without its traffic, p {p:.4f}")
             self.alike_since = self.withheld = None
         elif p > Q:
