--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -195,7 +195,7 @@
         return found
 
     def alike(self):
-        """The p-value of 'outside the trial RPCs fare no worse than before it', and the slow answers among how
+        """The p-value of 'outside the trial RPCs fare no worse than before', and the slow ones among how
         many. It sees a build that slows old and new alike, and any outside slowness too."""
         k1 = n1 = k0 = n0 = 0.0
         for new, old in zip(self.recent, self.normal):
@@ -228,7 +228,7 @@
             elif now - start < WITHHOLD:
                 return
             else:
-                self.outside_until, self.reliefs = now + WITHHOLD, 0
+                self.outside_until = now + WITHHOLD
                 self.front.log(f"build {self.build}: no relief without its traffic, p {p:.4f}")
             self.alike_since = self.withheld = None
         elif p > Q:
