--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -219,7 +219,7 @@
         p, slow, ended = seen
         if self.withheld is not None:
             start, slow_then, ended_then = self.withheld
-            if trails(slow_then, ended_then, slow, ended, SLOW_MARGIN / 2) <= Q:
+            if p > Q and trails(slow_then, ended_then, slow, ended, 0) <= Q:
                 self.reliefs += 1
                 self.front.log(f"build {self.build}: relief without its traffic, p {p:.4f}")
                 if self.reliefs >= RELIEFS and self.build not in self.bad:
