--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -182,7 +182,11 @@
             pairs = [(sum(c[place].bins[edge:]), sum(c[place].bins)) for c in trial]
             slow.append((f"slow answers of method {place}", pairs, share, n0))
             everywhere = [everywhere[0] + share * sum(n for _, n in pairs), everywhere[1] + n0]
-        # All methods as one more hypothesis, each held against its own share: it has its sample sooner.
+        # All methods together as one more hypothesis of each kind: it has its sample sooner.
+        fails, ends = (sum(getattr(c, name) for row in trial for c in row) for name in ("failed", "ended"))
+        if ends and ended >= LEAST:
+            p = trails(fails, ends, failed, ended, FAIL_MARGIN)
+            found.append((p, "failures", fails, ends, failed, ended))
         pairs = [tuple(map(sum, zip(*row))) for row in zip(*(test[1] for test in slow))]
         if sum(n for _, n in pairs):
             slow.append(("slow answers", pairs, everywhere[0] / sum(n for _, n in pairs), everywhere[1]))
@@ -219,7 +223,7 @@
         p, slow, ended = seen
         if self.withheld is not None:
             start, slow_then, ended_then = self.withheld
-            if p > Q and trails(slow_then, ended_then, slow, ended, 0) <= Q:
+            if p > Q or trails(slow_then, ended_then, slow, ended, SLOW_MARGIN / 2) <= Q:
                 self.reliefs += 1
                 self.front.log(f"build {self.build}: relief without its traffic, p {p:.4f}")
                 if self.reliefs >= RELIEFS and self.build not in self.bad:
