--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -39,8 +39,8 @@
 PROBE_EVERY = SECOND // 2
 WAIT_SHARE = 0.2               # share of its soft deadline an RPC may wait for a server
 RATE_OVER = 2 * SECOND         # answers are counted over this,
-SOON = 0.4                     # RPCs may be open that such a rate answers in this share of the soft deadline,
-HELD = 3                       # or so many a server by all fronts together, if that is more
+SOON = 0.5                     # RPCs may be open that such a rate answers in this share of the soft deadline,
+HELD = 4                       # or so many a server by all fronts together, if that is more
 REPEATS = 0.1                  # further picks earned by an RPC
 ASK_EVERY = 3 * SECOND
 
