A front with nothing to compare with judges failures alone

Such a front now holds failures against a fixed share of 0.10 by the exact tail. It could harm where everything fails that much for another reason.

--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -27,6 +27,7 @@
 HALVE = 12 * SECOND            # how often answer times are halved
 MOST = 512                     # failures are halved at so many outcomes
 RECENT = 1 * SECOND            # how often the counts of just now are halved
+ALONE_MARGIN = 0.10            # failure share allowed where there is no earlier build to compare with
 WITHHOLD = 8 * SECOND          # against builds that slow old and new alike: trial picks stop for so long,
 RELIEFS = 2                    # so many times relief must follow,
 CARRY = 0.7                    # and this part of the earlier servers must still be there
@@ -39,8 +40,8 @@
 PROBE_EVERY = SECOND // 2
 WAIT_SHARE = 0.2               # share of its soft deadline an RPC may wait for a server
 RATE_OVER = 2 * SECOND         # answers are counted over this,
-SOON = 0.5                     # RPCs may be open that such a rate answers in this share of the soft deadline,
-HELD = 4                       # or so many a server by all fronts together, if that is more
+SOON = 0.4                     # RPCs may be open that such a rate answers in this share of the soft deadline,
+HELD = 3                       # or so many a server by all fronts together, if that is more
 REPEATS = 0.1                  # further picks earned by an RPC
 ASK_EVERY = 3 * SECOND
 
@@ -164,14 +165,18 @@
         trial = list(self.counts.get(self.build, {}).values())
         earlier = max((b for b in self.counts if b < self.build and b not in self.bad), default=None)
         before = [merged(counts) for counts in zip(*self.counts.get(earlier, {}).values())]
-        failed, ended = sum(c.failed for c in before), sum(c.ended for c in before)
+        failed, ended, margin = sum(c.failed for c in before), sum(c.ended for c in before), FAIL_MARGIN
+        if ended < LEAST and not any(s.build != self.build for s in self.front.ready):
+            # A front that starts after the earlier build has gone has nothing to compare with.
+            before = before or [Counts() for _ in self.methods]
+            failed, ended, margin = 0, LEAST, ALONE_MARGIN
         found, slow, everywhere = [], [], [0.0, 0.0]
         for place, old in enumerate(before if trial else ()):
             new = merged([counts[place] for counts in trial])
             # A method too rare in the earlier build to be tested by itself is held against all of them.
             k0, n0 = (old.failed, old.ended) if old.ended >= LEAST else (failed, ended)
             if new.ended >= 1 and n0 >= LEAST:
-                p = trails(new.failed, new.ended, k0, n0, FAIL_MARGIN)
+                p = trails(new.failed, new.ended, k0, n0, margin)
                 found.append((p, f"failures of method {place}", new.failed, new.ended, k0, n0))
             n0 = sum(old.bins)
             if n0 < LEAST or not any(s.build == earlier for s in self.front.ready):
@@ -185,7 +190,7 @@
         # All methods together as one more hypothesis of each kind: it has its sample sooner.
         fails, ends = (sum(getattr(c, name) for row in trial for c in row) for name in ("failed", "ended"))
         if ends and ended >= LEAST:
-            p = trails(fails, ends, failed, ended, FAIL_MARGIN)
+            p = trails(fails, ends, failed, ended, margin)
             found.append((p, "failures", fails, ends, failed, ended))
         pairs = [tuple(map(sum, zip(*row))) for row in zip(*(test[1] for test in slow))]
         if sum(n for _, n in pairs):
