--- a/tests/play.py
+++ b/tests/play.py
@@ -12,6 +12,8 @@
     MS restart                      a new front with the last list
     MS expect WHAT                  a Python expression over the names bound in Play.expect
 """
+from heapq import heappop, heappush
+
 from honeywood import decide
 from honeywood import interface as face
 
@@ -80,14 +82,12 @@
     # The script's side.
     def at(self, after, call, *values):
         self.order += 1
-        self.queue.append((self.now + max(1, int(after)), self.order, call, values))
+        heappush(self.queue, (self.now + max(1, int(after)), self.order, call, values))
 
     def run(self, until):
-        while self.queue and min(self.queue)[0] <= until:
-            first = min(self.queue, key=lambda e: e[:2])
-            self.queue.remove(first)
-            self.now = first[0]
-            first[2](*first[3])
+        while self.queue and self.queue[0][0] <= until:
+            self.now, _, call, values = heappop(self.queue)
+            call(*values)
         self.now = until
 
     def end(self, pick, result, latency):
