--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -29,7 +29,7 @@
 RECENT = 1 * SECOND            # how often the counts of just now are halved
 ALONE_MARGIN = 0.10            # failure share allowed where there is no earlier build to compare with
 WITHHOLD = 8 * SECOND          # against builds that slow old and new alike: trial picks stop for so long,
-RELIEFS = 2                    # so many times relief must follow,
+RELIEFS, ALIKE_MARGIN = 2, 0.30  # where RPCs outside it fare so much worse; so many reliefs must follow,
 CARRY = 0.7                    # and this part of the earlier servers must still be there
 LISTED_LATE = 8 * SECOND       # a step counts as fully started after this
 TIP_SAFE = 0.7                 # how much of a cold server's budget is used
@@ -220,7 +220,7 @@
                 continue
             edge, share = old.slow_from()
             k1, n1, k0, n0 = k1 + sum(new.bins[edge:]), n1 + n, k0 + n * share, n0 + m
-        return (trails(k1, n1, k0 / n1 * n0, n0, SLOW_MARGIN), k1, n1) if n1 >= LEAST // 2 else None
+        return (trails(k1, n1, k0 / n1 * n0, n0, ALIKE_MARGIN), k1, n1) if n1 >= LEAST // 2 else None
 
     def look_alike(self, now, seen):
         """Slowness of old and new alike is the trial's if it comes and goes with its traffic: the front
