--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -234,15 +234,15 @@
         p, slow, ended = seen
         if self.withheld is not None:
             start, slow_then, ended_then = self.withheld
-            if p > Q or trails(slow_then, ended_then, slow, ended, SLOW_MARGIN / 2) <= Q:
+            over = now - start >= WITHHOLD
+            if p > Q or (over and trails(slow_then, ended_then, slow, ended, SLOW_MARGIN / 2) <= Q):
                 self.reliefs += 1
+                self.alike_since = self.withheld = None
                 if self.reliefs >= RELIEFS:
                     self.found_bad("slows the others too")
-            elif now - start < WITHHOLD:
-                return
-            else:
-                self.outside_until = now + WITHHOLD
-            self.alike_since = self.withheld = None
+            elif over:
+                # From outside, it seems: no 'on' while it lasts all the same, and withheld again later.
+                self.outside_until, self.alike_since, self.withheld = now + WITHHOLD // 2, now, None
         elif p > Q:
             self.alike_since = None
         elif self.alike_since is None:
