--- a/tests/play.py
+++ b/tests/play.py
@@ -7,8 +7,9 @@
     MS news BUILD STEP CAP [STANDING] [stale]
     MS answer PATTERN RESULT MS     from now on picks matching PATTERN (server, /build or method) end so;
                                     RESULT may be OTHER:N for every Nth, ok else; "never" leaves them out
-    MS rpc NAME METHOD [DEADLINE]   one RPC
+    MS rpc NAME METHOD [DEADLINE [KEY]]   one RPC
     MS flow UNTIL EVERY METHOD      a stream of them
+    MS wrong SERVER METHOD N        so many wrong answers are reported
     MS restart                      a new front with the last list
     MS expect WHAT                  a Python expression over the names bound in Play.expect
 """
@@ -148,11 +149,16 @@
     def do_answer(self, pattern, result, after):
         self.answers.append((pattern, result, int(after) * MS))
 
-    def do_rpc(self, name, method, deadline=None):
+    def do_wrong(self, server, method, times):
+        for _ in range(int(times)):
+            self.front.found_wrong(self.now, self.servers[server], self.methods[method])
+
+    def do_rpc(self, name, method, deadline=None, key=None):
         kind = self.methods[method]
         rpc = self.rpcs[name] = face.Rpc(
-            method=kind, customer=0, key=len(self.rpcs) + 1, work=0, repeat=False, taken=self.now, picks=[],
-            done=False, deadline=self.now + (int(deadline) * MS if deadline else kind.deadline))
+            method=kind, customer=0, key=int(key or len(self.rpcs) + 1000), work=0, repeat=False,
+            taken=self.now, picks=[], done=False,
+            deadline=self.now + (int(deadline) * MS if deadline else kind.deadline))
         self.front.take(self.now, rpc)
 
     def do_flow(self, until, every, method):
@@ -167,7 +173,8 @@
 
     def do_expect(self, *words):
         names = dict(
-            votes=self.votes, judge=self.front.judge, watches=self.watches, log=self.lines,
+            pushes=len(self.pushed), votes=self.votes, judge=self.front.judge, watches=self.watches,
+            log=self.lines,
             on=lambda n: [self.name(p.server) for p in self.rpcs[n].picks],
             pushed=lambda n: self.rpcs[n] in self.pushed, aborted=lambda n: self.rpcs[n] in self.aborted,
             ended=lambda n: self.rpcs[n].done, sent=self.sent, most=self.most,
