--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -224,11 +224,10 @@
 
     def look_alike(self, now, seen):
         """Slowness of old and new alike is the trial's if it comes and goes with its traffic: the front
-        withholds its trial picks and looks. Acts while the earlier servers can carry all."""
+        withholds its trial picks and looks. Where too few earlier servers are left, it only waits as long."""
         earlier = sum(self.cap_of(s.build) is None for s in self.front.ready)
-        if self.standing != ON_TRIAL or earlier < CARRY * self.places:
-            self.alike_since = self.withheld = None
-            return
+        can = self.standing == ON_TRIAL and earlier >= CARRY * self.places
+        self.withheld = self.withheld if can else None
         if seen is None or now < self.outside_until:
             return
         p, slow, ended = seen
@@ -243,16 +242,17 @@
             elif over:
                 # From outside, it seems: no 'on' while it lasts all the same, and withheld again later.
                 self.outside_until, self.alike_since, self.withheld = now + WITHHOLD // 2, now, None
-        elif p > Q:
+        elif p > Q or (self.standing == RELEASED and now - self.since > 2 * WITHHOLD):
             self.alike_since = None
         elif self.alike_since is None:
             self.alike_since = now
-        elif now - self.alike_since >= CONFIRM:
+        elif can and now - self.alike_since >= CONFIRM:
             self.withheld = now, slow, ended
             self.front.log(f"build {self.build}: the others are slower than before it, p {p:.4f}; withheld")
+        elif not can and now - self.alike_since >= WITHHOLD:
+            self.found_bad("all slower than before it, too late to withhold it")
 
-    def started(self, now):
-        """Whether the step's servers are all listed and the newest is no longer young."""
+    def started(self, now):  # whether the step's servers are all listed and none is young
         mine = [s for s in self.front.ready if s.build == self.build]
         if len(mine) < 0.9 * self.waves[self.step] * self.places and now - self.since < LISTED_LATE:
             return False
@@ -513,7 +513,7 @@
             self.hold(now, rpc)
 
     def hold(self, now, rpc):
-        # A client about to leave is answered at once: the next look would come too late.
+        # A client about to leave is answered at once: the next look would be too late.
         if now + 2 * LOOK >= rpc.soft or now >= rpc.taken + WAIT_SHARE * rpc.method.soft:
             self.give_up(now, rpc)
 
