--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -29,8 +29,9 @@
 RECENT = 1 * SECOND            # how often the counts of just now are halved
 ALONE_MARGIN = 0.10            # failure share allowed where there is no earlier build to compare with
 WITHHOLD = 8 * SECOND          # against builds that slow old and new alike: trial picks stop for so long,
-RELIEFS, ALIKE_MARGIN = 2, 0.30  # where RPCs outside it fare so much worse; so many reliefs must follow,
-CARRY = 0.7                    # and this part of the earlier servers must still be there
+RELIEFS, ALIKE_MARGIN = 2, 0.30  # where RPCs outside it fare so much worse; so many reliefs must follow.
+GONE_MARGIN = 0.50             # As much worse it must be where there is nothing to withhold, for as long,
+CARRY = 0.7                    # that is, where less than this part of the earlier servers is there
 LISTED_LATE = 8 * SECOND       # a step counts as fully started after this
 TIP_SAFE = 0.7                 # how much of a cold server's budget is used
 SILENT = 9 * SECOND // 10      # a server that holds picks and answers none for so long is left alone
@@ -162,7 +163,7 @@
         if self.cap_of(pick.build) is None:
             self.remember(method, pick.result, pick.latency)
 
-    def found_wrong(self, server, method):
+    def found_wrong(self, now, server, method):
         """A wrong answer was counted as ok when it came; now it counts as a failure."""
         if server in self.counts.get(server.build, {}):
             self.counts[server.build][server][method.place].failed += 1
@@ -210,7 +211,7 @@
                 found.append((p, what, k1, n1, share * n0, n0))
         return found
 
-    def alike(self):
+    def alike(self, margin):
         """The p-value of 'outside the trial RPCs fare no worse than before', and the slow ones among how
         many. It sees a build that slows old and new alike, and any outside slowness too."""
         k1 = n1 = k0 = n0 = 0.0
@@ -220,14 +221,15 @@
                 continue
             edge, share = old.slow_from()
             k1, n1, k0, n0 = k1 + sum(new.bins[edge:]), n1 + n, k0 + n * share, n0 + m
-        return (trails(k1, n1, k0 / n1 * n0, n0, ALIKE_MARGIN), k1, n1) if n1 >= LEAST // 2 else None
+        return (trails(k1, n1, k0 / n1 * n0, n0, margin), k1, n1) if n1 >= LEAST // 2 else None
 
-    def look_alike(self, now, seen):
+    def look_alike(self, now):
         """Slowness of old and new alike is the trial's if it comes and goes with its traffic: the front
         withholds its trial picks and looks. Where too few earlier servers are left, it only waits as long."""
         earlier = sum(self.cap_of(s.build) is None for s in self.front.ready)
         can = self.standing == ON_TRIAL and earlier >= CARRY * self.places
         self.withheld = self.withheld if can else None
+        seen = self.alike(ALIKE_MARGIN if can else GONE_MARGIN)
         if seen is None or now < self.outside_until:
             return
         p, slow, ended = seen
@@ -269,7 +271,7 @@
             self.recent_at = now
         if self.build is None or self.standing not in (ON_TRIAL, RELEASED):
             return
-        self.look_alike(now, self.alike())
+        self.look_alike(now)
         tests = self.tests()
         ps = [test[0] for test in tests]
         self.suspect_since = (self.suspect_since or now) if sorted_cut(ps, Q) else None
@@ -582,7 +584,7 @@
         self.judge, self.gate = Judge(self, settings), Gate(self, settings)
         self.routing = Routing(self, self.gate, settings)
         self.intake = Intake(self, Trial(self, self.routing), settings)
-        self.news, self.take = self.judge.news, self.intake.take
+        self.news, self.take, self.found_wrong = self.judge.news, self.intake.take, self.judge.found_wrong
         self.must_ask, self.asked_at, self.watching = settings.must_ask, -inf, False
         self.ask_every = min(ASK_EVERY, settings.ask_within // 3 or ASK_EVERY)
 
@@ -623,8 +625,7 @@
         self.intake.back(now, pick, load, ended)
 
     def started(self, now, pick):
-        """A stream belongs to its client from here on: no further pick, no final answer is owed."""
-        pick.rpc.done = True
+        pick.rpc.done = True  # a stream is its client's from here on: no answer is owed
         self.intake.open = [rpc for rpc in self.intake.open if rpc is not pick.rpc]
 
     def left(self, now, rpc):
@@ -634,9 +635,6 @@
     def probed(self, now, server, result, latency, load):
         self.routing.report(now, server, load)
 
-    def found_wrong(self, now, server, method):
-        self.judge.found_wrong(server, method)
-
     def woken(self, now):
         self.host.wake(LOOK)
         self.ask(now)
