--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -230,6 +230,9 @@
         can = self.standing == ON_TRIAL and earlier >= CARRY * self.places
         self.withheld = self.withheld if can else None
         seen = self.alike(ALIKE_MARGIN if can else GONE_MARGIN)
+        if self.front.must_ask and not self.front.watching:
+            # Without its list the front sends to servers long gone and misses new ones: its own trouble.
+            self.alike_since, self.outside_until = None, now + WITHHOLD
         if seen is None or now < self.outside_until:
             return
         p, slow, ended = seen
@@ -491,14 +494,13 @@
 class Intake(Stage):
     """Takes RPCs, holds or pushes back what cannot be served, and gives each its one final answer."""
 
-    def __init__(self, front, below, settings):
+    def __init__(self, front, below, given):
         super().__init__(front, below)
-        self.max_wait, self.cancels, self.duplicate = (
-            settings.max_wait, settings.may_cancel, settings.may_duplicate)
-        most = max(m.utility for m in settings.methods) or 1
-        self.rank = [0.75 + 0.25 * m.utility / most for m in settings.methods]
+        self.max_wait, self.cancels, self.duplicate = given.max_wait, given.may_cancel, given.may_duplicate
+        most = max(m.utility for m in given.methods) or 1
+        self.rank = [0.75 + 0.25 * m.utility / most for m in given.methods]
         self.open = []             # RPCs that wait for an answer, or for a server to go to
-        self.answers, self.began, self.spare, self.fronts = deque(), inf, 1.0, settings.fronts
+        self.answers, self.began, self.spare, self.fronts = deque(), inf, 1.0, given.fronts
 
     def take(self, now, rpc):
         method = rpc.method
@@ -514,8 +516,7 @@
         elif not self.below.take(now, rpc):
             self.hold(now, rpc)
 
-    def hold(self, now, rpc):
-        # A client about to leave is answered at once: the next look would be too late.
+    def hold(self, now, rpc):  # but the next look would come too late for a client about to leave
         if now + 2 * LOOK >= rpc.soft or now >= rpc.taken + WAIT_SHARE * rpc.method.soft:
             self.give_up(now, rpc)
 
