What counts as normal stays frozen for 16 s after a release

Cause: after a release the slowness itself went into what it was compared with, so the test for builds seen too late never rejected; two scenarios that should have failed without it did not, and now do.

--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -118,10 +118,9 @@
         self.build = self.step = self.standing = None
         self.cap, self.since, self.counts, self.halved, self.recent_at = 0.0, 0, {}, 0, 0
         self.recent, self.normal = ([Counts() for _ in self.methods] for _ in range(2))
-        self.places = 0            # servers of the earlier build when the trial was first seen
+        self.places, self.settled = 0, True  # servers of the earlier build when the trial was first seen
         self.suspect_since = self.alike_since = self.withheld = None
-        self.reliefs, self.outside_until = 0, -inf
-        self.bad = []              # builds found bad here or sent back by others
+        self.reliefs, self.outside_until, self.bad = 0, -inf, []  # bad: found so here or sent back by others
         self.vote, self.voted_at, self.asked, self.asked_at = None, 0, None, -inf
 
     def cap_of(self, build):
@@ -171,7 +170,7 @@
     def remember(self, method, result, latency):
         """Adds to how RPCs fare outside the trial, those pushed back for want of room among the slowest."""
         self.recent[method.place].add(method, result, latency)
-        if self.standing != ON_TRIAL:
+        if self.settled:
             self.normal[method.place].add(method, result, latency)
 
     def tests(self):
@@ -247,7 +246,7 @@
             elif over:
                 # From outside, it seems: no 'on' while it lasts all the same, and withheld again later.
                 self.outside_until, self.alike_since, self.withheld = now + WITHHOLD // 2, now, None
-        elif p > Q or (self.standing == RELEASED and now - self.since > 2 * WITHHOLD):
+        elif p > Q or self.settled:
             self.alike_since = None
         elif self.alike_since is None:
             self.alike_since = now
@@ -264,10 +263,12 @@
         return bool(mine) and now - max(max(s.booted for s in mine), self.since) >= YOUNG
 
     def look(self, now):
+        fresh = self.standing == ON_TRIAL or (self.standing == RELEASED and now - self.since < 2 * WITHHOLD)
+        self.settled = not (fresh and self.places)  # no build so new that it could be why RPCs fare so
         if now - self.halved >= HALVE:
             self.halved = now
             rows = [row for build in self.counts.values() for row in build.values()]
-            for counts in (c for row in rows + [self.normal] * (self.standing != ON_TRIAL) for c in row):
+            for counts in (c for row in rows + [self.normal] * self.settled for c in row):
                 counts.halve_times()
         for counts in self.recent if now - self.recent_at >= RECENT else ():
             counts.halve_times()
@@ -590,8 +591,7 @@
         self.ask_every = min(ASK_EVERY, settings.ask_within // 3 or ASK_EVERY)
 
     def start(self, now):
-        self.host.wake(LOOK)
-        self.ask(now)
+        self.woken(now)
 
     def ask(self, now):
         # Asked again only while the watch is not known to stand, so that the list is not flooded.
