Customers beyond their share are pushed back first

Acts only while more is open than can be answered in time; could harm a customer whose RPCs gather at one front, since a front sees its own mix only.

--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -41,6 +41,7 @@
 RATE_OVER = 2 * SECOND         # answers are counted over this,
 SOON = 0.4                     # RPCs may be open that such a rate answers in this share of the soft deadline,
 HELD = 3                       # or so many a server by all fronts together, if that is more
+OVER_SHARE = 1.2               # a customer is beyond its share with so many times that part of the RPCs
 REPEATS = 0.1                  # further picks earned by an RPC
 VOTE_AGAIN, ASK_EVERY = SECOND // 2, 3 * SECOND
 
@@ -75,8 +76,7 @@
 
 
 class Counts:
-    """What one method got from one build: failures, and a histogram of answer times. Failures tell of a build
-    at any time and are kept while few; answer times tell only beside those of the same time."""
+    """Failures, which tell at any time, and answer times, which tell only beside those of the same time."""
     __slots__ = ("failed", "ended", "bins")
 
     def __init__(self):
@@ -101,7 +101,6 @@
 
 
 def merged(counts):
-    """Several Counts as one."""
     total = Counts()
     total.failed, total.ended = sum(c.failed for c in counts), sum(c.ended for c in counts)
     total.bins = [sum(column) for column in zip(*(c.bins for c in counts))]
@@ -163,7 +162,6 @@
             self.remember(method, pick.result, pick.latency)
 
     def found_wrong(self, now, server, method):
-        """A wrong answer was counted as ok when it came; now it counts as a failure."""
         if server in self.counts.get(server.build, {}):
             self.counts[server.build][server][method.place].failed += 1
 
@@ -211,8 +209,7 @@
         return found
 
     def alike(self, margin):
-        """The p-value of 'outside the trial RPCs fare no worse than before', and the slow ones among how
-        many. It sees a build that slows old and new alike, and any outside slowness too."""
+        """The p-value of 'outside the trial RPCs fare no worse than before', and slow ones of how many."""
         k1 = n1 = k0 = n0 = 0.0
         for new, old in zip(self.recent, self.normal):
             n, m = sum(new.bins), sum(old.bins)
@@ -336,7 +333,6 @@
 
 
     def room(self, now, build, method):
-        """Whether one more pick at this build keeps to the cap; a tick strict at both ends of the window."""
         on_trial = self.front.judge.cap_of(build)
         if on_trial is None:
             return True
@@ -378,7 +374,6 @@
         return self.room(now, server.build, rpc.method) and self.cold_room(now, server)
 
     def drops(self, now, pick, server):
-        """Whether this server drops a repeat of that pick."""
         group, method = pick.rpc.method.group, pick.rpc.method
         same = group == "all" or getattr(pick.server, group) == getattr(server, group)
         return same and now + self.tick < pick.sent + method.window
@@ -426,7 +421,6 @@
         return (server.open + others + server.failed + 1) * server.pace
 
     def two(self, now, rpc, servers):
-        """The less busy of two random ones, or None."""
         able = [s for s in servers if self.below.may(now, rpc, s)]
         able = [s for s in able if s not in [p.server for p in rpc.picks]] or able
         able = [s for s in able if now >= s.shun_until
@@ -500,6 +494,7 @@
         self.max_wait, self.cancels, self.duplicate = given.max_wait, given.may_cancel, given.may_duplicate
         most = max(m.utility for m in given.methods) or 1
         self.rank = [0.75 + 0.25 * m.utility / most for m in given.methods]
+        self.shares, self.asked = [c[0] * OVER_SHARE for c in given.customers], [0.0] * len(given.customers)
         self.open = []             # RPCs that wait for an answer, or for a server to go to
         self.answers, self.began, self.spare, self.fronts = deque(), inf, 1.0, given.fronts
 
@@ -510,6 +505,9 @@
         gate = self.front.gate
         trimmed(gate.taken[gate.lane(method)], now - gate.window).append(now)
         self.spare = min(10.0, self.spare + REPEATS)
+        if self.shares:
+            self.asked[rpc.customer] += 1
+            self.asked = [n / 2 for n in self.asked] if sum(self.asked) > MOST / 2 else self.asked
         self.open.append(rpc)
         if self.full(now, rpc):
             self.front.judge.remember(method, TIMEOUT, inf)
@@ -528,8 +526,7 @@
             if pick.result is None:
                 self.front.host.cancel(pick)
 
-    def give_up(self, now, rpc):
-        """The final answer at once: a pushback while the client may still gain by it, else an abort."""
+    def give_up(self, now, rpc):  # a pushback while the client may still gain by it, else an abort
         self.end(rpc)
         if self.front.gate.may_push_back(rpc) and now < rpc.soft:
             self.front.host.push_back(rpc, min(self.max_wait, rpc.method.soft // 4))
@@ -560,7 +557,10 @@
         soon = len(trimmed(self.answers, now - RATE_OVER)) * rpc.method.soft * SOON / max(1, over)
         soon += 2 * sqrt(soon)  # small fronts: so much comes by chance
         least = max(4, HELD * len(self.front.ready) / self.fronts)
-        return over == RATE_OVER and len(self.open) > max(least, soon) * self.rank[rpc.method.place]
+        rank = self.rank[rpc.method.place]
+        if self.shares and self.asked[rpc.customer] > self.shares[rpc.customer] * sum(self.asked):
+            rank *= 0.75  # beyond a customer's share RPCs are of little utility
+        return over == RATE_OVER and len(self.open) > max(least, soon) * rank
 
     def look(self, now):
         for rpc in list(self.open):
--- a/tests/play.py
+++ b/tests/play.py
@@ -8,7 +8,7 @@
     MS answer PATTERN RESULT MS     from now on picks matching PATTERN (server, /build or method) end so;
                                     RESULT may be OTHER:N for every Nth, ok else; "never" leaves them out
     MS rpc NAME METHOD [DEADLINE [KEY]]   one RPC
-    MS flow UNTIL EVERY METHOD      a stream of them
+    MS flow UNTIL EVERY METHOD [CUSTOMER]   a stream of them
     MS wrong SERVER METHOD N        so many wrong answers are reported
     MS restart                      a new front with the last list
     MS expect WHAT                  a Python expression over the names bound in Play.expect
@@ -153,17 +153,18 @@
         for _ in range(int(times)):
             self.front.found_wrong(self.now, self.servers[server], self.methods[method])
 
-    def do_rpc(self, name, method, deadline=None, key=None):
+    def do_rpc(self, name, method, deadline=None, key=None, customer=0):
         kind = self.methods[method]
         rpc = self.rpcs[name] = face.Rpc(
-            method=kind, customer=0, key=int(key or len(self.rpcs) + 1000), work=0, repeat=False,
+            method=kind, customer=customer, key=int(key or len(self.rpcs) + 1000), work=0, repeat=False,
             taken=self.now, picks=[], done=False,
             deadline=self.now + (int(deadline) * MS if deadline else kind.deadline))
         self.front.take(self.now, rpc)
 
-    def do_flow(self, until, every, method):
+    def do_flow(self, until, every, method, customer=0):
         for at in range(self.now, int(until) * MS, int(every) * MS):
-            self.at(at - self.now, lambda n: self.do_rpc(n, method), f"{method}{at}{every}")
+            name = f"{method}{at}{every}"
+            self.at(at - self.now, lambda n: self.do_rpc(n, method, customer=int(customer)), name)
 
     def do_restart(self):
         for server in self.servers.values():
@@ -174,7 +175,7 @@
     def do_expect(self, *words):
         names = dict(
             pushes=len(self.pushed), votes=self.votes, judge=self.front.judge, watches=self.watches,
-            log=self.lines,
+            log=self.lines, pushes_of=[sum(r.customer == c for r in self.pushed) for c in (0, 1)],
             on=lambda n: [self.name(p.server) for p in self.rpcs[n].picks],
             pushed=lambda n: self.rpcs[n] in self.pushed, aborted=lambda n: self.rpcs[n] in self.aborted,
             ended=lambda n: self.rpcs[n].done, sent=self.sent, most=self.most,
