--- a/honeywood/benchlink/adapter.py
+++ b/honeywood/benchlink/adapter.py
@@ -11,7 +11,7 @@
     """One front's door: its ids, and the calls its decisions make (interface.Host)."""
 
     def __init__(self, who, seed, text):
-        self.who, self.reply, self.clock = who, None, 0
+        self.who, self.reply = who, None
         self.rpcs, self.ids, self.servers, self.machines = {}, {}, {}, {}
         self.settings = codec.settings(text, seed)
         self.front = decide.Front(self.settings, self)
--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -125,7 +125,7 @@
     def cap_of(self, build):
         """The cap and step of a build on trial, or None for one that is not."""
         if self.build is None:
-            builds = [s.build for s in self.front.servers]
+            builds = [build] + [s.build for s in self.front.servers]
             return (self.first_cap, 0) if build == max(builds) > min(builds) else None
         if build < self.build or (build == self.build and self.standing == RELEASED):
             return None
@@ -331,7 +331,6 @@
     def lane(self, method):
         return method.place * self.per_method
 
-
     def room(self, now, build, method):
         on_trial = self.front.judge.cap_of(build)
         if on_trial is None:
@@ -368,8 +367,8 @@
         if rpc.method.kind == TOKENED and not all(self.drops(now, p, server) for p in risky):
             return False
         judge = self.front.judge
-        if self.one_way and server.build < judge.build and judge.standing in (ON_TRIAL, RELEASED) \
-                and self.keys.get(rpc.key) == judge.build:
+        if self.one_way and judge.standing in (ON_TRIAL, RELEASED) and (
+                server.build < judge.build == self.keys.get(rpc.key)):
             return False
         return self.room(now, server.build, rpc.method) and self.cold_room(now, server)
 
--- a/honeywood/interface.py
+++ b/honeywood/interface.py
@@ -45,8 +45,7 @@
 
 class Rpc(Record):
     """An RPC taken from a client. `deadline` is when this try's client gives up."""
-    __slots__ = ("method", "customer", "key", "deadline", "work", "repeat", "taken", "soft", "picks", "done",
-                 "held", "avoid")
+    __slots__ = ("method", "customer", "key", "deadline", "work", "repeat", "taken", "soft", "picks", "done")
 
 
 class Pick(Record):
