Evidence at size: overdue picks, fewer hypotheses, lasting harm sends back; jams told by late answers

Taken out as not paying: lateness estimated from reports, waiting for a server, cancels of silent picks, growing times of being left alone. The withheld trial stays out; in its place no 'on' while RPCs fare far worse than before the build, and 'back' if that stays 14 s: one small rule at every size.

--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -12,16 +12,15 @@
 from statistics import NormalDist
 
 from honeywood.interface import (
-    CANCELLED, CONNECT_FAILED, ERROR, FULL, GO_BACK, GO_ON, GOING_BACK, GONE, HOLD, NEVER_RAN, NO_VOTE,
+    CANCELLED, CONNECT_FAILED, ERROR, FULL, GO_BACK, GO_ON, GOING_BACK, GONE, HOLD, MOOT, NEVER_RAN, NO_VOTE,
     NON_IDEMPOTENT, OK, ON_TRIAL, READY, RELEASED, RESET, SECOND, TIMEOUT, TOKENED, WITHDRAWN, Pick)
 
-# The design page's figures.
+# The design page's figures first, ours after them.
 Q = 0.05                       # level of the sorted cut
 FAIL_MARGIN, SLOW_MARGIN = 0.02, 0.20  # the page starts at 0.02, 0.10; see docs/design.md on 0.20
 LEAST = 20                     # outcomes a method needs before it is tested
 YOUNG = 3 * SECOND             # servers under this age are no evidence; also the wait with short samples
 CONFIRM = 1 * SECOND           # a rejection must still stand after this
-# Ours.
 FEW = 5                        # with fewer failures allowed than this, the exact tail is taken
 LOOK = SECOND // 10            # how often the front looks around by itself
 SLOW_SHARE = 0.25              # the earlier build's share that counts as slow
@@ -29,19 +28,15 @@
 HALVE, MOST = 4 * SECOND, 512  # times are halved so often, failures of the trial at so many outcomes
 TIME_MARGIN = 1.0              # mean times that the platform tells may be longer by so much of the earlier's
 ALONE_MARGIN = 0.10            # failure share allowed where there is no earlier build to compare with
-CARRY = 0.7                    # a bad build gets no overflow while this part of the earlier servers is there
-LISTED_LATE = 8 * SECOND       # a step counts as fully started after this
-TIP_SAFE = 0.7                 # how much of a cold server's budget is used
+ALIKE_MARGIN, STAYS = 0.30, 14 * SECOND  # RPCs faring so much worse than before a build, for so long
+LISTED_LATE, TIP_SAFE = 8 * SECOND, 0.7  # a step has started after this; used part of cold servers' budget
 SILENT = 9 * SECOND // 10      # a server that holds picks and answers none for so long is left alone
-SHUN, SHUN_MOST = SECOND // 2, 4 * SECOND
-REPORT_AGE = SECOND            # what servers report of themselves counts for so long
-WAIT_SHARE = 0.2               # share of its soft deadline an RPC may wait for a server
-RATE_OVER = 2 * SECOND         # answers are counted over this,
-SOON = 0.4                     # RPCs may be open that such a rate answers in this share of the soft deadline,
+SHUN = 2 * SECOND              # a server that could not be reached, is full or timed out is left alone for
+REPORT_AGE, RATE_OVER = SECOND, 2 * SECOND  # for so long reports of servers count, and answers to a rate
+SOON = 0.4                     # RPCs may be open that the rate answers in this share of the soft deadline,
 HELD = 3                       # or so many a server by all fronts together, if that is more
 FAILED_FADES, PACE_FADES = 7 * SECOND // 10, 7 * SECOND  # half is forgotten after this
-DRAWN = 6                      # servers drawn at most to find two fit ones
-REPEATS = 0.1                  # further picks earned by an RPC
+REPEATS, DRAWN = 0.1, 6        # further picks earned by an RPC; servers drawn at most to find two fit ones
 VOTE_AGAIN, ASK_EVERY = SECOND // 2, 3 * SECOND
 
 
@@ -54,11 +49,7 @@
 
 def trails(k1, n1, k0, n0, margin):
     """The p-value of 'k1/n1 leads k0/n0 by no more than margin': a one-sided two-proportion z-test, or where
-    fewer than FEW are allowed, and the normal curve is poor, the exact tail of the binomial at that share.
-
-    >>> round(trails(2, 3, 0, 1000, 0.02), 5)
-    0.00118
-    """
+    fewer than FEW are allowed, and the normal curve is poor, the exact tail of the binomial at that share."""
     a, b = min(1.0, k1 / n1), k0 / n0
     if n1 * (b + margin) < FEW:
         n, k, share = round(n1), round(k1), min(1.0, b + margin)
@@ -98,12 +89,9 @@
         self.total = sum(c.total for c in parts)
         self.bins = summed(c.bins for c in parts) or [0.0] * (len(EDGES) + 1)
 
-    def add(self, method, result, latency):
-        self.total += 1
-        self.ended += 1
-        self.failed += result == ERROR
-        if result != ERROR:
-            self.bins[bisect_left(EDGES, latency / method.soft)] += 1
+    def add(self, ended, failed, timed, bin):
+        self.total, self.ended, self.failed = self.total + ended, self.ended + ended, self.failed + failed
+        self.bins[bin] += timed
 
     def halve(self):
         self.failed, self.ended, self.bins = self.failed / 2, self.ended / 2, [n / 2 for n in self.bins]
@@ -124,16 +112,15 @@
         self.renew, self.give_up_on = settings.vote_life // 2, settings.vote_wait + 2 * LOOK
         votes = max(1, settings.back_votes)
         self.dear = Q / level_each(max(1, settings.fronts), votes)  # own p-values are multiplied by this
-        self.least = max(5, LEAST // votes)  # slow answers; fronts whose votes are needed together share it
+        self.least = max(FEW, LEAST // votes)  # fronts whose votes are needed together share the sample
         self.build = self.step = self.standing = None
         self.cap, self.since, self.halved = 0.0, 0, 0
         # By method: the earlier build, and the one judged; the latter's outcomes also server by server.
         self.before, self.mine = ([Counts() for _ in self.methods] for _ in range(2))
         self.trial, self.told, self.tallies = {}, {}, {}
+        self.recent, self.normal, self.recent_at, self.worse_since = [0.0, 0.0], [0.0, 0.0], 0, None
         self.places = 0            # servers of the earlier build when the trial was first seen
-        self.suspect_since = None
-        self.bad = []              # bad: found so here or sent back by others
-        self.changed, self.found = True, []
+        self.suspect_since, self.bad, self.changed, self.found = None, [], True, []  # bad: here or by others
         self.vote, self.voted_at, self.asked, self.asked_at, self.spread = None, 0, None, -inf, 1.0
 
     def cap_of(self, build):
@@ -154,7 +141,7 @@
             return
         if (build, step, standing) != (self.build, self.step, self.standing):
             if build != self.build:
-                self.suspect_since = None
+                self.suspect_since = self.worse_since = None
                 self.places = sum(s.build < build for s in self.front.ready)
                 if self.build is not None and self.build not in self.bad:
                     self.before = self.mine  # what was released is the earlier build from here on
@@ -167,22 +154,24 @@
         self.front.group()
 
     def back(self, pick):
-        if pick.young or pick.result not in (OK, ERROR, TIMEOUT):
+        # What is overdue or was called back late has told of times: second tries do not hide a slow build.
+        method, place, ended = pick.rpc.method, pick.rpc.method.place, pick.result in (OK, ERROR, TIMEOUT)
+        timed = not pick.timed and pick.result != ERROR and (ended or pick.latency >= SOON * method.soft)
+        pick.timed = pick.timed or timed
+        if pick.young or pick.build in self.bad:
             return
-        method, place, latency = pick.rpc.method, pick.rpc.method.place, pick.latency
+        bin, failed = bisect_left(EDGES, pick.latency / method.soft), pick.result == ERROR
         if pick.build != self.build:
-            if pick.build not in self.bad:
-                self.before[place].add(method, pick.result, latency)
-            return
+            return self.before[place].add(ended, failed, timed, bin)
         # What the earlier build did just now is what was to be expected here: troubles of both cancel out.
         self.changed, old = True, self.earlier(place)
-        self.mine[place].add(method, pick.result, latency)
+        self.mine[place].add(ended, failed, timed, bin)
         rows = self.trial.setdefault(pick.server, [([0.0] * 3, [0.0] * 3) for _ in self.methods])
-        rows[place][0][:] = summed((rows[place][0], (pick.result == ERROR, 1, old.failed / (old.ended or 1))))
-        if pick.result != ERROR and len(self.front.mine) < len(self.front.ready):
+        if ended:
+            rows[place][0][:] = summed((rows[place][0], (failed, 1, old.failed / (old.ended or 1))))
+        if timed and len(self.front.mine) < len(self.front.ready):
             edge, share = old.slow_from()
-            times = (bisect_left(EDGES, latency / method.soft) >= edge, 1, share)
-            rows[place][1][:] = summed((rows[place][1], times))
+            rows[place][1][:] = summed((rows[place][1], (bin >= edge, 1, share)))
 
     def earlier(self, place):
         """The earlier build at a method; one too rare to be compared by itself counts with all of them."""
@@ -199,13 +188,29 @@
         lines[build] = now - age, failed, ended, mean
         same = [b for b in lines if abs(lines[b][0] - now + age) < self.period // 2 and lines[b][2]]
         earlier = max((b for b in same if b < self.build and b not in self.bad), default=None)
-        fit = [s.booted + YOUNG <= now - age - self.period for s in self.front.mine]
-        if earlier and self.build in same and build in (earlier, self.build) and 2 * sum(fit) >= len(fit):
+        fit = sum(s.booted + YOUNG <= now - age - self.period for s in self.front.mine)
+        if (earlier and self.build in same and build in (earlier, self.build)
+                and len(self.front.ready) > len(self.front.mine) <= 2 * fit):
             (_, k1, n1, t1), (_, k0, n0, t0) = lines[self.build], lines[earlier]
             row, self.changed = self.tallies.setdefault(method.place, [0.0] * 7), True
             row[:4] = summed((row[:4], (k1, n1, n1 * k0 / n0, n0)))
             row[4:] = (n1 - k1) * t1, (n1 - k1) * t0, n1 - k1
 
+    def fared(self, now, badly):
+        """Counts RPCs that ended badly, of late and before this build (which rests while it may be why)."""
+        new = self.standing == ON_TRIAL or (self.standing == RELEASED and now - self.since < 2 * STAYS)
+        for counts in (self.recent,) if new and self.places else (self.recent, self.normal):
+            counts[:] = summed((counts, (badly, 1)))
+
+    def worse(self, now):
+        """A build may slow old and new alike, which no comparison of builds shows: no 'on' while RPCs fare
+        far worse than before it, and 'back' if that stays."""
+        (k, n), (k0, n0), blind = self.recent, self.normal, self.front.must_ask and not self.front.watching
+        calm = blind or not n0 or trails(k, n, k0, n0, ALIKE_MARGIN) > Q
+        self.worse_since = None if calm else self.worse_since or now
+        if not calm and now - self.worse_since >= STAYS:
+            self.found_bad(f"{k:.0f} of {n:.0f} RPCs fare badly, {k0:.0f} of {n0:.0f} before it; it stays")
+
     def tests(self):
         """One test per method and kind of trouble: its p-value, and what it saw of how many and expected."""
         found, fail_margin = [], FAIL_MARGIN if sum(c.total for c in self.before) >= LEAST else ALONE_MARGIN
@@ -218,14 +223,15 @@
                 old = self.earlier(place) if place < len(self.methods) else Counts(self.before)
                 n0 = min(MOST, max(LEAST, old.total))
                 # One slow server is not a slow build: it must stand whichever trial server is left out.
-                left = [(k - a, n - b, e - c) for a, b, c in servers] if kind else [(k, n, e)]
-                if n and (not kind or min(n for _, n, _ in left) >= self.least):
+                left = [(k - a, n - b, e - c) for a, b, c in servers if kind] or [(k, n, e)]
+                least = self.least if kind else 3 if place < len(self.methods) else 1
+                if min(n for _, n, _ in left) >= least:
                     p = max(trails(k, n, e / n * n0, n0, margin) for k, n, e in left)
                     found.append((min(1.0, p * self.dear), f"{what} of method {place}", k, n, e))
         rows = list(self.tallies.values())
         for k, n, e, n0, took, would, oks in rows + [summed(rows)] if rows else ():
             found.append((trails(k, n, e / n * n0, n0, FAIL_MARGIN), "tallied failures", k, n, e))
-            if would:
+            if oks >= LEAST:
                 p = 0.5 * erfc((took / would / (1 + TIME_MARGIN) - 1) * sqrt(oks / 2))  # as if exponential
                 found.append((p, "tallied times", took, oks, would))
         return found
@@ -241,11 +247,16 @@
             self.halved, self.changed = now, True
             for counts in self.before + self.mine:
                 counts.halve()
-            for failures, slow in (row for rows in self.trial.values() for row in rows):
-                slow[:] = [n / 2 for n in slow]
+            self.normal = [n / 2 for n in self.normal] if self.normal[1] >= MOST else self.normal
+            for failures, slow in (pair for rows in self.trial.values() for pair in rows):
                 failures[:] = [n / 2 for n in failures] if failures[1] >= MOST else failures
+                slow[:] = [n / 2 for n in slow] if slow[1] >= LEAST else slow
+        if self.recent[1] >= LEAST / 2 and now - self.recent_at >= SECOND:
+            self.recent, self.recent_at = [n / 2 for n in self.recent], now
         if self.build is None or self.standing not in (ON_TRIAL, RELEASED):
             return
+        if self.recent[1] >= FEW:
+            self.worse(now)
         if self.changed:           # no p-value anew where no count has changed
             self.changed, self.found = False, self.tests()
         tests, ps = self.found, [test[0] for test in self.found]
@@ -270,7 +281,7 @@
         if self.rule == "clock":
             held = self.vote and self.vote[2] == HOLD
             return HOLD if min(ps, default=1) <= Q else NO_VOTE if held else None
-        return GO_ON if self.suspect_since is None and self.started(now) else None
+        return GO_ON if self.suspect_since is self.worse_since is None and self.started(now) else None
 
     def cast(self, now, verdict):
         wanted = (self.build, self.step, verdict)
@@ -307,6 +318,9 @@
     def lane(self, method):
         return method.place * self.per_method
 
+    def took(self, now, method):
+        trimmed(self.taken[self.lane(method)], now - self.window).append(now)
+
     def room(self, now, build, method):
         on_trial = self.front.judge.cap_of(build)
         if on_trial is None:
@@ -366,7 +380,7 @@
         if not self.may(now, rpc, server):
             return False
         pick = Pick(rpc=rpc, server=server, number=len(rpc.picks), build=server.build, sent=now,
-                    young=now - server.booted < YOUNG)
+                    young=now - server.booted < YOUNG, timed=False)
         rpc.picks.append(pick)
         if not server.open:
             server.answered_at = now
@@ -404,42 +418,42 @@
         server.failed *= 0.5 ** (past / FAILED_FADES)
         server.pace += (1 - server.pace) * (1 - 0.5 ** (past / PACE_FADES))
         others = server.reported * (now - server.reported_at < REPORT_AGE)
-        return (server.open + others + server.failed + 1) / self.below.warmth(now, server)
+        return server.open + others + server.failed + 1
 
     def two(self, now, rpc, servers):
         """The less busy of two fit ones drawn; a fleet is only gone through where none is."""
         best, had, draw = [], [p.server for p in rpc.picks], self.front.random.sample
+        near, chance = 0, self.front.random.random
         # Those heard of late first, which can be told apart; where all are, chance alone.
         few = servers and len(self.heard) < len(self.front.ready)
         fresh = dict.fromkeys(s for _, s in self.heard
                               if few and s.status == READY and s.trial == servers[0].trial)
         for server in draw(list(fresh), min(2, len(fresh))) + draw(servers, min(DRAWN, len(servers))):
-            if (now >= server.shun_until and (not server.open or now - server.answered_at < SILENT)
+            # A cold server is drawn the more seldom the colder it is: for small fronts all look idle.
+            silent = server.open and now - server.answered_at >= SILENT
+            if (chance() < self.below.warmth(now, server) and now >= server.shun_until and not silent
                     and server not in had and self.below.may(now, rpc, server)):
                 # Another zone's server must be less busy by two, since crossing costs.
-                crossing = server.zone != self.zone
+                crossing = self.zone not in (None, server.zone)
                 best.append((self.held(now, server) * server.pace + 2 * crossing, len(best), server))
                 had.append(server)
-                if sum(b[2].zone == self.zone for b in best) == 2 or (len(best) == 2 and self.zone is None):
-                    break
+                near += not crossing
+            if near == 2:
+                break
         if not best:
             able = [s for s in servers if self.below.may(now, rpc, s)]
             best = [(self.held(now, s), at, s) for at, s in enumerate(able)]
         return min(best)[2] if best else None
 
     def take(self, now, rpc, first, second):
-        """Sends to the first group, unless its server holds far more than the second group's: being slow does
-        not keep a build from being judged."""
+        """Sends to the first group, and to the second only if none of the first may be sent to."""
         while self.heard and self.heard[0][0] < now - REPORT_AGE:
             self.heard.popleft()
-        # A probe an RPC at most, and only where what was heard of late is less than the fleet: many small
-        # fronts that probe each server now and then would cost more than their RPCs.
+        # A probe an RPC at most: many small fronts that probe all servers would cost more than their RPCs.
         if self.probes and len(self.heard) < len(self.front.ready) and now == rpc.taken:
             self.turn = (self.turn + 1) % len(self.front.ready)
             self.front.host.probe(self.front.ready[self.turn])
-        one, other = (self.two(now, rpc, servers) for servers in (first, second))
-        if one is None or (other is not None and self.held(now, one) > self.held(now, other) + 1):
-            one, other = other, one
+        one = self.two(now, rpc, first) or self.two(now, rpc, second)
         return one is not None and self.below.take(now, rpc, one)
 
     def report(self, now, server, load):
@@ -452,10 +466,9 @@
         server, place = pick.server, pick.rpc.method.place
         self.report(now, server, load)
         if pick.result in (CONNECT_FAILED, RESET, TIMEOUT, FULL):
-            server.bad_row += 1
-            server.shun_until = now + min(SHUN_MOST, SHUN << min(8, server.bad_row - 1))
+            server.shun_until = now + SHUN
         elif pick.result in (OK, ERROR):
-            server.bad_row, server.answered_at = 0, now
+            server.answered_at = now
         # A server that fails at once holds nothing and would draw all traffic: its failures count as held.
         server.failed += pick.result not in (OK, CANCELLED)
         if pick.result == OK:
@@ -470,9 +483,7 @@
     def take(self, now, rpc):
         judge, new, old = self.front.judge, self.front.new, self.front.old
         if judge.build in judge.bad:
-            if len(old) >= CARRY * judge.places:  # then nothing spills over to the trial's servers
-                return self.below.take(now, rpc, old, []) or self.below.take(now, rpc, new, [])
-            new, old = old, new
+            return self.below.take(now, rpc, old, new)
         if new and old:
             # Against many fronts whose free picks alone would flood a few cold servers: no front sees that.
             strong, rest = (sum(self.front.gate.warmth(now, s) for s in group) for group in (new, old))
@@ -490,30 +501,24 @@
 
     def __init__(self, front, below, given):
         super().__init__(front, below)
-        self.max_wait, self.cancels, self.duplicate = given.max_wait, given.may_cancel, given.may_duplicate
+        self.max_wait, self.cancels = given.max_wait, given.may_cancel
         most = max(m.utility for m in given.methods) or 1
         self.rank = [0.75 + 0.25 * m.utility / most for m in given.methods]
         self.open = []             # RPCs that wait for an answer, or for a server to go to
-        self.answers, self.began, self.spare, self.fronts = deque(), inf, 1.0, given.fronts
+        self.answers, self.spare, self.quick, self.fronts = deque(), 1.0, 1.0, max(1, given.fronts)
 
     def take(self, now, rpc):
         method = rpc.method
         rpc.soft = min(rpc.deadline, now + method.soft + int(method.soft_stretch * rpc.work))
-        self.began = min(self.began, now)
-        gate = self.front.gate
-        trimmed(gate.taken[gate.lane(method)], now - gate.window).append(now)
+        self.front.gate.took(now, method)
         self.spare = min(10.0, self.spare + REPEATS)
         self.open.append(rpc)
-        if self.full(now, rpc):
-            self.give_up(now, rpc)
-        elif not self.below.take(now, rpc):
-            self.hold(now, rpc)
-
-    def hold(self, now, rpc):  # but the next look would come too late for a client about to leave
-        if now + 2 * LOOK >= rpc.soft or now >= rpc.taken + WAIT_SHARE * rpc.method.soft:
+        if self.full(now, rpc) or not self.below.take(now, rpc):
             self.give_up(now, rpc)
 
-    def end(self, rpc):
+    def end(self, now, rpc, badly):
+        if not rpc.late:
+            self.front.judge.fared(now, badly or now > rpc.taken + rpc.method.soft // 2)
         rpc.done = True
         self.open = [other for other in self.open if other is not rpc]
         for pick in rpc.picks if self.cancels else ():
@@ -521,7 +526,7 @@
                 self.front.host.cancel(pick)
 
     def give_up(self, now, rpc):  # a pushback while the client may still gain by it, else an abort
-        self.end(rpc)
+        self.end(now, rpc, True)
         if self.front.gate.may_push_back(rpc) and now < rpc.soft:
             self.front.host.push_back(rpc, min(self.max_wait, rpc.method.soft // 4))
         else:
@@ -532,39 +537,39 @@
         self.below.back(now, pick, load)
         if pick.result in (OK, ERROR):
             self.answers.append(now)
+        # Small fronts have no rate to go by, but each has its last answers.
+        self.quick += (pick.result == OK and pick.latency < SOON * rpc.method.soft) / 4 - self.quick / 4
         if rpc.done:
             return None
         if ended or pick.result == OK:
-            return self.end(rpc)
+            return self.end(now, rpc, pick.result != OK)
         if not any(p.result is None for p in rpc.picks):
-            never_ran = pick.result in NEVER_RAN
-            if now < rpc.soft and (never_ran or self.spare >= 1):
-                self.spare -= not never_ran
-                if self.below.take(now, rpc):
-                    return None
-            return self.hold(now, rpc) if never_ran and now < rpc.soft else self.give_up(now, rpc)
+            # A full server's RPCs go elsewhere within the budget only, else a jam feeds itself.
+            free = pick.result in (CONNECT_FAILED, MOOT)
+            if now < rpc.soft and (free or self.spare >= 1) and self.below.take(now, rpc):
+                self.spare -= not free
+            else:
+                self.give_up(now, rpc)
 
     def full(self, now, rpc):
         """Whether this front holds more than can be answered well within the soft deadline (Little's law on
         the answers of late). Against queues that jam: then all is late, and repeats keep it so."""
-        over = min(RATE_OVER, now - self.began)
-        soon = len(trimmed(self.answers, now - RATE_OVER)) * rpc.method.soft * SOON / max(1, over)
-        least = max(4, HELD * len(self.front.ready) / self.fronts, soon + 2 * sqrt(soon))
-        return over == RATE_OVER and len(self.open) > least * self.rank[rpc.method.place]
+        soon = len(trimmed(self.answers, now - RATE_OVER)) * rpc.method.soft * SOON / RATE_OVER
+        least = max(1 + 9 * self.quick, HELD * len(self.front.ready) / self.fronts, soon + 2 * sqrt(soon))
+        return len(self.open) > least * self.rank[rpc.method.place]
 
     def look(self, now):
         for rpc in list(self.open):
             out = [p for p in rpc.picks if p.result is None]
-            if not out and not self.below.take(now, rpc):
-                self.hold(now, rpc)
+            late = [p for p in out if now - p.sent >= SOON * rpc.method.soft]
+            for pick in late if not rpc.late else ():
+                pick.latency, rpc.late = now - pick.sent, True
+                self.front.judge.fared(now, True)
+                self.front.judge.back(pick)
             # Against servers that fall silent: one more try elsewhere while it can still be in time.
-            if (len(out) == 1 and rpc.method.kind != NON_IDEMPOTENT and self.spare >= 1 and now < rpc.soft
-                    and now - out[0].sent > 0.4 * rpc.method.soft and out[0].server.open
+            if (len(late) == len(out) == 1 and self.spare >= 1 and now < rpc.soft
                     and now - out[0].server.answered_at > SILENT // 2):
-                if self.duplicate:
-                    self.spare -= self.below.take(now, rpc)
-                elif self.cancels:
-                    self.front.host.cancel(out[0])
+                self.spare -= self.below.take(now, rpc)
 
 
 class Front:
@@ -577,27 +582,18 @@
         self.routing = Routing(self, self.gate, settings)
         self.intake = Intake(self, Trial(self, self.routing), settings)
         self.news, self.take, self.found_wrong = self.judge.news, self.intake.take, self.judge.found_wrong
-        self.tallied = self.judge.tallied
+        self.tallied, self.start = self.judge.tallied, self.woken
         self.must_ask, self.asked_at, self.watching = settings.must_ask, -inf, False
         self.ask_every = min(ASK_EVERY, settings.ask_within // 3 or ASK_EVERY)
 
-    def start(self, now):
-        self.woken(now)
-
-    def ask(self, now):
-        # Asked again only while the watch is not known to stand, so that the list is not flooded.
-        if self.must_ask and not self.watching and now - self.asked_at >= self.ask_every:
-            self.asked_at = now
-            self.host.watch()
-
     def listed(self, now, lines, whole):
         for server, build, zone, cell, scale, status, booted in lines:
             if server.status in (None, GONE):
                 self.servers.append(server)
             if server.status in (None, GONE) or booted != server.booted or build != server.build:
                 # New, or back under its old id: what was seen of the earlier process says nothing.
-                server.pace, server.failed, server.faded_at, server.bad_row = 1.0, 0.0, now, 0
-                server.shun_until, server.luck, server.luck_until = 0, 0.0, -inf
+                server.pace, server.failed, server.faded_at, server.shun_until = 1.0, 0.0, now, now
+                server.luck, server.luck_until = 0.0, now
                 server.reported, server.reported_at = 0.0, -inf
                 server.sent, server.answered_at = deque(), now
                 server.open = server.open or 0
@@ -634,13 +630,16 @@
 
     def left(self, now, rpc):
         if not rpc.done:
-            self.intake.end(rpc)
+            self.intake.end(now, rpc, True)
 
     def probed(self, now, server, result, latency, load):
         self.routing.report(now, server, load)
 
     def woken(self, now):
         self.host.wake(LOOK)
-        self.ask(now)
+        # Asked again only while the watch is not known to stand, so that the list is not flooded.
+        if self.must_ask and not self.watching and now - self.asked_at >= self.ask_every:
+            self.asked_at = now
+            self.host.watch()
         self.intake.look(now)
         self.judge.look(now)
--- a/honeywood/interface.py
+++ b/honeywood/interface.py
@@ -39,18 +39,19 @@
 class Server(Record):
     """A server: what the list says of it, then what the decisions keep about it."""
     __slots__ = ("build", "zone", "cell", "scale", "status", "booted",
-                 "open", "sent", "pace", "reported", "reported_at", "failed", "bad_row", "shun_until",
+                 "open", "sent", "pace", "reported", "reported_at", "failed", "shun_until",
                  "answered_at", "trial", "faded_at", "luck", "luck_until")
 
 
 class Rpc(Record):
     """An RPC taken from a client. `deadline` is when this try's client gives up."""
-    __slots__ = ("method", "customer", "key", "deadline", "work", "repeat", "taken", "soft", "picks", "done")
+    __slots__ = ("method", "customer", "key", "deadline", "work", "repeat", "taken", "soft", "picks", "done",
+                 "late")
 
 
 class Pick(Record):
     """One send of an RPC to a server. `result` is None while it is out."""
-    __slots__ = ("rpc", "server", "number", "build", "sent", "result", "latency", "young")
+    __slots__ = ("rpc", "server", "number", "build", "sent", "result", "latency", "young", "timed")
 
 
 class Settings(Record):
