Cold servers: a small front's part of the budget is one for all cold servers of a build

Now the parts are summed by build and chance rounds the sum. Told apart: picks that timed out were all at warm trial servers.

--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -6,7 +6,7 @@
 comes back runs up the chain. Judge looks at what came back and votes. Times are tenths of a millisecond.
 """
 from bisect import bisect_left
-from collections import deque
+from collections import defaultdict, deque
 from math import comb, erfc, inf, isfinite, sqrt
 from random import Random
 from statistics import NormalDist
@@ -173,8 +173,7 @@
             edge, share = old.slow_from()
             rows[place][1][:] = summed((rows[place][1], (bin >= edge, 1, share)))
 
-    def earlier(self, place):
-        """The earlier build at a method; one too rare to be compared by itself counts with all of them."""
+    def earlier(self, place):  # a method too rare to be compared by itself counts with all of them
         return self.before[place] if self.before[place].total >= LEAST else Counts(self.before)
 
     def found_wrong(self, now, server, method):
@@ -247,7 +246,6 @@
             self.halved, self.changed = now, True
             for counts in self.before + self.mine:
                 counts.halve()
-            self.normal = [n / 2 for n in self.normal] if self.normal[1] >= MOST else self.normal
             for failures, slow in (pair for rows in self.trial.values() for pair in rows):
                 failures[:] = [n / 2 for n in failures] if failures[1] >= MOST else failures
                 slow[:] = [n / 2 for n in slow] if slow[1] >= LEAST else slow
@@ -313,14 +311,12 @@
         self.tip = given.tip_multiple * TIP_SAFE
         self.taken, self.tried, self.oks = [deque() for _ in given.methods], {}, deque()
         self.out, self.fronts = 0, max(1, given.fronts)  # picks out
+        self.luck, self.chilled = {}, defaultdict(deque)  # by build: chance, and sends to its cold servers
         self.keys = {}             # under a one-way rule: the latest build that answered a key
 
     def lane(self, method):
         return method.place * self.per_method
 
-    def took(self, now, method):
-        trimmed(self.taken[self.lane(method)], now - self.window).append(now)
-
     def room(self, now, build, method):
         on_trial = self.front.judge.cap_of(build)
         if on_trial is None:
@@ -332,19 +328,25 @@
         tried = trimmed(self.tried.get((build, self.lane(method)), ()), now - self.window - self.tick)
         return cap > 0 and len(tried) + 1 <= self.free + cap * len(taken)
 
+    def cold(self, now, server):
+        return now - server.booted < self.cold_time + self.tip_time
+
     def cold_room(self, now, server):
         """A cold server gets its part of what this front's servers bear, so that all fronts together keep its
-        budget; chance rounds parts of a pick. What it holds is bounded too: builds may need more work."""
-        if now - server.booted >= self.cold_time + self.tip_time:
+        budget. Small fronts have less than a pick for all cold servers of a build; chance rounds it."""
+        if not self.cold(now, server):
             return True
-        if now >= server.luck_until:
-            server.luck, chance = self.front.random.random(), self.front.random.random()
-            server.luck_until = now + int(self.tip_time * (0.5 + chance))
-        since, share, ready = now - self.tip_time, self.warmth(now, server), max(1, len(self.front.ready))
-        oks, sent = trimmed(self.oks, since), trimmed(server.sent, since - self.tick)
-        most = max(self.tip * share * len(oks) / ready, 1 / self.fronts)
-        held = 1 + self.out / ready + self.tip * (share - self.cold_share)
-        return len(sent) + 1 <= most + server.luck and server.open + 1 <= held
+        ready, random, build = self.front.ready, self.front.random.random, server.build
+        since = now - self.tip_time
+        if now >= self.luck.get(build, (0, now))[1]:
+            self.luck[build] = random(), now + int(self.tip_time * (0.5 + random()))
+        part, share = self.tip * len(trimmed(self.oks, since)) / len(ready), self.warmth(now, server)
+        shares = [self.warmth(now, s) for s in ready if s.build == build and self.cold(now, s)]
+        sent, all_sent = (len(trimmed(t, since - self.tick)) + 1 for t in (server.sent, self.chilled[build]))
+        # What it holds is bounded too: builds may need more work.
+        return (all_sent <= max(part * sum(shares), len(shares) / self.fronts) + self.luck[build][0]
+                and sent <= max(1, part * share)
+                and server.open <= self.out / len(ready) + self.tip * (share - self.cold_share))
 
     def warmth(self, now, server):
         """The part of its capacity that a server has at least, so long after its start."""
@@ -386,7 +388,9 @@
             server.answered_at = now
         server.open += 1
         self.out += 1
-        trimmed(server.sent, now - self.tip_time - self.tick).append(now)
+        if self.cold(now, server):
+            server.sent.append(now)
+            self.chilled[server.build].append(now)
         tried = self.tried.setdefault((server.build, self.lane(rpc.method)), deque())
         trimmed(tried, now - self.window - self.tick).append(now)
         self.front.host.send(pick, rpc.deadline)
@@ -422,13 +426,14 @@
 
     def two(self, now, rpc, servers):
         """The less busy of two fit ones drawn; a fleet is only gone through where none is."""
-        best, had, draw = [], [p.server for p in rpc.picks], self.front.random.sample
-        near, chance = 0, self.front.random.random
+        best, near, had = [], 0, [p.server for p in rpc.picks]
+        draw, chance = self.front.random.sample, self.front.random.random
         # Those heard of late first, which can be told apart; where all are, chance alone.
         few = servers and len(self.heard) < len(self.front.ready)
         fresh = dict.fromkeys(s for _, s in self.heard
                               if few and s.status == READY and s.trial == servers[0].trial)
-        for server in draw(list(fresh), min(2, len(fresh))) + draw(servers, min(DRAWN, len(servers))):
+        drawn = draw(list(fresh), min(2, len(fresh))) + draw(servers, min(DRAWN, len(servers)))
+        for server in dict.fromkeys(drawn):
             # A cold server is drawn the more seldom the colder it is: for small fronts all look idle.
             silent = server.open and now - server.answered_at >= SILENT
             if (chance() < self.below.warmth(now, server) and now >= server.shun_until and not silent
@@ -436,7 +441,6 @@
                 # Another zone's server must be less busy by two, since crossing costs.
                 crossing = self.zone not in (None, server.zone)
                 best.append((self.held(now, server) * server.pace + 2 * crossing, len(best), server))
-                had.append(server)
                 near += not crossing
             if near == 2:
                 break
@@ -449,14 +453,14 @@
         """Sends to the first group, and to the second only if none of the first may be sent to."""
         while self.heard and self.heard[0][0] < now - REPORT_AGE:
             self.heard.popleft()
-        # A probe an RPC at most: many small fronts that probe all servers would cost more than their RPCs.
+        # A probe an RPC at most: many small fronts that probe all would cost more than their RPCs.
         if self.probes and len(self.heard) < len(self.front.ready) and now == rpc.taken:
             self.turn = (self.turn + 1) % len(self.front.ready)
             self.front.host.probe(self.front.ready[self.turn])
         one = self.two(now, rpc, first) or self.two(now, rpc, second)
         return one is not None and self.below.take(now, rpc, one)
 
-    def report(self, now, server, load):
+    def probed(self, now, server, result, latency, load):
         if self.load_at is not None and len(load) > self.load_at and isfinite(load[self.load_at]):
             server.reported, server.reported_at = max(0.0, load[self.load_at] - server.open), now
             self.heard.append((now, server))
@@ -464,7 +468,7 @@
     def back(self, now, pick, load):
         self.below.back(now, pick)
         server, place = pick.server, pick.rpc.method.place
-        self.report(now, server, load)
+        self.probed(now, server, pick.result, pick.latency, load)
         if pick.result in (CONNECT_FAILED, RESET, TIMEOUT, FULL):
             server.shun_until = now + SHUN
         elif pick.result in (OK, ERROR):
@@ -481,8 +485,8 @@
     """Trial picks fill the cap as far as the trial's servers bear it; the rest goes to the builds before."""
 
     def take(self, now, rpc):
-        judge, new, old = self.front.judge, self.front.new, self.front.old
-        if judge.build in judge.bad:
+        new, old = self.front.new, self.front.old
+        if self.front.judge.build in self.front.judge.bad:
             return self.below.take(now, rpc, old, new)
         if new and old:
             # Against many fronts whose free picks alone would flood a few cold servers: no front sees that.
@@ -508,9 +512,9 @@
         self.answers, self.spare, self.quick, self.fronts = deque(), 1.0, 1.0, max(1, given.fronts)
 
     def take(self, now, rpc):
-        method = rpc.method
+        method, gate = rpc.method, self.front.gate
         rpc.soft = min(rpc.deadline, now + method.soft + int(method.soft_stretch * rpc.work))
-        self.front.gate.took(now, method)
+        trimmed(gate.taken[gate.lane(method)], now - gate.window).append(now)
         self.spare = min(10.0, self.spare + REPEATS)
         self.open.append(rpc)
         if self.full(now, rpc) or not self.below.take(now, rpc):
@@ -552,8 +556,7 @@
                 self.give_up(now, rpc)
 
     def full(self, now, rpc):
-        """Whether this front holds more than can be answered well within the soft deadline (Little's law on
-        the answers of late). Against queues that jam: then all is late, and repeats keep it so."""
+        """Whether more is open than can be answered in time (Little's law): against queues that jam."""
         soon = len(trimmed(self.answers, now - RATE_OVER)) * rpc.method.soft * SOON / RATE_OVER
         least = max(1 + 9 * self.quick, HELD * len(self.front.ready) / self.fronts, soon + 2 * sqrt(soon))
         return len(self.open) > least * self.rank[rpc.method.place]
@@ -582,7 +585,7 @@
         self.routing = Routing(self, self.gate, settings)
         self.intake = Intake(self, Trial(self, self.routing), settings)
         self.news, self.take, self.found_wrong = self.judge.news, self.intake.take, self.judge.found_wrong
-        self.tallied, self.start = self.judge.tallied, self.woken
+        self.tallied, self.start, self.probed = self.judge.tallied, self.woken, self.routing.probed
         self.must_ask, self.asked_at, self.watching = settings.must_ask, -inf, False
         self.ask_every = min(ASK_EVERY, settings.ask_within // 3 or ASK_EVERY)
 
@@ -593,7 +596,6 @@
             if server.status in (None, GONE) or booted != server.booted or build != server.build:
                 # New, or back under its old id: what was seen of the earlier process says nothing.
                 server.pace, server.failed, server.faded_at, server.shun_until = 1.0, 0.0, now, now
-                server.luck, server.luck_until = 0.0, now
                 server.reported, server.reported_at = 0.0, -inf
                 server.sent, server.answered_at = deque(), now
                 server.open = server.open or 0
@@ -632,9 +634,6 @@
         if not rpc.done:
             self.intake.end(now, rpc, True)
 
-    def probed(self, now, server, result, latency, load):
-        self.routing.report(now, server, load)
-
     def woken(self, now):
         self.host.wake(LOOK)
         # Asked again only while the watch is not known to stand, so that the list is not flooded.
--- a/honeywood/interface.py
+++ b/honeywood/interface.py
@@ -40,7 +40,7 @@
     """A server: what the list says of it, then what the decisions keep about it."""
     __slots__ = ("build", "zone", "cell", "scale", "status", "booted",
                  "open", "sent", "pace", "reported", "reported_at", "failed", "shun_until",
-                 "answered_at", "trial", "faded_at", "luck", "luck_until")
+                 "answered_at", "trial", "faded_at")
 
 
 class Rpc(Record):
