--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -311,7 +311,7 @@
         self.tip = given.tip_multiple * TIP_SAFE
         self.taken, self.tried, self.oks = [deque() for _ in given.methods], {}, deque()
         self.out, self.fronts = 0, max(1, given.fronts)  # picks out
-        self.luck, self.chilled = {}, defaultdict(deque)  # by build: chance, and sends to its cold servers
+        self.luck, self.chilled, self.most = {}, defaultdict(deque), (0, 0, 0)  # of builds' cold servers
         self.keys = {}             # under a one-way rule: the latest build that answered a key
 
     def lane(self, method):
@@ -333,19 +333,19 @@
 
     def cold_room(self, now, server):
         """A cold server gets its part of what this front's servers bear, so that all fronts together keep its
-        budget. Small fronts have less than a pick for all cold servers of a build; chance rounds it."""
+        budget; small fronts have less than a pick for all of a build, which chance rounds. What it holds counts."""
         if not self.cold(now, server):
             return True
-        ready, random, build = self.front.ready, self.front.random.random, server.build
-        since = now - self.tip_time
-        if now >= self.luck.get(build, (0, now))[1]:
-            self.luck[build] = random(), now + int(self.tip_time * (0.5 + random()))
+        ready, random, since = self.front.ready, self.front.random.random, now - self.tip_time - self.tick
         part, share = self.tip * len(trimmed(self.oks, since)) / len(ready), self.warmth(now, server)
-        shares = [self.warmth(now, s) for s in ready if s.build == build and self.cold(now, s)]
-        sent, all_sent = (len(trimmed(t, since - self.tick)) + 1 for t in (server.sent, self.chilled[build]))
-        # What it holds is bounded too: builds may need more work.
-        return (all_sent <= max(part * sum(shares), len(shares) / self.fronts) + self.luck[build][0]
-                and sent <= max(1, part * share)
+        if self.most[:2] != (now, server.build):  # once for all servers that an RPC looks at
+            if now >= self.luck.get(server.build, (0, now))[1]:
+                self.luck[server.build] = random(), now + int(self.tip_time * (0.5 + random()))
+            shares = [self.warmth(now, s) for s in ready if s.build == server.build and self.cold(now, s)]
+            most = max(part * sum(shares), len(shares) / self.fronts) + self.luck[server.build][0]
+            self.most = now, server.build, most
+        sent, cold = (len(trimmed(t, since)) + 1 for t in (server.sent, self.chilled[server.build]))
+        return (cold <= self.most[2] and sent <= max(1, part * share)
                 and server.open <= self.out / len(ready) + self.tip * (share - self.cold_share))
 
     def warmth(self, now, server):
