--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -204,8 +204,10 @@
     def worse(self, now):
         """A build may slow old and new alike, which no comparison of builds shows: no 'on' while RPCs fare
         far worse than before it, and 'back' if that stays."""
-        (k, n), (k0, n0), blind = self.recent, self.normal, self.front.must_ask and not self.front.watching
-        calm = blind or not n0 or trails(k, n, k0, n0, ALIKE_MARGIN) > Q
+        (k, n), (k0, n0), ready = self.recent, self.normal, len(self.front.ready)
+        # Without its list, or with fewer servers than before, a front fares badly for another reason.
+        blind = ready < 0.9 * self.places or (self.front.must_ask and not self.front.watching)
+        calm = blind or not n0 or trails(k, n, k0, n0, ALIKE_MARGIN) * self.dear > Q
         self.worse_since = None if calm else self.worse_since or now
         if not calm and now - self.worse_since >= STAYS:
             self.found_bad(f"{k:.0f} of {n:.0f} RPCs fare badly, {k0:.0f} of {n0:.0f} before it; it stays")
@@ -285,7 +287,7 @@
         wanted = (self.build, self.step, verdict)
         if verdict is None or (self.vote == wanted and now - self.voted_at < self.renew * self.spread):
             return
-        # Chance spreads the votes of many fronts, which share what the platform takes in a second.
+        # Chance spreads the votes of many fronts: they share what the platform takes in a second.
         if now - self.asked_at < (self.give_up_on if self.asked else VOTE_AGAIN) * self.spread:
             return
         self.asked, self.asked_at, self.spread = wanted, now, 0.8 + 0.4 * self.front.random.random()
@@ -333,7 +335,7 @@
 
     def cold_room(self, now, server):
         """A cold server gets its part of what this front's servers bear, so that all fronts together keep its
-        budget; small fronts have less than a pick for all of a build, which chance rounds. What it holds counts."""
+        budget; small fronts have less than a pick for all of a build, and chance rounds it."""
         if not self.cold(now, server):
             return True
         ready, random, since = self.front.ready, self.front.random.random, now - self.tip_time - self.tick
@@ -438,8 +440,7 @@
             silent = server.open and now - server.answered_at >= SILENT
             if (chance() < self.below.warmth(now, server) and now >= server.shun_until and not silent
                     and server not in had and self.below.may(now, rpc, server)):
-                # Another zone's server must be less busy by two, since crossing costs.
-                crossing = self.zone not in (None, server.zone)
+                crossing = self.zone not in (None, server.zone)  # which costs: less busy by two then
                 best.append((self.held(now, server) * server.pace + 2 * crossing, len(best), server))
                 near += not crossing
             if near == 2:
@@ -548,8 +549,7 @@
         if ended or pick.result == OK:
             return self.end(now, rpc, pick.result != OK)
         if not any(p.result is None for p in rpc.picks):
-            # A full server's RPCs go elsewhere within the budget only, else a jam feeds itself.
-            free = pick.result in (CONNECT_FAILED, MOOT)
+            free = pick.result in (CONNECT_FAILED, MOOT)  # but a full server's RPCs: a jam feeds itself
             if now < rpc.soft and (free or self.spare >= 1) and self.below.take(now, rpc):
                 self.spare -= not free
             else:
