--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -204,12 +204,12 @@
     def worse(self, now):
         """A build may slow old and new alike, which no comparison of builds shows: no 'on' while RPCs fare
         far worse than before it, and 'back' if that stays."""
-        (k, n), (k0, n0), ready = self.recent, self.normal, len(self.front.ready)
+        (k, n), (k0, n0) = self.recent, self.normal
         # Without its list, or with fewer servers than before, a front fares badly for another reason.
-        blind = ready < 0.9 * self.places or (self.front.must_ask and not self.front.watching)
-        calm = blind or not n0 or trails(k, n, k0, n0, ALIKE_MARGIN) * self.dear > Q
-        self.worse_since = None if calm else self.worse_since or now
-        if not calm and now - self.worse_since >= STAYS:
+        blind = len(self.front.ready) < 0.9 * self.places or (self.front.must_ask and not self.front.watching)
+        p = 1.0 if blind or not n0 else trails(k, n, k0, n0, ALIKE_MARGIN)
+        self.worse_since = None if p > Q else self.worse_since or now
+        if p * self.dear <= Q and now - self.worse_since >= STAYS:
             self.found_bad(f"{k:.0f} of {n:.0f} RPCs fare badly, {k0:.0f} of {n0:.0f} before it; it stays")
 
     def tests(self):
