--- a/tests/play.py
+++ b/tests/play.py
@@ -10,6 +10,7 @@
     MS rpc NAME METHOD [DEADLINE [KEY]]   one RPC
     MS flow UNTIL EVERY METHOD [CUSTOMER]   a stream of them
     MS wrong SERVER METHOD N        so many wrong answers are reported
+    MS tally BUILD METHOD FAILED ENDED MS   what the platform counted until 1500 ms ago
     MS restart                      a new front with the last list
     MS expect WHAT                  a Python expression over the names bound in Play.expect
 """
@@ -154,6 +155,10 @@
         for _ in range(int(times)):
             self.front.found_wrong(self.now, self.servers[server], self.methods[method])
 
+    def do_tally(self, build, method, failed, ended, mean):
+        self.front.tallied(self.now, int(build), self.methods[method], int(failed), int(ended), int(mean) * MS,
+                           1500 * MS)
+
     def do_rpc(self, name, method, deadline=None, key=None, customer=0):
         kind = self.methods[method]
         rpc = self.rpcs[name] = face.Rpc(
