--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -25,7 +25,7 @@
 LOOK = SECOND // 10            # how often the front looks around by itself
 SLOW_SHARE = 0.25              # the earlier build's share that counts as slow
 EDGES = [n / 16 for n in (1, 2, 3, 4, 6, 8, 12, 16)]  # bins of answer times, in soft deadlines
-HALVE, MOST = 4 * SECOND, 512  # times are halved so often, failures of the trial at so many outcomes
+HALVE, MOST = SECOND, 512      # the earlier build's counts are halved so often, the trial's at so many
 TIME_MARGIN = 1.0              # mean times that the platform tells may be longer by so much of the earlier's
 ALONE_MARGIN = 0.10            # failure share allowed where there is no earlier build to compare with
 ALIKE_MARGIN, STAYS = 0.30, 14 * SECOND  # RPCs faring so much worse than before a build, for so long
@@ -93,8 +93,9 @@
         self.total, self.ended, self.failed = self.total + ended, self.ended + ended, self.failed + failed
         self.bins[bin] += timed
 
-    def halve(self):
-        self.failed, self.ended, self.bins = self.failed / 2, self.ended / 2, [n / 2 for n in self.bins]
+    def halve(self):  # but not below what can be compared with: small fronts remember for longer
+        if self.ended >= LEAST:
+            self.failed, self.ended, self.bins = self.failed / 2, self.ended / 2, [n / 2 for n in self.bins]
 
     def slow_from(self):
         """The bin from which answers count as slow beside these (SLOW_SHARE at most do), and their share."""
@@ -207,7 +208,7 @@
         (k, n), (k0, n0) = self.recent, self.normal
         # Without its list, or with fewer servers than before, a front fares badly for another reason.
         blind = len(self.front.ready) < 0.9 * self.places or (self.front.must_ask and not self.front.watching)
-        p = 1.0 if blind or not n0 else trails(k, n, k0, n0, ALIKE_MARGIN)
+        p = 1.0 if blind or not n0 or n < FEW else trails(k, n, k0, n0, ALIKE_MARGIN)
         self.worse_since = None if p > Q else self.worse_since or now
         if p * self.dear <= Q and now - self.worse_since >= STAYS:
             self.found_bad(f"{k:.0f} of {n:.0f} RPCs fare badly, {k0:.0f} of {n0:.0f} before it; it stays")
@@ -250,19 +251,18 @@
                 counts.halve()
             for failures, slow in (pair for rows in self.trial.values() for pair in rows):
                 failures[:] = [n / 2 for n in failures] if failures[1] >= MOST else failures
-                slow[:] = [n / 2 for n in slow] if slow[1] >= LEAST else slow
+                slow[:] = [n / 2 for n in slow] if slow[1] >= MOST / 8 else slow
         if self.recent[1] >= LEAST / 2 and now - self.recent_at >= SECOND:
             self.recent, self.recent_at = [n / 2 for n in self.recent], now
         if self.build is None or self.standing not in (ON_TRIAL, RELEASED):
             return
-        if self.recent[1] >= FEW:
-            self.worse(now)
+        self.worse(now)
         if self.changed:           # no p-value anew where no count has changed
             self.changed, self.found = False, self.tests()
-        tests, ps = self.found, [test[0] for test in self.found]
+        ps = [test[0] for test in self.found]
         self.suspect_since = (self.suspect_since or now) if sorted_cut(ps, Q) else None
         if self.suspect_since is not None and now - self.suspect_since >= CONFIRM:
-            p, what, k, n, e = min(tests)
+            p, what, k, n, e = min(self.found)
             self.found_bad(f"{what}, {k:.0f} of {n:.0f} where the earlier build lets expect {e:.1f}, "
                            f"p {p:.4f} in {len(ps)} tests")
         self.cast(now, self.verdict(now, ps))
@@ -436,7 +436,7 @@
                               if few and s.status == READY and s.trial == servers[0].trial)
         drawn = draw(list(fresh), min(2, len(fresh))) + draw(servers, min(DRAWN, len(servers)))
         for server in dict.fromkeys(drawn):
-            # A cold server is drawn the more seldom the colder it is: for small fronts all look idle.
+            # Cold servers are drawn more seldom: for small fronts all look idle.
             silent = server.open and now - server.answered_at >= SILENT
             if (chance() < self.below.warmth(now, server) and now >= server.shun_until and not silent
                     and server not in had and self.below.may(now, rpc, server)):
--- a/tests/play.py
+++ b/tests/play.py
@@ -156,8 +156,8 @@
             self.front.found_wrong(self.now, self.servers[server], self.methods[method])
 
     def do_tally(self, build, method, failed, ended, mean):
-        self.front.tallied(self.now, int(build), self.methods[method], int(failed), int(ended), int(mean) * MS,
-                           1500 * MS)
+        counts = int(failed), int(ended), int(mean) * MS
+        self.front.tallied(self.now, int(build), self.methods[method], *counts, 1500 * MS)
 
     def do_rpc(self, name, method, deadline=None, key=None, customer=0):
         kind = self.methods[method]
