'On' is held at the level at which as many fronts as stop a step would hold by chance

Where a majority is needed a front may hold on less; where one vote sends back, lasting harm keeps to q.

--- a/honeywood/benchlink/codec.py
+++ b/honeywood/benchlink/codec.py
@@ -117,7 +117,8 @@
         exposure_window=units(fam.get("exposure_window_us", 0)), per_method=fam.get("per") == "per_lane",
         guarded_steps=fam.get("safe_only_stages", 0), one_way=fam.get("one_way", False),
         vote_rule={"majority": "share", "clocked": "clock"}.get(fam.get("vote_mode"), "any"),
-        back_votes=fam.get("back_votes", 1), vote_life=units(fam.get("ballot_ttl_us", 0)),
+        back_votes=fam.get("back_votes", 1), go_votes=fam.get("votes_to_go", 1),
+        vote_life=units(fam.get("ballot_ttl_us", 0)),
         vote_wait=units(fam.get("vote_wait_us", 0)),
         bake=units(fam.get("bake_us", 0)), rolling=fam.get("style") == "rolling",
         tally_period=units(fam.get("metrics_period_us", 0)), flags=fam.get("found_share", 0.0) > 0)
--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -28,7 +28,7 @@
 HALVE, MOST = SECOND, 512      # the earlier build's counts are halved so often, the trial's at so many
 TIME_MARGIN = 1.0              # mean times that the platform tells may be longer by so much of the earlier's
 ALONE_MARGIN = 0.10            # failure share allowed where there is no earlier build to compare with
-ALIKE_MARGIN, STAYS = 0.30, 14 * SECOND  # RPCs faring so much worse than before a build, for so long
+WORSE, STAYS = (0.20, 0.30), 14 * SECOND  # RPCs fare so much worse than before: hold; and back, if so long
 LISTED_LATE, TIP_SAFE = 8 * SECOND, 0.7  # a step has started after this; used part of cold servers' budget
 SILENT = 9 * SECOND // 10      # a server that holds picks and answers none for so long is left alone
 SHUN = 2 * SECOND              # a server that could not be reached, is full or timed out is left alone for
@@ -73,7 +73,7 @@
     (0.05, 0.00038, 0.035)
     """
     mean = votes * (1 - 1 / (9 * votes) - NormalDist().inv_cdf(1 - Q) / (3 * sqrt(votes))) ** 3
-    return min(Q, max(Q, mean) / fronts)
+    return max(Q, mean) / fronts
 
 
 def summed(rows):
@@ -111,8 +111,10 @@
         self.front, self.rule, self.methods = front, settings.vote_rule, settings.methods
         self.waves, self.first_cap, self.period = settings.waves, settings.caps[0], settings.tally_period
         self.renew, self.give_up_on = settings.vote_life // 2, settings.vote_wait + 2 * LOOK
-        votes = max(1, settings.back_votes)
-        self.dear = Q / level_each(max(1, settings.fronts), votes)  # own p-values are multiplied by this
+        fronts, votes = max(1, settings.fronts), max(1, settings.back_votes)
+        self.dear = max(1.0, Q / level_each(fronts, votes))  # own p-values are multiplied by this
+        # So many that hold stop a step; but a front whose vote alone sends back must be surer.
+        self.hold_level = min(votes * Q, level_each(fronts, max(1, fronts - settings.go_votes + 1)))
         self.least = max(FEW, LEAST // votes)  # fronts whose votes are needed together share the sample
         self.build = self.step = self.standing = None
         self.cap, self.since, self.halved = 0.0, 0, 0
@@ -155,7 +157,7 @@
         self.front.group()
 
     def back(self, pick):
-        # What is overdue or was called back late has told of times: second tries do not hide a slow build.
+        # What is overdue or was called back late tells of times: second tries do not hide a slow build.
         method, place, ended = pick.rpc.method, pick.rpc.method.place, pick.result in (OK, ERROR, TIMEOUT)
         timed = not pick.timed and pick.result != ERROR and (ended or pick.latency >= SOON * method.soft)
         pick.timed = pick.timed or timed
@@ -208,9 +210,9 @@
         (k, n), (k0, n0) = self.recent, self.normal
         # Without its list, or with fewer servers than before, a front fares badly for another reason.
         blind = len(self.front.ready) < 0.9 * self.places or (self.front.must_ask and not self.front.watching)
-        p = 1.0 if blind or not n0 or n < FEW else trails(k, n, k0, n0, ALIKE_MARGIN)
-        self.worse_since = None if p > Q else self.worse_since or now
-        if p * self.dear <= Q and now - self.worse_since >= STAYS:
+        hold, back = (1.0 if blind or not n0 or n < FEW else trails(k, n, k0, n0, margin) for margin in WORSE)
+        self.worse_since = None if hold > self.hold_level else self.worse_since or now
+        if back * self.dear <= Q and now - (self.worse_since or now) >= STAYS:
             self.found_bad(f"{k:.0f} of {n:.0f} RPCs fare badly, {k0:.0f} of {n0:.0f} before it; it stays")
 
     def tests(self):
@@ -427,16 +429,14 @@
         return server.open + others + server.failed + 1
 
     def two(self, now, rpc, servers):
-        """The less busy of two fit ones drawn; a fleet is only gone through where none is."""
+        """The less busy of two fit ones drawn, cold ones more seldom; all are asked where none is fit."""
         best, near, had = [], 0, [p.server for p in rpc.picks]
         draw, chance = self.front.random.sample, self.front.random.random
-        # Those heard of late first, which can be told apart; where all are, chance alone.
         few = servers and len(self.heard) < len(self.front.ready)
         fresh = dict.fromkeys(s for _, s in self.heard
                               if few and s.status == READY and s.trial == servers[0].trial)
         drawn = draw(list(fresh), min(2, len(fresh))) + draw(servers, min(DRAWN, len(servers)))
         for server in dict.fromkeys(drawn):
-            # Cold servers are drawn more seldom: for small fronts all look idle.
             silent = server.open and now - server.answered_at >= SILENT
             if (chance() < self.below.warmth(now, server) and now >= server.shun_until and not silent
                     and server not in had and self.below.may(now, rpc, server)):
@@ -490,7 +490,7 @@
         if self.front.judge.build in self.front.judge.bad:
             return self.below.take(now, rpc, old, new)
         if new and old:
-            # Against many fronts whose free picks alone would flood a few cold servers: no front sees that.
+            # Against many fronts whose free picks would flood a few cold servers: no front sees that.
             strong, rest = (sum(self.front.gate.warmth(now, s) for s in group) for group in (new, old))
             if self.front.random.random() * (strong + rest) >= strong:
                 new, old = old, new
--- a/honeywood/interface.py
+++ b/honeywood/interface.py
@@ -61,7 +61,8 @@
         "max_picks", "may_duplicate", "may_cancel", "may_probe", "max_wait", "must_ask", "ask_within",
         "drain_grace", "cold_share", "cold_time", "tip_multiple", "tip_time", "answers_report",
         "report_fields", "probe_price", "cross_price", "utility_by_work", "caps", "waves", "free_picks",
-        "exposure_window", "per_method", "guarded_steps", "one_way", "vote_rule", "back_votes", "vote_life",
+        "exposure_window", "per_method", "guarded_steps", "one_way", "vote_rule", "back_votes", "go_votes",
+        "vote_life",
         "vote_wait", "bake", "rolling", "tally_period", "flags")
 
 
--- a/tests/play.py
+++ b/tests/play.py
@@ -32,7 +32,7 @@
             tip_time=20000, answers_report=False, report_fields=(), probe_price=0.0, cross_price=0.0,
             utility_by_work=False, caps=[0.1, 0.5, 1.0], waves=[0.1, 0.4, 1.0], free_picks=2,
             exposure_window=30000, per_method=False, guarded_steps=0, one_way=False, vote_rule="any",
-            back_votes=1, vote_life=60000, vote_wait=12000, bake=30000, rolling=False,
+            back_votes=1, go_votes=1, vote_life=60000, vote_wait=12000, bake=30000, rolling=False,
             tally_period=0, flags=False)
         self.methods, self.servers, self.rpcs, self.answers = {}, {}, {}, []
         self.queue, self.order, self.now = [], 0, 0
