--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -15,7 +15,7 @@
     CANCELLED, CONNECT_FAILED, ERROR, FULL, GO_BACK, GO_ON, GOING_BACK, GONE, HOLD, MOOT, NEVER_RAN, NO_VOTE,
     NON_IDEMPOTENT, OK, ON_TRIAL, READY, RELEASED, RESET, SECOND, TIMEOUT, TOKENED, WITHDRAWN, Pick)
 
-Q = 0.05                       # level of the sorted cut
+Q = 0.05                       # level of the sorted cut (the first five figures are the design page's)
 FAIL_MARGIN, SLOW_MARGIN = 0.02, 0.20  # the page starts at 0.02, 0.10; see docs/design.md on 0.20
 LEAST = 20                     # outcomes a method needs before it is tested
 YOUNG = 3 * SECOND             # servers under this age are no evidence; also the wait with short samples
