--- a/honeywood/benchlink/codec.py
+++ b/honeywood/benchlink/codec.py
@@ -100,19 +100,17 @@
         for place, p in enumerate(raw.get("profiles", []))]
     return Settings(
         seed=seed, tick=max(1, units(raw.get("resolution_us", 1000))), zone=raw.get("az", 0),
-        zones=len(raw.get("zones", [])), fronts=raw.get("balancers", 1), me=raw.get("me", 0), methods=methods,
-        customers=[(t.get("fraction", 0.0), t.get("quota_rps", 0.0)) for t in raw.get("tenants", [])],
-        over_share_utility=raw.get("over_share_worth", 1.0),
+        fronts=raw.get("balancers", 1), methods=methods,
         max_picks=limits.get("max_attempts", 1), may_duplicate=limits.get("may_duplicate", False),
         may_cancel=limits.get("cancel", False), may_probe=limits.get("probes", False),
         max_wait=units(limits.get("max_retry_after_us", 0)) if limits.get("retry_after") else 0,
         must_ask=raw.get("registry_mode") == "ask", ask_within=units(rules.get("ask_within_us", 0)),
-        drain_grace=units(rules.get("drain_grace_us", 0)), cold_share=rules.get("cold_share", 1.0),
+        cold_share=rules.get("cold_share", 1.0),
         cold_time=units(rules.get("cold_us", 0)), tip_multiple=rules.get("tip_multiple", 1.0),
-        tip_time=units(rules.get("overload_for_us", 0)), answers_report=report.get("source") == "piggyback",
+        tip_time=units(rules.get("overload_for_us", 0)),
         report_fields=tuple(report.get("fields", ())) if report.get("source") != "silent" else (),
-        probe_price=prices.get("probe", 0.0), cross_price=prices.get("cross_zone", 0.0),
-        utility_by_work=raw.get("worth_by") == "work", caps=fam.get("caps", [1.0]),
+        cross_price=prices.get("cross_zone", 0.0),
+        caps=fam.get("caps", [1.0]),
         waves=fam.get("waves", [1.0]), free_picks=fam.get("allowance", 0.0),
         exposure_window=units(fam.get("exposure_window_us", 0)), per_method=fam.get("per") == "per_lane",
         guarded_steps=fam.get("safe_only_stages", 0), one_way=fam.get("one_way", False),
@@ -120,5 +118,4 @@
         back_votes=fam.get("back_votes", 1), go_votes=fam.get("votes_to_go", 1),
         vote_life=units(fam.get("ballot_ttl_us", 0)),
         vote_wait=units(fam.get("vote_wait_us", 0)),
-        bake=units(fam.get("bake_us", 0)), rolling=fam.get("style") == "rolling",
-        tally_period=units(fam.get("metrics_period_us", 0)), flags=fam.get("found_share", 0.0) > 0)
+        tally_period=units(fam.get("metrics_period_us", 0)))
--- a/honeywood/interface.py
+++ b/honeywood/interface.py
@@ -57,13 +57,11 @@
 class Settings(Record):
     """What a front is told at start, in this project's words and times."""
     __slots__ = (
-        "seed", "tick", "zone", "zones", "fronts", "me", "methods", "customers", "over_share_utility",
-        "max_picks", "may_duplicate", "may_cancel", "may_probe", "max_wait", "must_ask", "ask_within",
-        "drain_grace", "cold_share", "cold_time", "tip_multiple", "tip_time", "answers_report",
-        "report_fields", "probe_price", "cross_price", "utility_by_work", "caps", "waves", "free_picks",
-        "exposure_window", "per_method", "guarded_steps", "one_way", "vote_rule", "back_votes", "go_votes",
-        "vote_life",
-        "vote_wait", "bake", "rolling", "tally_period", "flags")
+        "seed", "tick", "zone", "fronts", "methods", "max_picks", "may_duplicate", "may_cancel",
+        "may_probe", "max_wait", "must_ask", "ask_within", "cold_share", "cold_time", "tip_multiple",
+        "tip_time", "report_fields", "cross_price", "caps", "waves", "free_picks", "exposure_window",
+        "per_method", "guarded_steps", "one_way", "vote_rule", "back_votes", "go_votes", "vote_life",
+        "vote_wait", "tally_period")
 
 
 class Host(Protocol):
--- a/tests/play.py
+++ b/tests/play.py
@@ -26,14 +26,14 @@
 class Play:
     def __init__(self):
         self.given = dict(
-            seed=7, tick=50, zone=0, zones=1, fronts=2, me=0, customers=[], over_share_utility=1.0,
+            seed=7, tick=50, zone=0, fronts=2,
             max_picks=4, may_duplicate=True, may_cancel=True, may_probe=False, max_wait=10000, must_ask=False,
-            ask_within=100000, drain_grace=2500, cold_share=0.4, cold_time=40000, tip_multiple=2.5,
-            tip_time=20000, answers_report=False, report_fields=(), probe_price=0.0, cross_price=0.0,
-            utility_by_work=False, caps=[0.1, 0.5, 1.0], waves=[0.1, 0.4, 1.0], free_picks=2,
+            ask_within=100000, cold_share=0.4, cold_time=40000, tip_multiple=2.5,
+            tip_time=20000, report_fields=(), cross_price=0.0,
+            caps=[0.1, 0.5, 1.0], waves=[0.1, 0.4, 1.0], free_picks=2,
             exposure_window=30000, per_method=False, guarded_steps=0, one_way=False, vote_rule="any",
-            back_votes=1, go_votes=1, vote_life=60000, vote_wait=12000, bake=30000, rolling=False,
-            tally_period=0, flags=False)
+            back_votes=1, go_votes=1, vote_life=60000, vote_wait=12000,
+            tally_period=0)
         self.methods, self.servers, self.rpcs, self.answers = {}, {}, {}, []
         self.queue, self.order, self.now = [], 0, 0
         self.sends, self.votes, self.pushed, self.aborted, self.watches = [], [], [], [], 0
