--- a/honeywood/benchlink/adapter.py
+++ b/honeywood/benchlink/adapter.py
@@ -1,10 +1,12 @@
 """Hosts one set of decisions per instance of the bench's wire. Ids become objects here, and objects ids."""
+import json
 import sys
 import traceback
 
 from honeywood import decide
 from honeywood.benchlink import codec
 from honeywood.interface import LONG_AGO, Pick, Rpc, Server
+from honeywood.settings import settings
 
 
 class Instance:
@@ -13,7 +15,7 @@
     def __init__(self, who, seed, text):
         self.who, self.reply = who, None
         self.rpcs, self.ids, self.servers, self.machines = {}, {}, {}, {}
-        self.settings = codec.settings(text, seed)
+        self.settings = settings(json.loads(text), seed)
         self.front = decide.Front(self.settings, self)
 
     def send(self, pick, until):
--- a/honeywood/benchlink/codec.py
+++ b/honeywood/benchlink/codec.py
@@ -1,9 +1,6 @@
 """Binary layout of the bench's wire: frames in, frames out. Only here do the wire's own names live."""
-import json
 import struct
 
-from honeywood.interface import IDEMPOTENT, NON_IDEMPOTENT, TOKENED, Method, Settings
-
 HEAD = struct.Struct(">IIQ")
 REPLY_HEAD = struct.Struct(">II")
 EVENT, ACTION, ENTRY = 40, 24, struct.Struct(">QHfIHBBf")
@@ -19,7 +16,6 @@
 ACTIONS = {code: struct.Struct(">H" + form) for code, form in {
     SOUND_OUT: "I", BAIL_OUT: "II", SOURCE: "I", SHED: "QI", RECORD: "II", WAKE: "II", LOSE: "Q",
     TRACK: "B", RETRACT: "QB", DELIVER: "QIQ", VOTE: "HBB"}.items()}
-KINDS = {"safe": IDEMPOTENT, "keyed": TOKENED, "unsafe": NON_IDEMPOTENT}
 
 
 class BadFrame(Exception):
@@ -86,36 +82,3 @@
 def units(us):
     """Microseconds as tenths of a millisecond."""
     return int(us) // 100
-
-
-def settings(text, seed):
-    """The wire's settings in this project's words; unknown keys are skipped, absent ones mean 'none'."""
-    raw = json.loads(text)
-    fam, limits, rules = raw.get("family_info", {}), raw.get("limits", {}), raw.get("rules", {})
-    report, prices = raw.get("report", {}), raw.get("prices", {})
-    methods = [Method(
-        kind=KINDS[p["idempotency"]], soft=units(p["aim_us"]), soft_stretch=p.get("aim_stretch", 0.0),
-        deadline=units(p["give_up_us"]), utility=p.get("credit", 1.0), late_utility=p.get("late_worth", 0.0),
-        group=p.get("dedup_scope", "all"), window=units(p.get("window_us", 0)), place=place)
-        for place, p in enumerate(raw.get("profiles", []))]
-    return Settings(
-        seed=seed, tick=max(1, units(raw.get("resolution_us", 1000))), zone=raw.get("az", 0),
-        fronts=raw.get("balancers", 1), methods=methods,
-        max_picks=limits.get("max_attempts", 1), may_duplicate=limits.get("may_duplicate", False),
-        may_cancel=limits.get("cancel", False), may_probe=limits.get("probes", False),
-        max_wait=units(limits.get("max_retry_after_us", 0)) if limits.get("retry_after") else 0,
-        must_ask=raw.get("registry_mode") == "ask", ask_within=units(rules.get("ask_within_us", 0)),
-        cold_share=rules.get("cold_share", 1.0),
-        cold_time=units(rules.get("cold_us", 0)), tip_multiple=rules.get("tip_multiple", 1.0),
-        tip_time=units(rules.get("overload_for_us", 0)),
-        report_fields=tuple(report.get("fields", ())) if report.get("source") != "silent" else (),
-        cross_price=prices.get("cross_zone", 0.0),
-        caps=fam.get("caps", [1.0]),
-        waves=fam.get("waves", [1.0]), free_picks=fam.get("allowance", 0.0),
-        exposure_window=units(fam.get("exposure_window_us", 0)), per_method=fam.get("per") == "per_lane",
-        guarded_steps=fam.get("safe_only_stages", 0), one_way=fam.get("one_way", False),
-        vote_rule={"majority": "share", "clocked": "clock"}.get(fam.get("vote_mode"), "any"),
-        back_votes=fam.get("back_votes", 1), go_votes=fam.get("votes_to_go", 1),
-        vote_life=units(fam.get("ballot_ttl_us", 0)),
-        vote_wait=units(fam.get("vote_wait_us", 0)),
-        tally_period=units(fam.get("metrics_period_us", 0)))
--- a/honeywood/interface.py
+++ b/honeywood/interface.py
@@ -1,7 +1,7 @@
 """What passes between the decisions (decide.py) and whatever hosts them. Nothing is decided here.
 
 All times are whole tenths of a millisecond on the host's clock. Objects point to each other; ids stay
-with the host.
+with the host, which keeps what it needs of a server, an RPC or a pick in `host`.
 """
 from typing import Protocol
 
@@ -33,25 +33,25 @@
 
 class Method(Record):
     __slots__ = ("kind", "soft", "soft_stretch", "deadline", "utility", "late_utility", "group", "window",
-                 "place")
+                 "place", "name")
 
 
 class Server(Record):
     """A server: what the list says of it, then what the decisions keep about it."""
     __slots__ = ("build", "zone", "cell", "scale", "status", "booted",
                  "open", "sent", "pace", "reported", "reported_at", "failed", "shun_until",
-                 "answered_at", "trial", "faded_at")
+                 "answered_at", "trial", "faded_at", "host")
 
 
 class Rpc(Record):
     """An RPC taken from a client. `deadline` is when this try's client gives up."""
     __slots__ = ("method", "customer", "key", "deadline", "work", "repeat", "taken", "soft", "picks", "done",
-                 "late")
+                 "late", "host")
 
 
 class Pick(Record):
     """One send of an RPC to a server. `result` is None while it is out."""
-    __slots__ = ("rpc", "server", "number", "build", "sent", "result", "latency", "young", "timed")
+    __slots__ = ("rpc", "server", "number", "build", "sent", "result", "latency", "young", "timed", "host")
 
 
 class Settings(Record):
@@ -61,7 +61,7 @@
         "may_probe", "max_wait", "must_ask", "ask_within", "cold_share", "cold_time", "tip_multiple",
         "tip_time", "report_fields", "cross_price", "caps", "waves", "free_picks", "exposure_window",
         "per_method", "guarded_steps", "one_way", "vote_rule", "back_votes", "go_votes", "vote_life",
-        "vote_wait", "tally_period")
+        "vote_wait", "tally_period", "zones", "idle_close", "connect_within")
 
 
 class Host(Protocol):
--- /dev/null
+++ b/honeywood/program/__init__.py
@@ -0,0 +1,1 @@
+"""The program: configuration, log and life cycle."""
--- /dev/null
+++ b/honeywood/protocol/platform.py
@@ -0,0 +1,74 @@
+"""The platform's lines, in words separated by spaces, and what they mean to us."""
+from math import isfinite
+
+from honeywood.interface import (
+    ERROR, FULL, GO_BACK, GO_ON, GOING_BACK, HOLD, MOOT, NO_VOTE, OK, ON_TRIAL, RELEASED, WITHDRAWN,
+)
+
+MOST_LINE = 8 * 1024
+SUBSCRIBE = b"NOTIFY\r\n"
+VERDICTS = {NO_VOTE: "blank", GO_ON: "go", HOLD: "stay", GO_BACK: "stop"}
+STANDINGS = {"canary": ON_TRIAL, "reverting": GOING_BACK, "stable": RELEASED, "reverted": WITHDRAWN}
+REFUSALS = {"BUSY": FULL, "STALE": MOOT, "FAILED": ERROR, "SYNTAX": MOOT}
+
+
+class BadLine(Exception):
+    """A line that can't be read."""
+
+
+def ballot(build, step, verdict):
+    return f"BALLOT {build} {step} {VERDICTS[verdict]}\r\n".encode()
+
+
+def line(buffer):
+    """The next line's words, or None while it is not whole."""
+    end = buffer.find(b"\r\n")
+    if end > MOST_LINE or (end < 0 and len(buffer) > MOST_LINE):
+        raise BadLine("line too long")
+    if end < 0:
+        return None
+    try:
+        return buffer.take(end + 2)[:-2].decode("ascii").split(" ")
+    except UnicodeDecodeError:
+        raise BadLine("not text") from None
+
+
+def figure(word):
+    value = float(word)
+    if not isfinite(value) or value < 0:
+        raise ValueError(word)
+    return value
+
+
+def state(words):
+    """(build, step, cap, standing, age) from `image ring progress ceiling lag_ms`."""
+    try:
+        image, ring, progress, ceiling, lag = words
+        return int(image), int(ring), figure(ceiling), STANDINGS[progress], int(figure(lag) * 10)
+    except (ValueError, KeyError, TypeError):
+        raise BadLine(f"state {words}") from None
+
+
+def reply(words):
+    """(result, state or None) of the answer to a call."""
+    if words[0] == "OK":
+        return OK, state(words[1:]) if len(words) > 1 else None
+    if words[0] == "ERR" and len(words) == 2 and words[1] in REFUSALS:
+        return REFUSALS[words[1]], None
+    raise BadLine(f"answer {words}")
+
+
+def tally(words):
+    """(build, method's name, failed, ended, mean, age) from `image type n bad latency_ms lag_ms`."""
+    try:
+        image, name, count, bad, latency, lag = words
+        return (int(image), name, int(bad), int(count), int(figure(latency) * 10), int(figure(lag) * 10))
+    except ValueError:
+        raise BadLine(f"tally {words}") from None
+
+
+def flag(words):
+    """(server's id, method's name) from `host type lag_ms`."""
+    if len(words) != 3:
+        raise BadLine(f"flag {words}")
+    return words[0], words[1]
--- /dev/null
+++ b/honeywood/routing/module.py
@@ -0,0 +1,155 @@
+"""The module's actor: its thread alone calls the decisions, and owns RPCs, picks and timers.
+
+It is their host (interface.Host) and decides nothing: it carries out what they ask and tells them what came.
+"""
+from honeywood import decide
+from honeywood.interface import CANCELLED, GONE, OK, SECOND, TIMEOUT, Rpc
+from honeywood.protocol import http
+from honeywood.routing.server import Exchange
+from honeywood.transport import clock
+from honeywood.transport.mailbox import Mailbox
+
+RESERVE = 150  # a client's time ran from when it sent, and its answer has to reach it: so much less is used
+MOST_CALLS = 20_000
+OWN = ("host", "x-timeout")  # fields that each send words anew
+
+
+class Module:
+    def __init__(self, gateway):
+        self.gateway, self.log_line, self.settings = gateway, gateway.log, gateway.settings
+        self.mailbox = Mailbox("module", MOST_CALLS, gateway.fail)
+        self.post = self.mailbox.post
+        self.methods = {method.name: method for method in self.settings.methods}
+        self.front = decide.Front(self.settings, self)
+
+    def start(self, news):
+        """The list known at start is posted already: it comes first."""
+        self.post(self.front_start)
+        self.post(self.news, news)
+        self.post(self.set_ready)
+        self.mailbox.start()
+
+    def front_start(self):
+        self.front.start(clock.now())
+
+    def set_ready(self):
+        self.gateway.ready = True
+
+    # What the decisions ask (interface.Host).
+    def send(self, pick, until):
+        now, call, peer = clock.now(), pick.rpc.host, pick.server.host
+        request = call.request
+        fields = [("host", peer.name), ("x-timeout", f"{max(1, until - now) / SECOND:.4f}"),
+                  *request.passed_on(*OWN)]
+        pick.host = Exchange(pick, http.request(request.method, request.target, fields, request.body), now)
+        peer.mailbox.post(peer.send, pick.host)
+        self.mailbox.timers.at(min(until, pick.rpc.deadline), self.give_up, pick, TIMEOUT)
+
+    def push_back(self, rpc, wait):
+        fields = [("retry-after", f"{wait / SECOND:.3f}")] if wait else []
+        self.answer(rpc, 503, fields)
+
+    def abort(self, rpc):
+        self.answer(rpc, 502)
+
+    def cancel(self, pick):
+        self.post(self.give_up, pick, CANCELLED)
+
+    def probe(self, server):
+        peer, now = server.host, clock.now()
+        target = "/_load" if self.settings.report_fields else "/ping"
+        exchange = Exchange(None, http.request("GET", target, [("host", peer.name)]), now)
+        exchange.server = server
+        peer.mailbox.post(peer.send, exchange)
+        self.mailbox.timers.at(now + self.settings.connect_within, self.probe_over, exchange)
+
+    def wake(self, after):
+        self.mailbox.after(after, self.woken)
+
+    def vote(self, build, step, verdict):
+        platform = self.gateway.platform
+        platform.mailbox.post(platform.vote, build, step, verdict)
+
+    def watch(self):
+        roster = self.gateway.roster
+        roster.mailbox.post(roster.watch)
+
+    def log(self, text):
+        self.log_line.info("decision", what=text)
+
+    # What the actors post.
+    def take(self, call):
+        now = clock.now()
+        rpc = call.rpc = Rpc(
+            method=call.method, customer=call.customer, key=call.key, work=call.work, repeat=call.repeat,
+            deadline=call.arrived + int(call.timeout * SECOND) - RESERVE, taken=now, picks=[], done=False,
+            host=call)
+        self.front.take(now, rpc)
+
+    def left(self, call):
+        self.front.left(clock.now(), call.rpc)
+
+    def ended(self, pick, result, load, answer=None):
+        """Each pick ends once; the first ok is the client's answer and ends the RPC."""
+        if pick.result is not None:
+            return
+        rpc, now = pick.rpc, clock.now()
+        over = result == OK or rpc.done
+        if result == OK and not rpc.done:
+            self.answer(rpc, 200, answer.passed_on(), answer.body)
+        self.front.back(now, pick, result, now - pick.sent, load, over)
+
+    def give_up(self, pick, result):
+        if pick.result is None:
+            peer = pick.server.host
+            peer.mailbox.post(peer.give_up, pick.host)
+            self.ended(pick, result, ())
+
+    def probed(self, exchange, result, load):
+        if exchange.server:
+            server, exchange.server = exchange.server, None
+            now = clock.now()
+            self.front.probed(now, server, result, now - exchange.sent, load)
+
+    def probe_over(self, exchange):
+        if exchange.server:
+            peer = exchange.server.host
+            peer.mailbox.post(peer.give_up, exchange)
+            self.probed(exchange, TIMEOUT, ())
+
+    def listed(self, lines, whole):
+        for server, _, _, _, _, status, _, address in lines:
+            peer = server.host
+            peer.mailbox.post(peer.listed, address, status)
+        told = [line[:-1] for line in lines if not (whole and line[5] == GONE)]
+        self.front.listed(clock.now(), told, whole)
+
+    def list_failed(self):
+        self.front.list_failed(clock.now())
+
+    def news(self, state):
+        self.told(OK, False, state)
+
+    def voted(self, result, state):
+        self.told(result, True, state or (0, 0, 0.0, 0, 0))
+
+    def told(self, result, reply, state):
+        build, step, cap, standing, age = state
+        self.front.news(clock.now(), result, reply, build, step, cap, standing, age)
+
+    def tallied(self, build, name, failed, ended, mean, age):
+        if name in self.methods:
+            self.front.tallied(clock.now(), build, self.methods[name], failed, ended, mean, age)
+
+    def found_wrong(self, name, method):
+        peer = self.gateway.roster.peers.get(name)
+        if peer and method in self.methods:
+            self.front.found_wrong(clock.now(), peer.server, self.methods[method])
+
+    def woken(self):
+        self.front.woken(clock.now())
+
+    # Its own.
+    def answer(self, rpc, status, fields=(), data=b""):
+        client = rpc.host.client
+        client.mailbox.post(client.answer, rpc.host, status, fields, data)
--- /dev/null
+++ b/honeywood/routing/server.py
@@ -0,0 +1,151 @@
+"""One server: its connections, what is out on them, and how each request to it ended."""
+from collections import deque
+
+from honeywood.interface import (
+    CONNECT_FAILED, ERROR, FULL, GONE, MOOT, OK, READY, RESET, SECOND, Server)
+from honeywood.protocol import http
+from honeywood.transport import clock
+from honeywood.transport.connection import Connection
+from honeywood.transport.mailbox import Mailbox
+
+MOST_CALLS = 4096
+
+
+class Exchange:
+    """One request to a server and its answer; a pick's, or a probe's where `pick` is None."""
+    __slots__ = ("pick", "data", "sent", "serial", "connection", "written", "head", "ended", "server")
+
+    def __init__(self, pick, data, sent):
+        self.pick, self.data, self.sent = pick, data, sent
+        self.serial = self.connection = self.head = None
+        self.written = self.ended = False
+
+
+class ServerPeer:
+    """The module posts calls to `mailbox`; all else happens on its thread."""
+
+    def __init__(self, name, gateway):
+        self.name, self.module, self.settings = name, gateway.module, gateway.settings
+        self.log, self.descriptors = gateway.log, gateway.descriptors
+        self.server = Server(host=self)
+        self.address, self.serial, self.gone, self.connections = None, 0, False, 0
+        self.idle, self.keep = deque(), self.settings.idle_close * 2 // 3  # dropped before the server does
+        self.mailbox = Mailbox(f"server {name}", MOST_CALLS, gateway.fail)
+        self.mailbox.start()
+        self.mailbox.post(self.look)
+
+    # What the module posts.
+    def listed(self, address, status):
+        """A new entry: what is not yet written was meant for the old one and never will be."""
+        self.serial += 1
+        if address != self.address and self.address:
+            self.drop_idle("moved")
+        self.address, self.gone = address or self.address, status == GONE
+        if status != READY:
+            self.drop_idle("not_listed")
+        self.end_if_done()
+
+    def send(self, exchange):
+        exchange.serial = self.serial
+        while self.idle:
+            connection, _ = self.idle.pop()
+            if not connection.code:
+                connection.exchange, exchange.connection = exchange, connection
+                return self.write(exchange)
+        if not self.address or not self.descriptors.take():
+            return self.end(exchange, CONNECT_FAILED)
+        self.connections += 1
+        connection = exchange.connection = Connection(self, self.mailbox, self.descriptors, self.name)
+        connection.exchange = exchange
+        connection.dial(self.address, self.settings.connect_within / SECOND)
+
+    def give_up(self, exchange):
+        """To give up an exchange its connection is closed."""
+        if not exchange.ended:
+            exchange.ended = True
+            exchange.connection.close("given_up")
+
+    # What its connections tell.
+    def opened(self, connection):
+        self.write(connection.exchange)
+
+    def write(self, exchange):
+        """The one place that writes to a server. What waited for its connection and is no longer as it was
+        decided never goes out: a drain's grace or a lowered cap may have passed."""
+        late = clock.now() - exchange.sent > self.settings.connect_within
+        if late or exchange.serial != self.serial or exchange.ended:
+            self.rest(exchange.connection)
+            return self.end(exchange, CONNECT_FAILED)
+        exchange.written = exchange.connection.write(exchange.data)
+
+    def received(self, connection):
+        exchange = connection.exchange
+        if exchange is None or not exchange.written:
+            return connection.close("unasked_bytes")
+        try:
+            exchange.head = exchange.head or http.response_head(connection.buffer)
+            data = exchange.head and http.body(connection.buffer, exchange.head)
+        except http.Malformed as bad:
+            connection.close(f"unreadable_{str(bad).replace(' ', '_')}")
+            return self.end(exchange, ERROR)
+        if exchange.head is None or data is None:
+            return
+        exchange.head.body = data
+        if exchange.head.keep and not len(connection.buffer):
+            self.rest(connection)
+        else:
+            connection.close("close_asked" if not exchange.head.keep else "unasked_bytes")
+        self.end(exchange, self.result(exchange.head), exchange.head)
+
+    @staticmethod
+    def result(answer):
+        if answer.status == 200:
+            return OK
+        turned_away = answer.status in (503, 504) and answer.get("x-not-processed") == "1"
+        return FULL if turned_away and answer.status == 503 else MOOT if turned_away else ERROR
+
+    def ended(self, connection):
+        self.connections -= 1
+        exchange, connection.exchange = connection.exchange, None
+        if exchange:
+            self.end(exchange, RESET if exchange.written else CONNECT_FAILED)
+        self.log.info("connection_ended", peer="server", id=self.name, code=connection.code)
+        self.end_if_done()
+
+    # Its own.
+    def rest(self, connection):
+        connection.exchange = None
+        if not connection.code:
+            self.idle.append((connection, clock.now()))
+
+    def end(self, exchange, result, answer=None):
+        if exchange.ended:
+            return
+        exchange.ended = True
+        told = answer.get("x-server-load") or "" if answer else ""
+        if exchange.pick is None:
+            told = told or (answer.body.decode("latin-1") if result == OK else "")
+            self.module.post(self.module.probed, exchange, result, self.load(told))
+        else:
+            self.module.post(self.module.ended, exchange.pick, result, self.load(told), answer)
+
+    def load(self, text):
+        """A load report in the order of the settings' fields; () where it is not whole."""
+        told = dict(word.strip().partition("=")[::2] for word in text.split(","))
+        try:
+            return tuple(float(told[name]) for name in self.settings.report_fields)
+        except (KeyError, ValueError):
+            return ()
+
+    def drop_idle(self, code):
+        while self.idle:
+            self.idle.pop()[0].close(code)
+
+    def look(self):
+        while self.idle and clock.now() - self.idle[0][1] > self.keep:
+            self.idle.popleft()[0].close("idle")
+        self.mailbox.after(SECOND, self.look)
+
+    def end_if_done(self):
+        if self.gone and not self.connections:
+            self.mailbox.end()
