A build is held against how RPCs fared just before it, where the one before it was released

Checked by votes in the log: votes for 20 got no answer from 22 s to 28 s and came stale after; 21 was found bad by 'RPCs fare badly, 22 of 206 before it', which are counts from before build 20. Wrong line: Judge.news left 'normal' as it was frozen for build 20. Harm: where outside trouble is on just when a build comes, one that slows all is not held. Votes and their results are now logged.

--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -143,6 +143,8 @@
             return
         if (build, step, standing) != (self.build, self.step, self.standing):
             if build != self.build:
+                if self.standing == RELEASED:  # what ailed the fleet before a build is not its doing
+                    self.normal = list(max(self.normal, self.recent, key=lambda c: c[0] / (c[1] or 1)))
                 self.suspect_since = self.worse_since = None
                 self.places = sum(s.build < build for s in self.front.ready)
                 if self.build is not None and self.build not in self.bad:
@@ -362,9 +364,8 @@
         if rpc.done or server.status != READY or len(rpc.picks) >= self.max_picks or now >= rpc.deadline:
             return False
         risky = [p for p in rpc.picks if p.result not in NEVER_RAN]
-        if risky and rpc.method.kind == NON_IDEMPOTENT:
-            return False
-        if not self.duplicate and any(p.result is None for p in risky):
+        if (risky and rpc.method.kind == NON_IDEMPOTENT
+                or not self.duplicate and any(p.result is None for p in risky)):
             return False
         if rpc.method.kind == TOKENED and not all(self.drops(now, p, server) for p in risky):
             return False
@@ -447,8 +448,7 @@
             if near == 2:
                 break
         if not best:
-            able = [s for s in servers if self.below.may(now, rpc, s)]
-            best = [(self.held(now, s), at, s) for at, s in enumerate(able)]
+            best = [(self.held(now, s), at, s) for at, s in enumerate(servers) if self.below.may(now, rpc, s)]
         return min(best)[2] if best else None
 
     def take(self, now, rpc, first, second):
--- a/honeywood/protocol/platform.py
+++ b/honeywood/protocol/platform.py
@@ -2,8 +2,8 @@
 from math import isfinite
 
 from honeywood.interface import (
-    ERROR, FULL, GO_BACK, GO_ON, GOING_BACK, HOLD, MOOT, NO_VOTE, OK, ON_TRIAL, RELEASED, WITHDRAWN,
-)
+    ERROR, FULL, GO_BACK, GO_ON, GOING_BACK, HOLD, MOOT, NO_VOTE, OK, ON_TRIAL, RELEASED, TIMEOUT,
+    WITHDRAWN)
 
 MOST_LINE = 8 * 1024
 SUBSCRIBE = b"NOTIFY\r\n"
@@ -11,6 +11,8 @@
 STANDINGS = {"canary": ON_TRIAL, "reverting": GOING_BACK, "stable": RELEASED, "reverted": WITHDRAWN}
 REFUSALS = {"BUSY": FULL, "STALE": MOOT, "FAILED": ERROR, "SYNTAX": MOOT}
 
+RESULTS = {OK: "counts", FULL: "busy", MOOT: "stale", ERROR: "failed", TIMEOUT: "no_answer"}
+
 
 class BadLine(Exception):
     """A line that can't be read."""
--- a/honeywood/routing/platform.py
+++ b/honeywood/routing/platform.py
@@ -32,16 +32,17 @@
     # What the module posts.
     def vote(self, build, step, verdict):
         """A vote that can't be written was not carried out; one without an answer in time may have been."""
-        call = [True]
+        call = [(build, step, platform.VERDICTS[verdict])]
         if not self.open or not self.connection.write(platform.ballot(build, step, verdict)):
-            return self.module.post(self.module.voted, ERROR, None)
+            return self.reply(call, ERROR, None)
         self.calls.append(call)
         self.mailbox.after(self.settings.vote_wait, self.reply, call, TIMEOUT, None)
 
     def reply(self, call, result, state):
         """The first that is known of a call goes to the module; a late answer is news like any other."""
-        if call and call[0]:
-            call[0] = False
+        if call:
+            build, step, verdict = call.pop()
+            self.log.info("vote", build=build, step=step, verdict=verdict, result=platform.RESULTS[result])
             self.module.post(self.module.voted, result, state)
         elif state:
             self.module.post(self.module.news, state)
