--- a/honeywood/benchlink/adapter.py
+++ b/honeywood/benchlink/adapter.py
@@ -14,27 +14,27 @@
 
     def __init__(self, who, seed, text):
         self.who, self.reply = who, None
-        self.rpcs, self.ids, self.servers, self.machines = {}, {}, {}, {}
+        self.rpcs, self.servers = {}, {}  # by id; each keeps its id in `host`
         self.settings = settings(json.loads(text), seed)
         self.front = decide.Front(self.settings, self)
 
     def send(self, pick, until):
         # Times round down on the way in; a stop must not land before it was meant to.
-        self.reply.add(self.who, codec.DELIVER, self.ids[pick.rpc], self.machines[pick.server], until * 100)
+        self.reply.add(self.who, codec.DELIVER, pick.rpc.host, pick.server.host, until * 100)
 
     def push_back(self, rpc, wait):
-        self.reply.add(self.who, codec.SHED, self.ids[rpc], wait * 100)
-        self.forget(self.ids[rpc])
+        self.reply.add(self.who, codec.SHED, rpc.host, wait * 100)
+        self.forget(rpc.host)
 
     def abort(self, rpc):
-        self.reply.add(self.who, codec.LOSE, self.ids[rpc])
-        self.forget(self.ids[rpc])
+        self.reply.add(self.who, codec.LOSE, rpc.host)
+        self.forget(rpc.host)
 
     def cancel(self, pick):
-        self.reply.add(self.who, codec.RETRACT, self.ids[pick.rpc], pick.number)
+        self.reply.add(self.who, codec.RETRACT, pick.rpc.host, pick.number)
 
     def probe(self, server):
-        self.reply.add(self.who, codec.SOUND_OUT, self.machines[server])
+        self.reply.add(self.who, codec.SOUND_OUT, server.host)
 
     def wake(self, after):
         self.reply.add(self.who, codec.WAKE, after * 100, 0)
@@ -50,8 +50,7 @@
 
     def server(self, machine):
         if machine not in self.servers:
-            server = self.servers[machine] = Server()
-            self.machines[server] = machine
+            self.servers[machine] = Server(host=machine)
         return self.servers[machine]
 
     def view(self, now, lines, how):
@@ -65,15 +64,14 @@
         method = self.settings.methods[place]
         rpc = self.rpcs[corr] = Rpc(method=method, customer=customer, key=key, deadline=codec.units(expires),
                                     work=codec.units(hint) if flags & 1 else 0, repeat=bool(flags & 2),
-                                    taken=now, picks=[], done=False)
-        self.ids[rpc] = corr
+                                    taken=now, picks=[], done=False, host=corr)
         self.front.take(now, rpc)
 
     def forget(self, corr):
-        """An id is needed until its RPC has ended and its last pick is back."""
+        """An RPC is needed until its RPC has ended and its last pick is back."""
         rpc = self.rpcs.get(corr)
         if rpc and rpc.done and all(p.result is not None for p in rpc.picks):
-            del self.rpcs[corr], self.ids[rpc]
+            del self.rpcs[corr]
 
     def outcome(self, now, corr, result, settled, machine, latency, leg, load):
         rpc = self.rpcs.get(corr)
--- a/honeywood/program/life.py
+++ b/honeywood/program/life.py
@@ -2,7 +2,9 @@
 import os
 import signal
 import sys
+import threading
 import time
+import traceback
 
 from honeywood.program import config, log
 from honeywood.routing.gateway import Gateway
@@ -10,6 +12,14 @@
 
 STOPS = {signal.SIGTERM, signal.SIGINT}
 COMING, LONGEST = 0.6, 10.0    # seconds: new connections may come for so long; then all taken are answered
+FLUSHED = 0.5                  # seconds in which the last lines of the log are written
+
+
+def fail(where, wrong):
+    """An actor that cannot go on ends the program: its peers see that, and it can be started anew."""
+    trace = "".join(traceback.format_exception(wrong))
+    print(f"level=error event=fault where={where!r}\n{trace}", flush=True)
+    os._exit(1)
 
 
 def main():
@@ -19,13 +29,8 @@
     except BadKey as bad:
         print(f"honeywood: {bad}", file=sys.stderr)
         return 2
-    logger = log.make(given.name)
-
-    def fail(where, wrong):
-        logger.error("fault", where=where, exc_info=wrong)
-        sys.stdout.flush()
-        os._exit(1)
-
+    output = log.Output(fail)
+    logger = log.make(given.name, output)
     try:
         gateway = Gateway(given, logger, fail)
     except OSError as wrong:
@@ -35,14 +40,18 @@
     stopped_by = signal.sigwait(STOPS)
     logger.info("stopping", signal=signal.Signals(stopped_by).name)
     stop(gateway)
-    logger.info("stopped")
-    sys.stdout.flush()
+    logger.info("stopped", clients=len(gateway.clients))
+    written = threading.Event()
+    output.mailbox.post(written.set)
+    written.wait(FLUSHED)
     return 0
 
 
 def stop(gateway):
+    """Goes on as before while new connections may still come; then answers all that was taken."""
+    gateway.ready = False
     time.sleep(COMING)
     gateway.drain()
     until = time.monotonic() + LONGEST
-    while gateway.clients and time.monotonic() < until:
+    while (gateway.clients or not gateway.listener.ended) and time.monotonic() < until:
         time.sleep(0.01)
--- a/honeywood/protocol/http.py
+++ b/honeywood/protocol/http.py
@@ -97,6 +97,8 @@
         raise Malformed(400, "request line")
     if parts[2] not in (b"HTTP/1.1", b"HTTP/1.0"):
         raise Malformed(505 if parts[2].startswith(b"HTTP/") else 400, "version")
+    if parts[0] == b"CONNECT":
+        raise Malformed(501, "no tunnels")
     message.method, message.target, message.minor = parts[0].decode(), parts[1].decode(), parts[2][-1] - 48
     hosts = [value for name, value in message.fields if name == "host"]
     if len(hosts) != 1 and (message.minor == 1 or hosts):
@@ -203,6 +205,10 @@
     return written(f"{method} {target} HTTP/1.1", [*fields, *sized], data)
 
 
-def response(status, fields=(), data=b"", keep=True):
-    ends = [("content-length", len(data))] + ([] if keep else [("connection", "close")])
-    return written(f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}", [*fields, *ends], data)
+def response(status, fields=(), data=b"", keep=True, to=None):
+    """An answer to the request `to`, whose kind and version word it."""
+    ends = [("content-length", len(data))]
+    if not keep or (to and to.minor == 0):
+        ends.append(("connection", "keep-alive" if keep else "close"))
+    first = f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}"
+    return written(first, [*fields, *ends], b"" if to and to.method == "HEAD" else data)
--- a/honeywood/routing/client.py
+++ b/honeywood/routing/client.py
@@ -16,21 +16,20 @@
 
 class Call:
     """A request that became an RPC: where its answer goes, and what of it goes on to servers."""
-    __slots__ = ("client", "request", "arrived", "timeout", "method", "customer", "key", "work", "repeat",
-                 "rpc")
+    __slots__ = ("client", "request", "arrived", "timeout", "method", "work", "repeat", "rpc")
 
     def __init__(self, client, request, timeout, method):
         self.client, self.request, self.arrived = client, request, clock.now()
         self.timeout, self.method, self.rpc = timeout, method, None
         cost = request.get("x-cost") or ""
         self.work = int(cost) // 100 if cost.isdigit() else 0
-        self.customer, self.key, self.repeat = 0, 0, request.get("x-retried") == "1"
+        self.repeat = request.get("x-retried") == "1"
 
 
 class Client:
     def __init__(self, gateway, sock, peer):
         self.gateway, self.module, self.log = gateway, gateway.module, gateway.log
-        self.call, self.head, self.draining = None, None, False
+        self.call = self.head = None
         self.begun, self.active = None, clock.now()  # when the request being read began; last answer
         self.mailbox = Mailbox(f"client {peer}", 64, gateway.fail)
         self.connection = Connection(self, self.mailbox, gateway.descriptors, peer)
@@ -63,7 +62,6 @@
     # What the life cycle posts.
     def drain(self):
         """Ends between RPCs: now, or with the next answer."""
-        self.draining = True
         if not self.call and not self.head and not len(self.connection.buffer):
             self.connection.close("draining")
 
@@ -75,8 +73,8 @@
             try:
                 if self.head is None:
                     self.head = http.request_head(buffer)
-                    if self.head and (self.head.get("expect") or "").lower() == "100-continue":
-                        self.connection.write(CONTINUE)
+                    if self.head and self.head.get("expect"):
+                        self.expected(self.head.get("expect"))
                 data = self.head and http.body(buffer, self.head)
             except http.Malformed as bad:
                 return self.refuse(bad.status, str(bad))
@@ -86,6 +84,11 @@
             request.body = data
             self.serve(request)
 
+    def expected(self, what):
+        if what.lower() != "100-continue":
+            raise http.Malformed(417, "expect")
+        self.connection.write(CONTINUE)
+
     def serve(self, request):
         if request.target == HEALTH:
             return self.write(request, 200 if self.gateway.ready else 503, (), b"")
@@ -103,8 +106,8 @@
         self.module.post(self.module.take, self.call)
 
     def write(self, request, status, fields, data):
-        keep = request.keep and not self.draining
-        self.connection.write(http.response(status, fields, data, keep))
+        keep = request.keep and not self.gateway.draining
+        self.connection.write(http.response(status, fields, data, keep, request))
         self.active = clock.now()
         if not keep:
             self.connection.finish("draining" if request.keep else "close_asked", LINGER)
@@ -117,7 +120,9 @@
     def look(self):
         """Slow and silent clients hold nothing for ever."""
         if not self.call and not self.connection.code:
-            if self.begun and clock.now() - self.begun > SLOW:
+            if self.gateway.draining:
+                self.drain()
+            elif self.begun and clock.now() - self.begun > SLOW:
                 self.refuse(408, "request too slow")
             elif not self.begun and clock.now() - self.active > IDLE:
                 self.connection.close("idle")
--- a/honeywood/routing/module.py
+++ b/honeywood/routing/module.py
@@ -16,7 +16,7 @@
 
 class Module:
     def __init__(self, gateway):
-        self.gateway, self.log_line, self.settings = gateway, gateway.log, gateway.settings
+        self.gateway, self.settings = gateway, gateway.settings
         self.mailbox = Mailbox("module", MOST_CALLS, gateway.fail)
         self.post = self.mailbox.post
         self.methods = {method.name: method for method in self.settings.methods}
@@ -41,7 +41,8 @@
         request = call.request
         fields = [("host", peer.name), ("x-timeout", f"{max(1, until - now) / SECOND:.4f}"),
                   *request.passed_on(*OWN)]
-        pick.host = Exchange(pick, http.request(request.method, request.target, fields, request.body), now)
+        data = http.request(request.method, request.target, fields, request.body)
+        pick.host = Exchange(pick, request.method, data, now)
         peer.mailbox.post(peer.send, pick.host)
         self.mailbox.timers.at(min(until, pick.rpc.deadline), self.give_up, pick, TIMEOUT)
 
@@ -58,7 +59,7 @@
     def probe(self, server):
         peer, now = server.host, clock.now()
         target = "/_load" if self.settings.report_fields else "/ping"
-        exchange = Exchange(None, http.request("GET", target, [("host", peer.name)]), now)
+        exchange = Exchange(None, "GET", http.request("GET", target, [("host", peer.name)]), now)
         exchange.server = server
         peer.mailbox.post(peer.send, exchange)
         self.mailbox.timers.at(now + self.settings.connect_within, self.probe_over, exchange)
@@ -75,15 +76,14 @@
         roster.mailbox.post(roster.watch)
 
     def log(self, text):
-        self.log_line.info("decision", what=text)
+        self.gateway.log.info("decision", what=text)
 
     # What the actors post.
     def take(self, call):
         now = clock.now()
         rpc = call.rpc = Rpc(
-            method=call.method, customer=call.customer, key=call.key, work=call.work, repeat=call.repeat,
-            deadline=call.arrived + int(call.timeout * SECOND) - RESERVE, taken=now, picks=[], done=False,
-            host=call)
+            method=call.method, customer=0, key=0, work=call.work, repeat=call.repeat, taken=now, picks=[],
+            deadline=call.arrived + int(call.timeout * SECOND) - RESERVE, done=False, host=call)
         self.front.take(now, rpc)
 
     def left(self, call):
@@ -96,7 +96,7 @@
         rpc, now = pick.rpc, clock.now()
         over = result == OK or rpc.done
         if result == OK and not rpc.done:
-            self.answer(rpc, 200, answer.passed_on(), answer.body)
+            self.answer(rpc, 200, answer.passed_on("x-server-load"), answer.body)
         self.front.back(now, pick, result, now - pick.sent, load, over)
 
     def give_up(self, pick, result):
@@ -118,9 +118,9 @@
             self.probed(exchange, TIMEOUT, ())
 
     def listed(self, lines, whole):
-        for server, _, _, _, _, status, _, address in lines:
+        for server, build, _, _, _, status, booted, address in lines:
             peer = server.host
-            peer.mailbox.post(peer.listed, address, status)
+            peer.mailbox.post(peer.listed, (address, status, build, booted))
         told = [line[:-1] for line in lines if not (whole and line[5] == GONE)]
         self.front.listed(clock.now(), told, whole)
 
@@ -141,10 +141,9 @@
         if name in self.methods:
             self.front.tallied(clock.now(), build, self.methods[name], failed, ended, mean, age)
 
-    def found_wrong(self, name, method):
-        peer = self.gateway.roster.peers.get(name)
-        if peer and method in self.methods:
-            self.front.found_wrong(clock.now(), peer.server, self.methods[method])
+    def found_wrong(self, server, method):
+        if method in self.methods:
+            self.front.found_wrong(clock.now(), server, self.methods[method])
 
     def woken(self):
         self.front.woken(clock.now())
--- a/honeywood/routing/platform.py
+++ b/honeywood/routing/platform.py
@@ -14,7 +14,8 @@
 
 class PlatformPeer:
     def __init__(self, address, gateway):
-        self.address, self.module, self.settings = address, gateway.module, gateway.settings
+        self.address, self.settings = address, gateway.settings
+        self.module, self.roster = gateway.module, gateway.roster
         self.log, self.descriptors, self.random = gateway.log, gateway.descriptors, gateway.random
         self.mailbox = Mailbox("platform", MOST_CALLS, gateway.fail)
         self.connection, self.open, self.wait, self.heard = None, False, FIRST_WAIT, clock.now()
@@ -54,10 +55,11 @@
         self.calls.append(None)
 
     def received(self, connection):
-        self.heard, self.wait = clock.now(), FIRST_WAIT
+        self.heard = clock.now()
         try:
             while (words := platform.line(connection.buffer)) is not None:
                 self.told(words)
+                self.wait = FIRST_WAIT
         except platform.BadLine as bad:
             self.log.warning("unreadable_line", peer="platform", what=str(bad))
             connection.close("unreadable_line")
@@ -74,7 +76,7 @@
             elif kind == "tally":
                 self.module.post(self.module.tallied, *platform.tally(rest))
             elif kind == "flag":
-                self.module.post(self.module.found_wrong, *platform.flag(rest))
+                self.roster.mailbox.post(self.roster.flagged, *platform.flag(rest))
         except platform.BadLine as bad:
             self.log.warning("odd_news", peer="platform", what=str(bad))
 
--- a/honeywood/routing/roster.py
+++ b/honeywood/routing/roster.py
@@ -35,6 +35,11 @@
         self.connection = Connection(self, self.mailbox, self.gateway.descriptors, "discovery")
         self.connection.dial(self.address, 1.0)
 
+    def flagged(self, name, method):
+        """The platform tells of a wrong answer of the server with this id."""
+        if name in self.peers:
+            self.module.post(self.module.found_wrong, self.peers[name].server, method)
+
     # What its connection tells.
     def opened(self, connection):
         self.heard = clock.now()
@@ -42,7 +47,7 @@
         connection.write(http.request("GET", discovery.target(self.revision), fields))
 
     def received(self, connection):
-        self.heard, self.wait = clock.now(), FIRST_WAIT
+        self.heard = clock.now()
         try:
             if self.head is None:
                 self.head = http.response_head(connection.buffer)
@@ -53,6 +58,7 @@
             for text in self.lines.out_of(connection.buffer):
                 if (told := discovery.line(text)) is not None:
                     self.take(told)
+                    self.wait = FIRST_WAIT
             if self.lines.over:
                 connection.close("watch_over")
         except (http.Malformed, discovery.BadList) as bad:
--- a/honeywood/routing/server.py
+++ b/honeywood/routing/server.py
@@ -9,14 +9,16 @@
 from honeywood.transport.mailbox import Mailbox
 
 MOST_CALLS = 4096
+KEPT = 8                       # descriptors that servers leave to list and platform
 
 
 class Exchange:
     """One request to a server and its answer; a pick's, or a probe's where `pick` is None."""
-    __slots__ = ("pick", "data", "sent", "serial", "connection", "written", "head", "ended", "server")
+    __slots__ = ("pick", "data", "sent", "serial", "connection", "written", "head", "ended", "server",
+                 "method")
 
-    def __init__(self, pick, data, sent):
-        self.pick, self.data, self.sent = pick, data, sent
+    def __init__(self, pick, method, data, sent):
+        self.pick, self.method, self.data, self.sent = pick, method, data, sent
         self.serial = self.connection = self.head = None
         self.written = self.ended = False
 
@@ -28,31 +30,33 @@
         self.name, self.module, self.settings = name, gateway.module, gateway.settings
         self.log, self.descriptors = gateway.log, gateway.descriptors
         self.server = Server(host=self)
-        self.address, self.serial, self.gone, self.connections = None, 0, False, 0
+        self.entry = self.address = None  # entry: address, status, build and start, as listed
+        self.serial, self.gone, self.connections = 0, False, 0
         self.idle, self.keep = deque(), self.settings.idle_close * 2 // 3  # dropped before the server does
         self.mailbox = Mailbox(f"server {name}", MOST_CALLS, gateway.fail)
         self.mailbox.start()
         self.mailbox.post(self.look)
 
     # What the module posts.
-    def listed(self, address, status):
-        """A new entry: what is not yet written was meant for the old one and never will be."""
+    def listed(self, entry):
+        """A changed entry: what is not yet written was meant for the old one and never will be."""
+        if entry == self.entry:
+            return
+        self.entry, (address, status, _, _) = entry, entry
         self.serial += 1
-        if address != self.address and self.address:
-            self.drop_idle("moved")
+        if address != self.address or status != READY:
+            self.drop_idle("not_listed" if status != READY else "moved")
         self.address, self.gone = address or self.address, status == GONE
-        if status != READY:
-            self.drop_idle("not_listed")
         self.end_if_done()
 
     def send(self, exchange):
         exchange.serial = self.serial
         while self.idle:
             connection, _ = self.idle.pop()
-            if not connection.code:
+            if connection.stands():
                 connection.exchange, exchange.connection = exchange, connection
                 return self.write(exchange)
-        if not self.address or not self.descriptors.take():
+        if not self.address or not self.descriptors.take(KEPT):
             return self.end(exchange, CONNECT_FAILED)
         self.connections += 1
         connection = exchange.connection = Connection(self, self.mailbox, self.descriptors, self.name)
@@ -83,7 +87,7 @@
         if exchange is None or not exchange.written:
             return connection.close("unasked_bytes")
         try:
-            exchange.head = exchange.head or http.response_head(connection.buffer)
+            exchange.head = exchange.head or http.response_head(connection.buffer, exchange.method)
             data = exchange.head and http.body(connection.buffer, exchange.head)
         except http.Malformed as bad:
             connection.close(f"unreadable_{str(bad).replace(' ', '_')}")
--- a/honeywood/transport/clock.py
+++ b/honeywood/transport/clock.py
@@ -6,6 +6,9 @@
     return time.monotonic_ns() // 100_000
 
 
+UNIX_START = now() - time.time_ns() // 100_000  # taken once: the same time is the same figure ever after
+
+
 def from_unix(ms):
     """A Unix time in milliseconds on this clock."""
-    return now() + int(ms * 10 - time.time() * 10_000)
+    return UNIX_START + int(ms * 10)
--- a/honeywood/transport/connection.py
+++ b/honeywood/transport/connection.py
@@ -74,6 +74,16 @@
         self.descriptors.give()
         self.owner.ended(self)
 
+    def stands(self):
+        """Whether a kept connection is still open and silent, by what has arrived up to now."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return not self.code
+        except OSError:
+            pass
+        return False
+
     def write(self, data):
         """Whether all of it was written; a connection on which it was not has ended."""
         try:
--- a/honeywood/transport/listener.py
+++ b/honeywood/transport/listener.py
@@ -3,28 +3,31 @@
 
 from honeywood.transport.mailbox import run
 
-BACKLOG = 512
+BACKLOG, LOOK = 512, 0.05  # connections that wait to be accepted; seconds between looks at `over`
 
 
 class Listener:
     def __init__(self, address, accept, fail):
-        self.address, self.accept, self.fail, self.over = address, accept, fail, False
+        self.accept, self.fail, self.over, self.ended = accept, fail, False, False
         self.sock = socket.create_server(address, backlog=BACKLOG)  # with SO_REUSEADDR: back at once
 
     def start(self):
         run("listener", self.loop, self.fail)
 
     def loop(self):
-        while not self.over:
+        """Ends when it is told to and what had connected by then is accepted."""
+        self.sock.settimeout(LOOK)
+        while True:
+            over = self.over
             try:
                 sock, peer = self.sock.accept()
-            except OSError:
-                if self.over:
-                    return
-                raise
-            self.accept(sock, f"{peer[0]}:{peer[1]}")
+            except TimeoutError:
+                if over:
+                    break
+            else:
+                self.accept(sock, f"{peer[0]}:{peer[1]}")
+        self.sock.close()
+        self.ended = True
 
     def close(self):
         self.over = True
-        self.sock.shutdown(socket.SHUT_RDWR)
-        self.sock.close()
