Scenarios on sockets: results of picks, bad input, list, platform, stop, bound, configuration

They start the program and speak to it through stand-ins for servers, discovery and platform, as text files played by the one runner. Nothing was mended by them but the reason code of a client that makes room.

--- a/honeywood/routing/client.py
+++ b/honeywood/routing/client.py
@@ -60,10 +60,10 @@
         self.go_on()
 
     # What the life cycle posts.
-    def drain(self):
-        """Ends between RPCs: now, or with the next answer."""
+    def drain(self, code="draining"):
+        """Ends it if it is between RPCs; else, while the front drains, its next answer does."""
         if not self.call and not self.head and not len(self.connection.buffer):
-            self.connection.close("draining")
+            self.connection.close(code)
 
     # Its own.
     def go_on(self):
--- a/honeywood/routing/gateway.py
+++ b/honeywood/routing/gateway.py
@@ -44,7 +44,7 @@
         idle = [(client.active, id(client), client) for client in list(self.clients) if not client.call]
         if idle:
             client = min(idle)[-1]
-            client.mailbox.post(client.drain)
+            client.mailbox.post(client.drain, "made_room")
         until = time.monotonic() + ROOM_WITHIN
         while idle and time.monotonic() < until:
             if self.descriptors.take(self.kept):
--- a/tests/play.py
+++ b/tests/play.py
@@ -14,6 +14,16 @@
     MS restart                      a new front with the last list
     MS expect WHAT                  a Python expression over the names bound in Play.expect
 """
+import copy
+import json
+import os
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import threading
+import time
 from heapq import heappop, heappush
 
 from honeywood import decide
@@ -178,6 +188,10 @@
         self.rpcs, self.queue = {}, []
         self.start()
 
+    def state(self):
+        answers = {name: got and got[0] for name, got in self.answers.items()}
+        return f"answers {answers}, votes {self.platform.votes}, log {self.log()[-2000:]}"
+
     def do_expect(self, *words):
         names = dict(
             pushes=len(self.pushed), votes=self.votes, judge=self.front.judge, watches=self.watches,
@@ -209,3 +223,346 @@
                 game.line(*words)
             except Exception as wrong:
                 raise AssertionError(f"{path.name}:{number}: {text}: {wrong}") from wrong
+
+
+class Peer:
+    """A stand-in that listens: each connection has a thread, which `serve` reads and answers."""
+
+    def __init__(self):
+        self.address, self.open, self.over = "", [], False
+        self.listen()
+
+    def listen(self):
+        self.over, self.sock = False, socket.create_server(("127.0.0.1", self.port() or 0))
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        threading.Thread(target=self.accept, args=(self.sock,), daemon=True).start()
+
+    def port(self):
+        return int(self.address.partition(":")[2] or 0)
+
+    def accept(self, listener):
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                return
+            self.open.append(sock)
+            threading.Thread(target=self.talk, args=(sock,), daemon=True).start()
+
+    def talk(self, sock):
+        try:
+            self.serve(sock)
+        except OSError:
+            pass
+        sock.close()
+
+    def drop(self):
+        """Ends all connections; none is taken until listen()."""
+        self.sock.shutdown(socket.SHUT_RDWR)
+        self.sock.close()
+        for sock in self.open:
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
+def message(sock, rest=b""):
+    """(first line, fields, body) of the next message, and what is behind it; None where there is none."""
+    while b"\r\n\r\n" not in rest:
+        some = sock.recv(65536)
+        if not some:
+            return None, rest
+        rest += some
+    head, _, rest = rest.partition(b"\r\n\r\n")
+    first, *lines = head.decode("latin-1").split("\r\n")
+    fields = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines)}
+    while len(rest) < int(fields.get("content-length", 0)):
+        some = sock.recv(65536)
+        if not some:
+            return None, rest
+        rest += some
+    size = int(fields.get("content-length", 0))
+    return (first, fields, rest[:size]), rest[size:]
+
+
+class ServerStand(Peer):
+    ANSWERS = {
+        "ok": "200 OK\r\nX-Server-Load: active=1\r\nContent-Length: 2\r\n\r\nhi",
+        "chunked": "200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nh\r\n1;x\r\ni\r\n0\r\nA: b\r\n\r\n",
+        "last": "200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nhi",
+        "error": "500 Oh\r\nContent-Length: 0\r\n\r\n", "busy": "503 Oh\r\nContent-Length: 0\r\n\r\n",
+        "full": "503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n",
+        "moot": "504 Late\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n",
+        "short": "200 OK\r\nContent-Length: 9\r\n\r\nhi", "endless": "200 OK\r\n\r\nhi",
+        "garbage": "what?\r\n\r\n"}
+
+    def __init__(self, build, how):
+        super().__init__()
+        self.build, self.how, self.seen, self.probes, self.gate = build, how, [], 0, threading.Event()
+
+    def serve(self, sock):
+        got, rest = message(sock)
+        while got:
+            if got[0].startswith("GET /_load"):
+                self.probes += 1
+                sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nactive=0")
+            else:
+                self.seen.append(got)
+                how = self.how
+                if how == "cut":
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    return
+                if how == "held":  # until the scenario lets it go
+                    self.gate.wait(20)
+                    how = "ok"
+                if how != "never":
+                    sock.sendall(b"HTTP/1.1 " + self.ANSWERS[how].encode())
+                if how in ("last", "short", "endless", "garbage"):
+                    return
+            got, rest = message(sock, rest)
+
+
+class DiscoveryStand(Peer):
+    def __init__(self):
+        super().__init__()
+        self.since, self.revision, self.watching = [], 1, []
+
+    def serve(self, sock):
+        got, _ = message(sock)
+        self.since.append(int(got[0].split("since=")[1].split()[0]))
+        sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self.watching.append(sock)
+        while sock.recv(100):
+            pass
+
+    def tell(self, text):
+        data = text.encode() + b"\n"
+        self.watching[-1].sendall(b"%x\r\n%s\r\n" % (len(data), data))
+
+
+class PlatformStand(Peer):
+    def __init__(self):
+        super().__init__()
+        self.reply, self.votes, self.told = "OK 1 0 stable 1 0", [], []
+
+    def serve(self, sock):
+        for line in sock.makefile("rb"):
+            if line == b"NOTIFY\r\n":
+                self.told.append(sock)
+                sock.sendall(b"OK\r\n")
+            else:
+                self.votes.append(line.decode().split()[1:])
+                sock.sendall((self.reply + "\r\n").encode() if self.reply != "none" else b"")
+
+
+CONFIG = {
+    "name": "n0", "seed": "8c1f30d27a5be964", "limits": {"sockets": 256},
+    "pipeline": {"news": {"image": 1, "ring": 0, "progress": "stable", "ceiling": 1.0, "lag_ms": 9}},
+    "settings": {
+        "balancers": 1, "profiles": [
+            {"name": "read", "idempotency": "safe", "aim_us": 1000000, "give_up_us": 4000000},
+            {"name": "book", "idempotency": "unsafe", "aim_us": 1000000, "give_up_us": 4000000}],
+        "limits": {"max_attempts": 4, "cancel": True, "retry_after": True, "max_retry_after_us": 500000,
+                   "idle_close_us": 3000000, "may_duplicate": True, "probes": True},
+        "rules": {"cold_share": 0.4, "cold_us": 1000000, "tip_multiple": 2.5, "overload_for_us": 1000000,
+                  "drain_grace_us": 1000000},
+        "report": {"fields": ["active"], "source": "pull"}, "zones": ["a"],
+        "family_info": {"caps": [0.5, 1.0], "waves": [0.5, 1.0], "allowance": 2, "vote_wait_us": 300000,
+                        "exposure_window_us": 3000000, "ballot_ttl_us": 10000000}}}
+
+
+class Sockets:
+    """Plays a scenario against the program itself, with stand-ins for all whom it speaks to. Lines are
+        server NAME BUILD HOW [...]     a stand-in that answers so (ServerStand); `how NAME HOW` changes it
+        set KEY.KEY JSON                a value of the configuration; `refused TEXT`: with it no start
+        list NAME[-!] ...               the whole list, - draining; `change` tells changes only, ! removed
+        start | stop SIGNAL             the program, until its health is 200; a signal to it
+        ask NAME METHOD [TIMEOUT]       an RPC on a connection of its own; METHOD read is a GET, book a POST
+        raw NAME TEXT                   bytes on a connection of their own, with Python's escapes
+        tell TEXT | lists TEXT          what the platform says, and discovery, as it stands
+        drop WHO | back WHO             platform, discovery, server, or a client by its name; listens again
+        until WHAT | expect WHAT        a Python expression, that becomes true within 15 s, or is true
+    """
+    count = 0
+
+    def __init__(self, folder):
+        Sockets.count += 1
+        pid = os.getpid()  # an address of its own, so that its port is free
+        self.listen = f"127.{1 + pid % 200}.{pid // 200 % 250}.{Sockets.count}", 9000
+        self.folder, self.config, self.process = folder, copy.deepcopy(CONFIG), None
+        self.servers, self.answers, self.clients, self.files = {}, {}, {}, []
+        self.discovery, self.platform, self.known = DiscoveryStand(), PlatformStand(), []
+
+    def line(self, verb, rest):
+        whole = verb in ("until", "expect", "tell", "lists", "refused")
+        words = [rest] if whole else rest.split(None, 1 if verb in ("raw", "set") else -1)
+        getattr(self, "do_" + verb)(*words)
+
+    def do_server(self, name, build, how, *more):
+        self.servers[name] = ServerStand(int(build), how)
+        if more:
+            self.do_server(*more)
+
+    def do_how(self, name, how):
+        self.servers[name].how = how
+
+    def do_set(self, path, value):
+        *path, last = path.split(".")
+        part = self.config
+        for key in path:
+            part = part.setdefault(key, {})
+        part[last] = json.loads(value)
+
+    def entries(self, words):
+        phases = {"-": "draining", "!": "removed"}
+        return [{"id": w.rstrip("-!"), "host_port": self.servers[w.rstrip("-!")].address, "locality": "a",
+                 "cell": 1, "phase": phases.get(w[-1], "up"), "size": 1.0, "up_since_ms": 0,
+                 "release": self.servers[w.rstrip("-!")].build} for w in words]
+
+    def do_list(self, *words, whole=True):
+        self.known = self.entries(words)
+        self.discovery.revision += 1
+        if self.process:
+            self.do_until("discovery.watching")
+            self.do_lists(json.dumps({"revision": self.discovery.revision, "complete": whole,
+                                      "members": self.known}))
+
+    def do_change(self, *words):
+        self.do_list(*words, whole=False)
+
+    def do_lists(self, text):
+        self.discovery.tell(text)
+
+    def do_tell(self, text):
+        self.do_until("platform.told")
+        self.platform.told[-1].sendall(f"* {text}\r\n".encode())
+
+    def do_reply(self, *words):
+        self.platform.reply = " ".join(words)
+
+    def spawn(self):
+        self.config.update(listen=f"{self.listen[0]}:{self.listen[1]}", discovery=self.discovery.address)
+        self.config["pipeline"].setdefault("address", self.platform.address)
+        self.config.setdefault("known", {"revision": 1, "complete": True, "members": self.known})
+        path, log = self.folder / "config.json", open(self.folder / "log", "ab")
+        path.write_text(json.dumps(self.config))
+        self.files.append(log)
+        return subprocess.Popen([sys.executable, "-m", "honeywood"], stdout=log, stderr=log,
+                                env={**os.environ, "ROUTER_CONFIG": str(path)})
+
+    def do_start(self):
+        self.process = self.spawn()
+        self.do_until("health() == 200")
+
+    def do_refused(self, text):
+        self.process = self.spawn()
+        assert self.process.wait(15) == 2, self.log()
+        assert self.log().splitlines()[-1:] == [f"honeywood: {text}"], self.log()
+        self.config = copy.deepcopy(CONFIG)
+
+    def do_stop(self, name):
+        self.process.send_signal(getattr(signal, name))
+
+    def log(self):
+        return (self.folder / "log").read_text()
+
+    def status(self, name):
+        got = self.answers.get(name)
+        return int(got[0].split()[1]) if got else None
+
+    def talk(self, name, data):
+        """Sends, and keeps the answers until the connection ends: NAME, NAME.2, NAME.3, NAME.end."""
+        sock = self.clients[name] = socket.create_connection(self.listen, 15)
+
+        def read():
+            rest, number = b"", 0
+            try:
+                while (found := message(sock, rest))[0]:
+                    number += 1
+                    rest = found[1]
+                    self.answers[f"{name}.{number}" if number > 1 else name] = found[0]
+            except OSError:
+                pass
+            self.answers[f"{name}.end"] = None
+        sock.sendall(data)
+        threading.Thread(target=read, daemon=True).start()
+
+    def do_ask(self, name, method, timeout="4"):
+        first = "GET /api?x=1" if method == "read" else "POST /api"
+        body = "" if method == "read" else "text"
+        self.talk(name, f"{first} HTTP/1.1\r\nHOST: x\r\nX-Request-ID: id-{name}\r\nX-Timeout: {timeout}\r\n"
+                  f"x-priority-class: {method}\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+
+    def do_raw(self, name, text):
+        self.talk(name, text.encode().decode("unicode_escape").encode("latin-1"))
+
+    def who(self, name):
+        return {"platform": self.platform, "discovery": self.discovery}.get(name) or self.servers.get(name)
+
+    def do_drop(self, name):
+        if name in self.clients:
+            self.clients[name].shutdown(socket.SHUT_RDWR)
+        else:
+            self.who(name).drop()
+
+    def do_back(self, name):
+        self.who(name).listen()
+
+    def do_let(self, name):
+        self.servers[name].gate.set()
+
+    def health(self):
+        try:
+            with socket.create_connection(self.listen, 15) as sock:
+                sock.sendall(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
+                return int(message(sock)[0][0].split()[1])
+        except (OSError, TypeError):
+            return None
+
+    def true(self, what):
+        names = dict(status=self.status, health=self.health, discovery=self.discovery, log=self.log,
+                     platform=self.platform, answers=self.answers, process=self.process, ended=lambda n: (
+                         f"{n}.end" in self.answers), picks=lambda n: len(self.servers[n].seen),
+                     seen=lambda n: self.servers[n].seen, probes=lambda n: self.servers[n].probes,
+                     held=lambda: len(os.listdir(f"/proc/{self.process.pid}/fd")),
+                     threads=lambda: len(os.listdir(f"/proc/{self.process.pid}/task")))
+        return eval(what, names)
+
+    def state(self):
+        answers = {name: got and got[0] for name, got in self.answers.items()}
+        return f"answers {answers}, votes {self.platform.votes}, log {self.log()[-2000:]}"
+
+    def do_expect(self, what):
+        assert self.true(what), self.state()
+
+    def do_until(self, what):
+        until = time.monotonic() + 15
+        while not self.true(what):
+            assert time.monotonic() < until, "never: " + self.state()
+            time.sleep(0.01)
+
+    def end(self):
+        for peer in (self.discovery, self.platform, *self.servers.values()):
+            try:
+                peer.drop()
+            except OSError:
+                pass  # dropped by the scenario
+        if self.process and self.process.poll() is None:
+            self.process.kill()
+        for file in self.files:
+            file.close()
+
+
+def play_sockets(path, folder):
+    game = Sockets(folder)
+    try:
+        for number, text in enumerate(path.read_text().splitlines(), 1):
+            if text.strip() and not text.startswith("#"):
+                try:
+                    verb, _, rest = text.strip().partition(" ")
+                    game.line(verb, rest.strip())
+                except Exception as wrong:
+                    raise AssertionError(f"{path.name}:{number}: {text}: {wrong!r}") from wrong
+    finally:
+        game.end()
--- a/tests/test_all.py
+++ b/tests/test_all.py
@@ -7,9 +7,10 @@
 
 from honeywood.benchlink import adapter, codec
 from honeywood.decide import sorted_cut, trails
-from play import play
+from play import play, play_sockets
 
-FILES = sorted((pathlib.Path(__file__).parent / "scenarios").glob("*.txt"))
+HERE = pathlib.Path(__file__).parent
+FILES, SOCKETS = (sorted((HERE / folder).glob("*.txt")) for folder in ("scenarios", "sockets"))
 
 
 @pytest.mark.parametrize("path", FILES, ids=lambda p: p.stem)
@@ -17,6 +18,11 @@
     play(path)
 
 
+@pytest.mark.parametrize("path", SOCKETS, ids=lambda p: p.stem)
+def test_sockets(path, tmp_path):
+    play_sockets(path, tmp_path)
+
+
 def test_sorted_cut():
     # The paper's section 3.2: 15 endpoints at 0.05, the four smallest are rejected.
     paper = [0.0001, 0.0004, 0.0019, 0.0095, 0.0201, 0.0278, 0.0298, 0.0344, 0.0459, 0.3240, 0.4262, 0.5719,
