Nothing kept for what has ended; a refused subscription waits; partial requests hold no place

Found by reading: timers held bodies of ended exchanges for up to a deadline; NOTIFY answered ERR left a front without news; the client picked to make room could be one in the midst of a request, again and again. Scenarios: servers that never come up, a refused subscription, and that what waited for its connection past 250 ms, a drain or another address is never written.

--- a/honeywood/routing/client.py
+++ b/honeywood/routing/client.py
@@ -57,6 +57,7 @@
             return
         self.call = None
         self.write(call.request, status, fields, data)
+        call.request = None        # timers still hold the call for a while
         self.go_on()
 
     # What the life cycle posts.
--- a/honeywood/routing/gateway.py
+++ b/honeywood/routing/gateway.py
@@ -22,7 +22,7 @@
         self.ready = self.draining = False
         self.random = Random(config.settings.seed)
         self.descriptors = Descriptors(config.sockets - OTHERS)
-        self.kept = int(config.sockets * KEPT)
+        self.kept = int(config.sockets * KEPT)  # of those counted, so many are not for clients
         self.clients = set()
         self.methods = {method.name: method for method in config.settings.methods}
         self.listener = Listener(config.listen, self.accept, fail)
@@ -41,7 +41,8 @@
 
     def make_room(self):
         """Ends the client that has been idle longest, if any, and waits a little for its place."""
-        idle = [(client.active, id(client), client) for client in list(self.clients) if not client.call]
+        idle = [(client.active, id(client), client) for client in list(self.clients)
+                if not client.call and not client.begun]
         if idle:
             client = min(idle)[-1]
             client.mailbox.post(client.drain, "made_room")
--- a/honeywood/routing/module.py
+++ b/honeywood/routing/module.py
@@ -19,7 +19,7 @@
         self.gateway, self.settings = gateway, gateway.settings
         self.mailbox = Mailbox("module", MOST_CALLS, gateway.fail)
         self.post = self.mailbox.post
-        self.methods = {method.name: method for method in self.settings.methods}
+        self.methods = gateway.methods
         self.front = decide.Front(self.settings, self)
 
     def start(self, news):
@@ -42,7 +42,7 @@
         fields = [("host", peer.name), ("x-timeout", f"{max(1, until - now) / SECOND:.4f}"),
                   *request.passed_on(*OWN)]
         data = http.request(request.method, request.target, fields, request.body)
-        pick.host = Exchange(pick, request.method, data, now)
+        pick.host = Exchange(pick, None, request.method, data, now)
         peer.mailbox.post(peer.send, pick.host)
         self.mailbox.timers.at(min(until, pick.rpc.deadline), self.give_up, pick, TIMEOUT)
 
@@ -59,8 +59,7 @@
     def probe(self, server):
         peer, now = server.host, clock.now()
         target = "/_load" if self.settings.report_fields else "/ping"
-        exchange = Exchange(None, "GET", http.request("GET", target, [("host", peer.name)]), now)
-        exchange.server = server
+        exchange = Exchange(None, server, "GET", http.request("GET", target, [("host", peer.name)]), now)
         peer.mailbox.post(peer.send, exchange)
         self.mailbox.timers.at(now + self.settings.connect_within, self.probe_over, exchange)
 
--- a/honeywood/routing/platform.py
+++ b/honeywood/routing/platform.py
@@ -1,7 +1,7 @@
 """The platform: one subscribed connection that tells its news and answers our votes in their order."""
 from collections import deque
 
-from honeywood.interface import ERROR, SECOND, TIMEOUT
+from honeywood.interface import ERROR, OK, SECOND, TIMEOUT
 from honeywood.protocol import platform
 from honeywood.transport import clock
 from honeywood.transport.connection import Connection
@@ -19,6 +19,7 @@
         self.log, self.descriptors, self.random = gateway.log, gateway.descriptors, gateway.random
         self.mailbox = Mailbox("platform", MOST_CALLS, gateway.fail)
         self.connection, self.open, self.wait, self.heard = None, False, FIRST_WAIT, clock.now()
+        self.subscribing = []      # stands for the first call on a connection, which tells of no vote
         self.calls = deque()       # what was called on this connection and has no answer yet
         self.mailbox.start()
         self.mailbox.post(self.dial)
@@ -52,14 +53,13 @@
     def opened(self, connection):
         self.open, self.heard = True, clock.now()
         connection.write(platform.SUBSCRIBE)
-        self.calls.append(None)
+        self.calls.append(self.subscribing)
 
     def received(self, connection):
         self.heard = clock.now()
         try:
             while (words := platform.line(connection.buffer)) is not None:
                 self.told(words)
-                self.wait = FIRST_WAIT
         except platform.BadLine as bad:
             self.log.warning("unreadable_line", peer="platform", what=str(bad))
             connection.close("unreadable_line")
@@ -68,7 +68,11 @@
         if words[0] != "*":
             if not self.calls:
                 raise platform.BadLine(f"an answer to nothing: {words}")
-            return self.reply(self.calls.popleft(), *platform.reply(words))
+            call, (result, state) = self.calls.popleft(), platform.reply(words)
+            if call is self.subscribing and result != OK:
+                return self.connection.close("not_subscribed")
+            return self.reply(call, result, state)
+        self.wait = FIRST_WAIT
         try:
             kind, rest = (words[1], words[2:]) if len(words) > 1 else (None, ())
             if kind == "stage":
--- a/honeywood/routing/server.py
+++ b/honeywood/routing/server.py
@@ -1,8 +1,7 @@
 """One server: its connections, what is out on them, and how each request to it ended."""
 from collections import deque
 
-from honeywood.interface import (
-    CONNECT_FAILED, ERROR, FULL, GONE, MOOT, OK, READY, RESET, SECOND, Server)
+from honeywood.interface import CONNECT_FAILED, ERROR, FULL, GONE, MOOT, OK, READY, RESET, SECOND, Server
 from honeywood.protocol import http
 from honeywood.transport import clock
 from honeywood.transport.connection import Connection
@@ -13,12 +12,12 @@
 
 
 class Exchange:
-    """One request to a server and its answer; a pick's, or a probe's where `pick` is None."""
-    __slots__ = ("pick", "data", "sent", "serial", "connection", "written", "head", "ended", "server",
-                 "method")
+    """One request to a server and its answer: a pick's, or a probe's of `server` where `pick` is None."""
+    __slots__ = ("pick", "server", "method", "data", "sent", "serial", "connection", "written", "head",
+                 "ended")
 
-    def __init__(self, pick, method, data, sent):
-        self.pick, self.method, self.data, self.sent = pick, method, data, sent
+    def __init__(self, pick, server, method, data, sent):
+        self.pick, self.server, self.method, self.data, self.sent = pick, server, method, data, sent
         self.serial = self.connection = self.head = None
         self.written = self.ended = False
 
@@ -54,13 +53,13 @@
         while self.idle:
             connection, _ = self.idle.pop()
             if connection.stands():
-                connection.exchange, exchange.connection = exchange, connection
+                connection.use, exchange.connection = exchange, connection
                 return self.write(exchange)
         if not self.address or not self.descriptors.take(KEPT):
             return self.end(exchange, CONNECT_FAILED)
         self.connections += 1
         connection = exchange.connection = Connection(self, self.mailbox, self.descriptors, self.name)
-        connection.exchange = exchange
+        connection.use = exchange
         connection.dial(self.address, self.settings.connect_within / SECOND)
 
     def give_up(self, exchange):
@@ -71,7 +70,7 @@
 
     # What its connections tell.
     def opened(self, connection):
-        self.write(connection.exchange)
+        self.write(connection.use)
 
     def write(self, exchange):
         """The one place that writes to a server. What waited for its connection and is no longer as it was
@@ -83,7 +82,7 @@
         exchange.written = exchange.connection.write(exchange.data)
 
     def received(self, connection):
-        exchange = connection.exchange
+        exchange = connection.use
         if exchange is None or not exchange.written:
             return connection.close("unasked_bytes")
         try:
@@ -103,14 +102,12 @@
 
     @staticmethod
     def result(answer):
-        if answer.status == 200:
-            return OK
-        turned_away = answer.status in (503, 504) and answer.get("x-not-processed") == "1"
-        return FULL if turned_away and answer.status == 503 else MOOT if turned_away else ERROR
+        turned_away = {503: FULL, 504: MOOT} if answer.get("x-not-processed") == "1" else {}
+        return OK if answer.status == 200 else turned_away.get(answer.status, ERROR)
 
     def ended(self, connection):
         self.connections -= 1
-        exchange, connection.exchange = connection.exchange, None
+        exchange, connection.use = connection.use, None
         if exchange:
             self.end(exchange, RESET if exchange.written else CONNECT_FAILED)
         self.log.info("connection_ended", peer="server", id=self.name, code=connection.code)
@@ -118,14 +115,14 @@
 
     # Its own.
     def rest(self, connection):
-        connection.exchange = None
+        connection.use = None
         if not connection.code:
             self.idle.append((connection, clock.now()))
 
     def end(self, exchange, result, answer=None):
         if exchange.ended:
             return
-        exchange.ended = True
+        exchange.ended, exchange.data = True, None  # timers still hold the exchange for a while
         told = answer.get("x-server-load") or "" if answer else ""
         if exchange.pick is None:
             told = told or (answer.body.decode("latin-1") if result == OK else "")
--- a/tests/play.py
+++ b/tests/play.py
@@ -229,11 +229,11 @@
     """A stand-in that listens: each connection has a thread, which `serve` reads and answers."""
 
     def __init__(self):
-        self.address, self.open, self.over = "", [], False
+        self.address, self.open = "", []
         self.listen()
 
     def listen(self):
-        self.over, self.sock = False, socket.create_server(("127.0.0.1", self.port() or 0))
+        self.sock = socket.create_server(("127.0.0.1", self.port()))
         self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
         threading.Thread(target=self.accept, args=(self.sock,), daemon=True).start()
 
@@ -300,6 +300,13 @@
     def __init__(self, build, how):
         super().__init__()
         self.build, self.how, self.seen, self.probes, self.gate = build, how, [], 0, threading.Event()
+        if how == "unreachable":  # a full queue: connections neither come up nor are refused
+            self.drop()
+            self.sock = socket.create_server(("127.0.0.1", self.port()), backlog=0)
+            for _ in range(3):
+                self.open.append(socket.socket())
+                self.open[-1].setblocking(False)
+                self.open[-1].connect_ex(self.sock.getsockname())
 
     def serve(self, sock):
         got, rest = message(sock)
@@ -344,13 +351,13 @@
 class PlatformStand(Peer):
     def __init__(self):
         super().__init__()
-        self.reply, self.votes, self.told = "OK 1 0 stable 1 0", [], []
+        self.reply, self.votes, self.told, self.welcome = "OK 1 0 stable 1 0", [], [], "OK"
 
     def serve(self, sock):
         for line in sock.makefile("rb"):
             if line == b"NOTIFY\r\n":
                 self.told.append(sock)
-                sock.sendall(b"OK\r\n")
+                sock.sendall(f"{self.welcome}\r\n".encode())
             else:
                 self.votes.append(line.decode().split()[1:])
                 sock.sendall((self.reply + "\r\n").encode() if self.reply != "none" else b"")
@@ -381,6 +388,8 @@
         ask NAME METHOD [TIMEOUT]       an RPC on a connection of its own; METHOD read is a GET, book a POST
         raw NAME TEXT                   bytes on a connection of their own, with Python's escapes
         tell TEXT | lists TEXT          what the platform says, and discovery, as it stands
+        reply TEXT | welcome TEXT       how the platform answers votes, and those who subscribe
+        let NAME                        a server that held its answers lets them go
         drop WHO | back WHO             platform, discovery, server, or a client by its name; listens again
         until WHAT | expect WHAT        a Python expression, that becomes true within 15 s, or is true
     """
@@ -441,6 +450,9 @@
     def do_reply(self, *words):
         self.platform.reply = " ".join(words)
 
+    def do_welcome(self, *words):
+        self.platform.welcome = " ".join(words)
+
     def spawn(self):
         self.config.update(listen=f"{self.listen[0]}:{self.listen[1]}", discovery=self.discovery.address)
         self.config["pipeline"].setdefault("address", self.platform.address)
--- a/tests/test_all.py
+++ b/tests/test_all.py
@@ -2,11 +2,15 @@
 import io
 import pathlib
 import struct
+import types
 
 import pytest
 
+from honeywood import interface as face
 from honeywood.benchlink import adapter, codec
 from honeywood.decide import sorted_cut, trails
+from honeywood.routing import server
+from honeywood.transport.descriptors import Descriptors
 from play import play, play_sockets
 
 HERE = pathlib.Path(__file__).parent
@@ -23,6 +27,30 @@
     play_sockets(path, tmp_path)
 
 
+@pytest.mark.parametrize("change", ["late", "drains", "moved", None])
+def test_what_waited_for_its_connection(change, monkeypatch):
+    """A pick decided before a drain, another address or too long ago is not written when it could be."""
+    told, at = [], [1000]
+    monkeypatch.setattr(server, "Connection", lambda *_: types.SimpleNamespace(
+        dial=lambda *_: None, close=lambda *_: None, code=None, write=lambda data: told.append(data) or True))
+    monkeypatch.setattr(server, "Mailbox", lambda *_: types.SimpleNamespace(start=int, post=lambda *_: None))
+    monkeypatch.setattr(server.clock, "now", lambda: at[0])
+    module = types.SimpleNamespace(ended="ended", post=lambda call, pick, result, *_: told.append(result))
+    peer = server.ServerPeer("a", types.SimpleNamespace(
+        module=module, log=None, fail=None, descriptors=Descriptors(20),
+        settings=types.SimpleNamespace(idle_close=1, connect_within=2500, report_fields=())))
+    peer.listed((("127.0.0.1", 1), face.READY, 1, 0))
+    exchange = server.Exchange("pick", None, "GET", b"data", at[0])
+    peer.send(exchange)
+    if change == "drains":
+        peer.listed((("127.0.0.1", 1), face.DRAINING, 1, 0))
+    if change == "moved":
+        peer.listed((("127.0.0.1", 2), face.READY, 1, 0))
+    at[0] += 2501 if change == "late" else 2500
+    peer.opened(exchange.connection)
+    assert told == ([face.CONNECT_FAILED] if change else [b"data"])
+
+
 def test_sorted_cut():
     # The paper's section 3.2: 15 endpoints at 0.05, the four smallest are rejected.
     paper = [0.0001, 0.0004, 0.0019, 0.0095, 0.0201, 0.0278, 0.0298, 0.0344, 0.0459, 0.3240, 0.4262, 0.5719,
