Connections to a process that has moved are not kept; chunked bodies are read once

Found by reading: a connection whose answer came after its server's entry had changed went back among those kept, and could carry a pick meant for the new address; chunked bodies were read anew from their start with each piece, at the square of their length. The list's lines and bodies now share one reader. A unit test covers the first.

--- a/honeywood/protocol/http.py
+++ b/honeywood/protocol/http.py
@@ -3,7 +3,7 @@
 
 from honeywood.transport.buffer import Buffer
 
-MOST_HEAD, MOST_BODY = 16 * 1024, 64 * 1024
+MOST_HEAD, MOST_BODY, MOST_CHUNK_LINE = 16 * 1024, 64 * 1024, 256
 TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
 TARGET = re.compile(rb"[!-~]+\Z")
 STATUS = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: .*)?\Z")
@@ -26,7 +26,8 @@
 
 
 class Message:
-    """A request or an answer. `fields` keeps names (in small letters) and values in order."""
+    """A request or an answer. `fields` keeps names (in small letters) and values in order; the body comes
+    with a `length` or is `chunked`."""
     __slots__ = ("method", "target", "status", "minor", "fields", "body", "length", "chunked")
 
     def get(self, name):
@@ -69,11 +70,11 @@
     return name.decode().lower(), value.decode("latin-1")
 
 
-def framing(message):
+def framing(message, most=MOST_BODY):
     """Finds how the body is delimited; two ways at once are refused, since others might read it otherwise."""
     lengths = [value for name, value in message.fields if name == "content-length"]
     codings = message.tokens("transfer-encoding")
-    message.chunked, message.length = bool(codings), None
+    message.chunked, message.length = Chunked(most) if codings else None, None
     if codings and (lengths or message.minor == 0):
         raise Malformed(400, "two lengths")
     if codings and codings != ["chunked"]:
@@ -81,7 +82,7 @@
     if lengths:
         if len(lengths) > 1 or not DIGITS.match(lengths[0].encode("latin-1")):
             raise Malformed(400, "content-length")
-        if len(lengths[0]) > 9 or int(lengths[0]) > MOST_BODY:
+        if len(lengths[0]) > 9 or int(lengths[0]) > most:
             raise Malformed(413, "body too large")
         message.length = int(lengths[0])
 
@@ -109,7 +110,7 @@
     return message
 
 
-def response_head(buffer, to="GET"):
+def response_head(buffer, to="GET", most=MOST_BODY):
     """An answer without its body, or None; answers of the kind 1xx are passed over."""
     while (found := head(buffer)) is not None:
         match = STATUS.match(found[0])
@@ -119,9 +120,9 @@
         message.minor, message.status, message.fields = int(match[1]), int(match[2]), found[1]
         if message.status < 200:
             continue
-        framing(message)
+        framing(message, most)
         if to == "HEAD" or message.status in (204, 304):
-            message.length, message.chunked = 0, False
+            message.length, message.chunked = 0, None
         if message.length is None and not message.chunked:
             raise Malformed(502, "no length")  # where it ends with the connection, nothing tells a cut
         return message
@@ -130,69 +131,57 @@
 
 def body(buffer, message):
     """The body of a message whose head was taken, or None while it is not whole."""
-    if not message.chunked:
-        return buffer.take(message.length) if len(buffer) >= message.length else None
-    parts, at, total = [], 0, 0
-    while True:
-        found = chunk(buffer, at)
-        if found is None:
-            return None
-        size, start = found
-        if size == 0:
-            break
-        total += size
-        if total > MOST_BODY:
-            raise Malformed(413, "body too large")
-        if len(buffer) < start + size + 2:
-            return None
-        if buffer.view(start + size, start + size + 2) != b"\r\n":
-            raise Malformed(400, "chunk end")
-        parts.append(bytes(buffer.view(start, start + size)))
-        at = start + size + 2
-    # Lines behind the last chunk are read and dropped.
-    while (end := buffer.find(b"\r\n", start)) >= 0:
-        if end == start:
-            buffer.take(end + 2)
-            return b"".join(parts)
-        field(bytes(buffer.view(start, end)))
-        start = end + 2
-    if len(buffer) - start > MOST_HEAD:
-        raise Malformed(431, "trailer too large")
-    return None
+    chunked = message.chunked
+    if chunked:
+        return chunked.data.take(len(chunked.data)) if chunked.ends(buffer) else None
+    return buffer.take(message.length) if len(buffer) >= message.length else None
 
 
-def chunk(buffer, at):
-    """(size, where its bytes start) of the chunk at `at`, or None while its first line is not whole."""
-    end = buffer.find(b"\r\n", at)
-    if end < 0 and len(buffer) - at <= 256:
-        return None
-    match = SIZE.match(bytes(buffer.view(at, end))) if at <= end <= at + 256 else None
-    if not match:
-        raise Malformed(400, "chunk size")
-    return int(match[1], 16), end + 2
+def lines(buffer, message):
+    """The lines of a chunked body that goes on and on, as they become whole."""
+    message.chunked.ends(buffer)
+    data = message.chunked.data
+    while (end := data.find(b"\n")) >= 0:
+        yield data.take(end + 1)
 
 
-class Lines:
-    """Lines of text out of a chunked body that goes on and on, as they come."""
+class Chunked:
+    """A chunked body, taken out of a buffer chunk by chunk; `most` bounds what is not yet used of it."""
 
     def __init__(self, most):
-        self.text, self.most, self.over = Buffer(), most, False
+        self.data, self.most, self.last, self.over = Buffer(), most, False, False
 
-    def out_of(self, buffer):
-        """The lines that are whole by now."""
-        while not self.over and (found := chunk(buffer, 0)) is not None:
+    def ends(self, buffer):
+        """Takes what is whole by now; whether that was all."""
+        while not self.last and (found := chunk(buffer)) is not None:
             size, start = found
-            if size + len(self.text) > self.most:
-                raise Malformed(413, "line too large")
-            if len(buffer) < start + size + 2:
+            if size + len(self.data) > self.most:
+                raise Malformed(413, "body too large")
+            if size and len(buffer) < start + size + 2:
                 break
             buffer.take(start)
-            self.text.add(buffer.take(size))
-            if buffer.take(2) != b"\r\n":
+            self.last = size == 0
+            self.data.add(buffer.take(size))
+            if size and buffer.take(2) != b"\r\n":
                 raise Malformed(400, "chunk end")
-            self.over = size == 0
-        while (end := self.text.find(b"\n")) >= 0:
-            yield self.text.take(end + 1)
+        # Lines behind the last chunk are read and dropped.
+        while self.last and not self.over and (end := buffer.find(b"\r\n")) >= 0:
+            line = buffer.take(end + 2)[:-2]
+            self.over = not (line and field(line))
+        if self.last and not self.over and len(buffer) > MOST_HEAD:
+            raise Malformed(431, "trailer too large")
+        return self.over
+
+
+def chunk(buffer):
+    """(size, where its bytes start) of the next chunk, or None while its first line is not whole."""
+    end = buffer.find(b"\r\n")
+    if end < 0 and len(buffer) <= MOST_CHUNK_LINE:
+        return None
+    match = SIZE.match(bytes(buffer.view(0, end))) if 0 <= end <= MOST_CHUNK_LINE else None
+    if not match:
+        raise Malformed(400, "chunk size")
+    return int(match[1], 16), end + 2
 
 
 def written(first, fields, data):
--- a/honeywood/routing/module.py
+++ b/honeywood/routing/module.py
@@ -119,7 +119,7 @@
     def listed(self, lines, whole):
         for server, build, _, _, _, status, booted, address in lines:
             peer = server.host
-            peer.mailbox.post(peer.listed, (address, status, build, booted))
+            peer.mailbox.post(peer.listed, status, (address, build, booted))
         told = [line[:-1] for line in lines if not (whole and line[5] == GONE)]
         self.front.listed(clock.now(), told, whole)
 
--- a/honeywood/routing/roster.py
+++ b/honeywood/routing/roster.py
@@ -25,13 +25,14 @@
 
     def watch(self):
         """The module asks for the list, where it must be asked for."""
-        if self.connection is None:
-            self.dial()
+        self.dial()
 
     def dial(self):
+        if self.connection:
+            return None
         if not self.gateway.descriptors.take():
             return self.mailbox.after(LONGEST_WAIT, self.dial)
-        self.head, self.lines = None, http.Lines(discovery.MOST_LINE)
+        self.head = None
         self.connection = Connection(self, self.mailbox, self.gateway.descriptors, "discovery")
         self.connection.dial(self.address, 1.0)
 
@@ -50,16 +51,16 @@
         self.heard = clock.now()
         try:
             if self.head is None:
-                self.head = http.response_head(connection.buffer)
+                self.head = http.response_head(connection.buffer, most=discovery.MOST_LINE)
             if self.head is None:
                 return
             if self.head.status != 200 or not self.head.chunked:
                 return connection.close(f"status_{self.head.status}")
-            for text in self.lines.out_of(connection.buffer):
+            for text in http.lines(connection.buffer, self.head):
                 if (told := discovery.line(text)) is not None:
                     self.take(told)
                     self.wait = FIRST_WAIT
-            if self.lines.over:
+            if self.head.chunked.over:
                 connection.close("watch_over")
         except (http.Malformed, discovery.BadList) as bad:
             self.log.warning("unreadable_list", peer="discovery", what=str(bad))
--- a/honeywood/routing/server.py
+++ b/honeywood/routing/server.py
@@ -22,6 +22,14 @@
         self.written = self.ended = False
 
 
+class ServerConnection(Connection):
+    """A connection to the process that was listed when it was dialled, and what is out on it."""
+
+    def __init__(self, peer):
+        super().__init__(peer, peer.mailbox, peer.descriptors, peer.name)
+        self.process, self.exchange, self.rested = peer.process, None, 0
+
+
 class ServerPeer:
     """The module posts calls to `mailbox`; all else happens on its thread."""
 
@@ -29,38 +37,37 @@
         self.name, self.module, self.settings = name, gateway.module, gateway.settings
         self.log, self.descriptors = gateway.log, gateway.descriptors
         self.server = Server(host=self)
-        self.entry = self.address = None  # entry: address, status, build and start, as listed
-        self.serial, self.gone, self.connections = 0, False, 0
+        self.process = self.status = None  # (address, build, start) and status, as listed
+        self.serial, self.connections = 0, 0
         self.idle, self.keep = deque(), self.settings.idle_close * 2 // 3  # dropped before the server does
         self.mailbox = Mailbox(f"server {name}", MOST_CALLS, gateway.fail)
         self.mailbox.start()
         self.mailbox.post(self.look)
 
     # What the module posts.
-    def listed(self, entry):
-        """A changed entry: what is not yet written was meant for the old one and never will be."""
-        if entry == self.entry:
-            return
-        self.entry, (address, status, _, _) = entry, entry
-        self.serial += 1
-        if address != self.address or status != READY:
-            self.drop_idle("not_listed" if status != READY else "moved")
-        self.address, self.gone = address or self.address, status == GONE
-        self.end_if_done()
+    def listed(self, status, process):
+        """A changed entry: what is not yet written was meant for the old one and never will be, and what is
+        kept open to another process is closed, now or after its answer."""
+        if (status, process) != (self.status, self.process):
+            self.status, self.process = status, process
+            self.serial += 1
+            while self.idle:
+                self.idle.pop().close(self.unfit())
+            self.end_if_done()
 
     def send(self, exchange):
         exchange.serial = self.serial
         while self.idle:
-            connection, _ = self.idle.pop()
+            connection = self.idle.pop()
             if connection.stands():
-                connection.use, exchange.connection = exchange, connection
+                connection.exchange, exchange.connection = exchange, connection
                 return self.write(exchange)
-        if not self.address or not self.descriptors.take(KEPT):
+        if not self.descriptors.take(KEPT):
             return self.end(exchange, CONNECT_FAILED)
         self.connections += 1
-        connection = exchange.connection = Connection(self, self.mailbox, self.descriptors, self.name)
-        connection.use = exchange
-        connection.dial(self.address, self.settings.connect_within / SECOND)
+        connection = exchange.connection = ServerConnection(self)
+        connection.exchange = exchange
+        connection.dial(self.process[0], self.settings.connect_within / SECOND)
 
     def give_up(self, exchange):
         """To give up an exchange its connection is closed."""
@@ -70,7 +77,7 @@
 
     # What its connections tell.
     def opened(self, connection):
-        self.write(connection.use)
+        self.write(connection.exchange)
 
     def write(self, exchange):
         """The one place that writes to a server. What waited for its connection and is no longer as it was
@@ -82,7 +89,7 @@
         exchange.written = exchange.connection.write(exchange.data)
 
     def received(self, connection):
-        exchange = connection.use
+        exchange = connection.exchange
         if exchange is None or not exchange.written:
             return connection.close("unasked_bytes")
         try:
@@ -107,7 +114,7 @@
 
     def ended(self, connection):
         self.connections -= 1
-        exchange, connection.use = connection.use, None
+        exchange, connection.exchange = connection.exchange, None
         if exchange:
             self.end(exchange, RESET if exchange.written else CONNECT_FAILED)
         self.log.info("connection_ended", peer="server", id=self.name, code=connection.code)
@@ -115,9 +122,16 @@
 
     # Its own.
     def rest(self, connection):
-        connection.use = None
-        if not connection.code:
-            self.idle.append((connection, clock.now()))
+        """Keeps it open for the next exchange, if it leads to where that goes."""
+        connection.exchange = None
+        if self.status != READY or connection.process != self.process:
+            connection.close(self.unfit())
+        elif not connection.code:
+            connection.rested = clock.now()
+            self.idle.append(connection)
+
+    def unfit(self):
+        return "moved" if self.status == READY else "not_listed"
 
     def end(self, exchange, result, answer=None):
         if exchange.ended:
@@ -138,15 +152,11 @@
         except (KeyError, ValueError):
             return ()
 
-    def drop_idle(self, code):
-        while self.idle:
-            self.idle.pop()[0].close(code)
-
     def look(self):
-        while self.idle and clock.now() - self.idle[0][1] > self.keep:
-            self.idle.popleft()[0].close("idle")
+        while self.idle and clock.now() - self.idle[0].rested > self.keep:
+            self.idle.popleft().close("idle")
         self.mailbox.after(SECOND, self.look)
 
     def end_if_done(self):
-        if self.gone and not self.connections:
+        if self.status == GONE and not self.connections:
             self.mailbox.end()
--- a/honeywood/transport/connection.py
+++ b/honeywood/transport/connection.py
@@ -26,7 +26,6 @@
     def __init__(self, owner, mailbox, descriptors, peer):
         self.owner, self.mailbox, self.descriptors, self.peer = owner, mailbox, descriptors, peer
         self.buffer, self.sock, self.code, self.over = Buffer(), None, None, False
-        self.use = None  # what the owner has out on it
         self.ahead = threading.Semaphore(PIECES)
 
     def accepted(self, sock):
--- a/tests/test_all.py
+++ b/tests/test_all.py
@@ -31,24 +31,28 @@
 def test_what_waited_for_its_connection(change, monkeypatch):
     """A pick decided before a drain, another address or too long ago is not written when it could be."""
     told, at = [], [1000]
-    monkeypatch.setattr(server, "Connection", lambda *_: types.SimpleNamespace(
-        dial=lambda *_: None, close=lambda *_: None, code=None, write=lambda data: told.append(data) or True))
+    monkeypatch.setattr(server, "ServerConnection", lambda peer: types.SimpleNamespace(
+        process=peer.process, dial=lambda *_: None, close=lambda *_: None, code=None,
+        write=lambda data: told.append(data) or True))
     monkeypatch.setattr(server, "Mailbox", lambda *_: types.SimpleNamespace(start=int, post=lambda *_: None))
     monkeypatch.setattr(server.clock, "now", lambda: at[0])
     module = types.SimpleNamespace(ended="ended", post=lambda call, pick, result, *_: told.append(result))
     peer = server.ServerPeer("a", types.SimpleNamespace(
         module=module, log=None, fail=None, descriptors=Descriptors(20),
         settings=types.SimpleNamespace(idle_close=1, connect_within=2500, report_fields=())))
-    peer.listed((("127.0.0.1", 1), face.READY, 1, 0))
+    peer.listed(face.READY, (("127.0.0.1", 1), 1, 0))
     exchange = server.Exchange("pick", None, "GET", b"data", at[0])
     peer.send(exchange)
     if change == "drains":
-        peer.listed((("127.0.0.1", 1), face.DRAINING, 1, 0))
+        peer.listed(face.DRAINING, (("127.0.0.1", 1), 1, 0))
     if change == "moved":
-        peer.listed((("127.0.0.1", 2), face.READY, 1, 0))
+        peer.listed(face.READY, (("127.0.0.1", 2), 1, 0))
     at[0] += 2501 if change == "late" else 2500
     peer.opened(exchange.connection)
     assert told == ([face.CONNECT_FAILED] if change else [b"data"])
+    peer.listed(face.READY, (("127.0.0.1", 3), 1, 0))
+    peer.rest(exchange.connection)  # what led to another address is not kept for this one
+    assert not peer.idle
 
 
 def test_sorted_cut():
