--- a/honeywood/routing/roster.py
+++ b/honeywood/routing/roster.py
@@ -98,6 +98,7 @@
             for name in [n for n in self.peers if n not in named]:
                 lines.append((self.peers.pop(name).server, None, None, None, None, GONE, None, None))
         self.module.post(self.module.listed, lines, whole)
+        self.log.info("list", revision=self.revision, whole=whole, lines=len(lines), servers=len(self.peers))
 
     def look(self):
         if self.connection and not self.connection.code and clock.now() - self.heard > SILENT:
--- a/tests/play.py
+++ b/tests/play.py
@@ -337,9 +337,11 @@
 
     def serve(self, sock):
         got, _ = message(sock)
-        self.since.append(int(got[0].split("since=")[1].split()[0]))
+        if not got:
+            return
         sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.watching.append(sock)
+        self.since.append(int(got[0].split("since=")[1].split()[0]))
         while sock.recv(100):
             pass
 
@@ -356,8 +358,9 @@
     def serve(self, sock):
         for line in sock.makefile("rb"):
             if line == b"NOTIFY\r\n":
-                self.told.append(sock)
                 sock.sendall(f"{self.welcome}\r\n".encode())
+                if self.welcome == "OK":
+                    self.told.append(sock)
             else:
                 self.votes.append(line.decode().split()[1:])
                 sock.sendall((self.reply + "\r\n").encode() if self.reply != "none" else b"")
@@ -436,6 +439,7 @@
             self.do_until("discovery.watching")
             self.do_lists(json.dumps({"revision": self.discovery.revision, "complete": whole,
                                       "members": self.known}))
+            self.do_until(f'"revision={self.discovery.revision} " in log()')  # so the next RPC comes after
 
     def do_change(self, *words):
         self.do_list(*words, whole=False)
