--- a/honeywood/routing/gateway.py
+++ b/honeywood/routing/gateway.py
@@ -6,7 +6,7 @@
 from honeywood.protocol import http
 from honeywood.routing.client import Client
 from honeywood.routing.module import Module
-from honeywood.routing.platform import PlatformPeer
+from honeywood.routing.platform import Platform
 from honeywood.routing.roster import Roster
 from honeywood.transport.descriptors import Descriptors
 from honeywood.transport.listener import Listener
@@ -28,7 +28,7 @@
         self.listener = Listener(config.listen, self.accept, fail)
         self.module = Module(self)
         self.roster = Roster(config.discovery, config.known, self)
-        self.platform = PlatformPeer(config.platform, self)
+        self.platform = Platform(config.platform, self)
         self.module.start(config.news)
         self.listener.start()
 
--- a/honeywood/routing/module.py
+++ b/honeywood/routing/module.py
@@ -72,7 +72,7 @@
 
     def watch(self):
         roster = self.gateway.roster
-        roster.mailbox.post(roster.watch)
+        roster.mailbox.post(roster.dial)
 
     def log(self, text):
         self.gateway.log.info("decision", what=text)
@@ -116,12 +116,12 @@
             peer.mailbox.post(peer.give_up, exchange)
             self.probed(exchange, TIMEOUT, ())
 
-    def listed(self, lines, whole):
-        for server, build, _, _, _, status, booted, address in lines:
-            peer = server.host
-            peer.mailbox.post(peer.listed, status, (address, build, booted))
-        told = [line[:-1] for line in lines if not (whole and line[5] == GONE)]
-        self.front.listed(clock.now(), told, whole)
+    def listed(self, lines, whole, gone):
+        for peer, address, (build, _, _, _, status, start) in lines:
+            peer.mailbox.post(peer.listed, status, (address, build, start))
+        for peer in gone:  # a whole list does not name them
+            peer.mailbox.post(peer.listed, GONE, None)
+        self.front.listed(clock.now(), [(peer.server, *entry) for peer, _, entry in lines], whole)
 
     def list_failed(self):
         self.front.list_failed(clock.now())
--- a/honeywood/routing/platform.py
+++ b/honeywood/routing/platform.py
@@ -1,35 +1,21 @@
 """The platform: one subscribed connection that tells its news and answers our votes in their order."""
 from collections import deque
 
-from honeywood.interface import ERROR, OK, SECOND, TIMEOUT
+from honeywood.interface import ERROR, OK, TIMEOUT
 from honeywood.protocol import platform
-from honeywood.transport import clock
-from honeywood.transport.connection import Connection
-from honeywood.transport.mailbox import Mailbox
+from honeywood.routing.watch import Watch
 
-SILENT = 10 * SECOND           # without a sign of life for so long the connection is given up
-FIRST_WAIT, LONGEST_WAIT = SECOND // 10, 5 * SECOND
-MOST_CALLS = 256
 
+class Platform(Watch):
+    unreadable = platform.BadLine
 
-class PlatformPeer:
     def __init__(self, address, gateway):
-        self.address, self.settings = address, gateway.settings
-        self.module, self.roster = gateway.module, gateway.roster
-        self.log, self.descriptors, self.random = gateway.log, gateway.descriptors, gateway.random
-        self.mailbox = Mailbox("platform", MOST_CALLS, gateway.fail)
-        self.connection, self.open, self.wait, self.heard = None, False, FIRST_WAIT, clock.now()
+        super().__init__("platform", address, gateway)
+        self.roster = gateway.roster
         self.subscribing = []      # stands for the first call on a connection, which tells of no vote
         self.calls = deque()       # what was called on this connection and has no answer yet
-        self.mailbox.start()
+        self.start()
         self.mailbox.post(self.dial)
-        self.mailbox.post(self.look)
-
-    def dial(self):
-        if not self.descriptors.take():
-            return self.mailbox.after(LONGEST_WAIT, self.dial)
-        self.connection = Connection(self, self.mailbox, self.descriptors, "platform")
-        self.connection.dial(self.address, 1.0)
 
     # What the module posts.
     def vote(self, build, step, verdict):
@@ -50,49 +36,38 @@
             self.module.post(self.module.news, state)
 
     # What its connection tells.
-    def opened(self, connection):
-        self.open, self.heard = True, clock.now()
+    def begin(self, connection):
         connection.write(platform.SUBSCRIBE)
         self.calls.append(self.subscribing)
 
-    def received(self, connection):
-        self.heard = clock.now()
-        try:
-            while (words := platform.line(connection.buffer)) is not None:
-                self.told(words)
-        except platform.BadLine as bad:
-            self.log.warning("unreadable_line", peer="platform", what=str(bad))
-            connection.close("unreadable_line")
+    def read(self, connection):
+        while (words := platform.line(connection.buffer)) is not None:
+            if words[0] == "*":
+                self.told(*words[1:])
+            else:
+                self.answered(words)
 
-    def told(self, words):
-        if words[0] != "*":
-            if not self.calls:
-                raise platform.BadLine(f"an answer to nothing: {words}")
-            call, (result, state) = self.calls.popleft(), platform.reply(words)
-            if call is self.subscribing and result != OK:
-                return self.connection.close("not_subscribed")
-            return self.reply(call, result, state)
-        self.wait = FIRST_WAIT
+    def answered(self, words):
+        if not self.calls:
+            raise platform.BadLine(f"an answer to nothing: {words}")
+        call, (result, state) = self.calls.popleft(), platform.reply(words)
+        if call is self.subscribing and result != OK:
+            return self.connection.close("not_subscribed")
+        self.reply(call, result, state)
+
+    def told(self, kind=None, *words):
+        self.good()
         try:
-            kind, rest = (words[1], words[2:]) if len(words) > 1 else (None, ())
             if kind == "stage":
-                self.module.post(self.module.news, platform.state(rest))
+                self.module.post(self.module.news, platform.state(words))
             elif kind == "tally":
-                self.module.post(self.module.tallied, *platform.tally(rest))
+                self.module.post(self.module.tallied, *platform.tally(words))
             elif kind == "flag":
-                self.roster.mailbox.post(self.roster.flagged, *platform.flag(rest))
+                self.roster.mailbox.post(self.roster.flagged, *platform.flag(words))
         except platform.BadLine as bad:
             self.log.warning("odd_news", peer="platform", what=str(bad))
 
-    def ended(self, connection):
-        self.log.info("connection_ended", peer="platform", id=self.address[0], code=connection.code)
-        self.open = False
+    def lost(self):
         while self.calls:
             self.reply(self.calls.popleft(), TIMEOUT, None)
-        self.mailbox.after(int(self.wait * (0.5 + self.random.random())), self.dial)
-        self.wait = min(LONGEST_WAIT, self.wait * 2)
-
-    def look(self):
-        if self.open and clock.now() - self.heard > SILENT:
-            self.connection.close("silent")
-        self.mailbox.after(SECOND, self.look)
+        super().lost()
