--- a/honeywood/routing/watch.py
+++ b/honeywood/routing/watch.py
@@ -11,7 +11,7 @@
 
 
 class Watch:
-    """Dials, and dials again after a wait that grows while nothing good comes, and is jittered, so that fronts
+    """Dials, and dials again after a wait that grows while nothing good comes, and is jittered so that fronts
     do not come all at once. Those derived from it say what to send first, begin(), and read what comes,
     read(): they raise `unreadable` where they can't, and call good() where they could. They may override
     lost()."""
