--- a/honeywood/program/life.py
+++ b/honeywood/program/life.py
@@ -6,12 +6,13 @@
 import time
 import traceback
 
+from honeywood.interface import SECOND
 from honeywood.program import config, log
 from honeywood.routing.gateway import Gateway
 from honeywood.settings import BadKey
 
 STOPS = {signal.SIGTERM, signal.SIGINT}
-COMING, LONGEST = 0.6, 10.0    # seconds: new connections may come for so long; then all taken are answered
+COMING, SPARE = 0.6, 2.0       # seconds: so long new connections may come; for the last answers to be read
 FLUSHED = 0.5                  # seconds in which the last lines of the log are written
 
 
@@ -52,6 +53,7 @@
     gateway.ready = False
     time.sleep(COMING)
     gateway.drain()
-    until = time.monotonic() + LONGEST
+    longest = max(method.deadline for method in gateway.settings.methods) / SECOND
+    until = time.monotonic() + longest + SPARE
     while (gateway.clients or not gateway.listener.ended) and time.monotonic() < until:
         time.sleep(0.01)
--- a/honeywood/routing/client.py
+++ b/honeywood/routing/client.py
@@ -10,17 +10,18 @@
 HEALTH = "/_health"
 IDLE, SLOW, LINGER = 60 * SECOND, 10 * SECOND, SECOND  # between requests; for one to be whole; when ending
 MOST_AHEAD = http.MOST_HEAD + 2 * http.MOST_BODY       # bytes a client may send ahead of its answers
-MOST_TIMEOUT = 3600.0
+RESERVE = 150  # a client's time ran from when it sent, and its answer has to reach it: so much less is used
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class Call:
     """A request that became an RPC: where its answer goes, and what of it goes on to servers."""
-    __slots__ = ("client", "request", "arrived", "timeout", "method", "work", "repeat", "rpc")
+    __slots__ = ("client", "request", "deadline", "method", "work", "repeat", "rpc")
 
     def __init__(self, client, request, timeout, method):
-        self.client, self.request, self.arrived = client, request, clock.now()
-        self.timeout, self.method, self.rpc = timeout, method, None
+        self.client, self.request = client, request
+        self.deadline = clock.now() + min(method.deadline, int(timeout * SECOND)) - RESERVE
+        self.method, self.rpc = method, None
         cost = request.get("x-cost") or ""
         self.work = int(cost) // 100 if cost.isdigit() else 0
         self.repeat = request.get("x-retried") == "1"
@@ -98,7 +99,7 @@
             timeout = float(request.get("x-timeout") or "")
         except ValueError:
             timeout = 0
-        if method is None or not isfinite(timeout) or not 0 < timeout <= MOST_TIMEOUT:
+        if method is None or not isfinite(timeout) or timeout <= 0:
             what = "x-priority-class" if method is None else "x-timeout"
             return self.write(request, 400, (), f"{what} missing or unusable\n".encode())
         if not request.get("x-request-id"):
--- a/honeywood/routing/module.py
+++ b/honeywood/routing/module.py
@@ -9,7 +9,6 @@
 from honeywood.transport import clock
 from honeywood.transport.mailbox import Mailbox
 
-RESERVE = 150  # a client's time ran from when it sent, and its answer has to reach it: so much less is used
 MOST_CALLS = 20_000
 OWN = ("host", "x-timeout")  # fields that each send words anew
 
@@ -82,7 +81,7 @@
         now = clock.now()
         rpc = call.rpc = Rpc(
             method=call.method, customer=0, key=0, work=call.work, repeat=call.repeat, taken=now, picks=[],
-            deadline=call.arrived + int(call.timeout * SECOND) - RESERVE, done=False, host=call)
+            deadline=call.deadline, done=False, host=call)
         self.front.take(now, rpc)
 
     def left(self, call):
--- a/honeywood/settings.py
+++ b/honeywood/settings.py
@@ -117,5 +117,5 @@
         guarded_steps=fam.whole("safe_only_stages", 0), one_way=fam.flag("one_way"),
         vote_rule=RULES.get(fam.text("vote_mode", "single"), "any"),
         back_votes=fam.whole("back_votes", 1), go_votes=fam.whole("votes_to_go", 1),
-        vote_life=fam.units("ballot_ttl_us"), vote_wait=fam.units("vote_wait_us"),
+        vote_life=fam.units("ballot_ttl_us"), vote_wait=fam.units("vote_wait_us", 1_000_000),
         tally_period=fam.units("metrics_period_us"))
