Input that ended the program: figures too large, odd digits, deep JSON, a step that is not there

Found by reading and by a seeded fuzz of all parsers, which is now a test. Each of these raised something other than the parser's own error in an actor, which ends the program: X-Cost of a superscript digit or 5,000 digits; X-Timeout of 1e305; a platform's figure of 1e308 or a step past the last; a list with an infinite revision.

--- a/honeywood/program/config.py
+++ b/honeywood/program/config.py
@@ -30,7 +30,7 @@
     try:
         with open(path, encoding="utf-8") as file:
             raw = json.load(file)
-    except (OSError, ValueError) as wrong:
+    except (OSError, ValueError, RecursionError) as wrong:
         raise BadKey(f"ROUTER_CONFIG: {path}: {wrong}") from None
     return checked(raw, environ)
 
@@ -57,4 +57,6 @@
     config.settings = settings(top.raw.get("settings"), seed, "settings")
     if not config.settings.methods:
         raise BadKey("settings.profiles: no method")
+    if config.news[1] >= len(config.settings.waves):
+        raise news.bad("ring", "a step that settings.family_info.waves has")
     return config
--- a/honeywood/protocol/discovery.py
+++ b/honeywood/protocol/discovery.py
@@ -4,6 +4,7 @@
 from honeywood.interface import DRAINING, GONE, READY
 
 PHASES = {"up": READY, "draining": DRAINING, "removed": GONE}
+ODD = KeyError, TypeError, ValueError, AttributeError, OverflowError  # what values of other kinds lead to
 MOST_LINE = 4 * 1024 * 1024
 
 
@@ -34,13 +35,13 @@
     """(revision, whether whole, entries, what was wrong with entries left out)."""
     try:
         revision, whole, listed = int(raw["revision"]), bool(raw["complete"]), list(raw["members"])
-    except (KeyError, TypeError, ValueError) as wrong:
+    except ODD as wrong:
         raise BadList(f"no list: {wrong!r}") from None
     good, odd = [], []
     for one in listed:
         try:
             good.append(entry(one))
-        except (KeyError, TypeError, ValueError, AttributeError) as wrong:
+        except ODD as wrong:
             odd.append(repr(wrong))
     return revision, whole, good, odd
 
@@ -51,5 +52,5 @@
         return None
     try:
         return members(json.loads(text))
-    except ValueError as wrong:
+    except (ValueError, RecursionError) as wrong:
         raise BadList(f"not JSON: {wrong}") from None
--- a/honeywood/protocol/platform.py
+++ b/honeywood/protocol/platform.py
@@ -1,11 +1,9 @@
 """The platform's lines, in words separated by spaces, and what they mean to us."""
-from math import isfinite
-
 from honeywood.interface import (
     ERROR, FULL, GO_BACK, GO_ON, GOING_BACK, HOLD, MOOT, NO_VOTE, OK, ON_TRIAL, RELEASED, TIMEOUT,
     WITHDRAWN)
 
-MOST_LINE = 8 * 1024
+MOST_LINE, MOST_FIGURE = 8 * 1024, 10 ** 12
 SUBSCRIBE = b"NOTIFY\r\n"
 VERDICTS = {NO_VOTE: "blank", GO_ON: "go", HOLD: "stay", GO_BACK: "stop"}
 STANDINGS = {"canary": ON_TRIAL, "reverting": GOING_BACK, "stable": RELEASED, "reverted": WITHDRAWN}
@@ -37,24 +35,31 @@
 
 def figure(word):
     value = float(word)
-    if not isfinite(value) or value < 0:
+    if not 0 <= value <= MOST_FIGURE:
         raise ValueError(word)
     return value
 
 
-def state(words):
-    """(build, step, cap, standing, age) from `image ring progress ceiling lag_ms`."""
+def whole(word, most=MOST_FIGURE):
+    if not word.isdecimal() or int(word) > most:
+        raise ValueError(word)
+    return int(word)
+
+
+def state(words, steps):
+    """(build, step, cap, standing, age) from `image ring progress ceiling lag_ms`, with so many steps."""
     try:
         image, ring, progress, ceiling, lag = words
-        return int(image), int(ring), figure(ceiling), STANDINGS[progress], int(figure(lag) * 10)
+        age = int(figure(lag) * 10)
+        return whole(image), whole(ring, steps - 1), figure(ceiling), STANDINGS[progress], age
     except (ValueError, KeyError, TypeError):
         raise BadLine(f"state {words}") from None
 
 
-def reply(words):
+def reply(words, steps):
     """(result, state or None) of the answer to a call."""
     if words[0] == "OK":
-        return OK, state(words[1:]) if len(words) > 1 else None
+        return OK, state(words[1:], steps) if len(words) > 1 else None
     if words[0] == "ERR" and len(words) == 2 and words[1] in REFUSALS:
         return REFUSALS[words[1]], None
     raise BadLine(f"answer {words}")
@@ -64,7 +69,9 @@
     """(build, method's name, failed, ended, mean, age) from `image type n bad latency_ms lag_ms`."""
     try:
         image, name, count, bad, latency, lag = words
-        return (int(image), name, int(bad), int(count), int(figure(latency) * 10), int(figure(lag) * 10))
+        ended = whole(count)
+        mean, age = int(figure(latency) * 10), int(figure(lag) * 10)
+        return whole(image), name, whole(bad, ended), ended, mean, age
     except ValueError:
         raise BadLine(f"tally {words}") from None
 
--- a/honeywood/routing/client.py
+++ b/honeywood/routing/client.py
@@ -20,10 +20,10 @@
 
     def __init__(self, client, request, timeout, method):
         self.client, self.request = client, request
-        self.deadline = clock.now() + min(method.deadline, int(timeout * SECOND)) - RESERVE
+        self.deadline = clock.now() + int(min(method.deadline, timeout * SECOND)) - RESERVE
         self.method, self.rpc = method, None
         cost = request.get("x-cost") or ""
-        self.work = int(cost) // 100 if cost.isdigit() else 0
+        self.work = int(cost) // 100 if cost.isdecimal() and len(cost) < 16 else 0
         self.repeat = request.get("x-retried") == "1"
 
 
--- a/honeywood/routing/platform.py
+++ b/honeywood/routing/platform.py
@@ -11,7 +11,7 @@
 
     def __init__(self, address, gateway):
         super().__init__("platform", address, gateway)
-        self.roster = gateway.roster
+        self.roster, self.steps = gateway.roster, len(self.settings.waves)
         self.subscribing = []      # stands for the first call on a connection, which tells of no vote
         self.calls = deque()       # what was called on this connection and has no answer yet
         self.start()
@@ -50,7 +50,7 @@
     def answered(self, words):
         if not self.calls:
             raise platform.BadLine(f"an answer to nothing: {words}")
-        call, (result, state) = self.calls.popleft(), platform.reply(words)
+        call, (result, state) = self.calls.popleft(), platform.reply(words, self.steps)
         if call is self.subscribing and result != OK:
             return self.connection.close("not_subscribed")
         self.reply(call, result, state)
@@ -59,7 +59,7 @@
         self.good()
         try:
             if kind == "stage":
-                self.module.post(self.module.news, platform.state(words))
+                self.module.post(self.module.news, platform.state(words, self.steps))
             elif kind == "tally":
                 self.module.post(self.module.tallied, *platform.tally(words))
             elif kind == "flag":
--- a/honeywood/transport/mailbox.py
+++ b/honeywood/transport/mailbox.py
@@ -5,7 +5,7 @@
 from honeywood.transport import clock
 from honeywood.transport.timers import Timers
 
-STACK = 128 * 1024  # Python's own calls need little of it
+STACK = 512 * 1024  # little of it is ever touched; JSON nested a thousand deep takes the most of it
 
 
 class Overflow(Exception):
--- a/tests/test_all.py
+++ b/tests/test_all.py
@@ -1,6 +1,7 @@
 """The one runner: every scenario file, the worked example of the sorted cut, and the wire's round trips."""
 import io
 import pathlib
+import random
 import struct
 import types
 
@@ -9,7 +10,9 @@
 from honeywood import interface as face
 from honeywood.benchlink import adapter, codec
 from honeywood.decide import sorted_cut, trails
+from honeywood.protocol import discovery, http, platform
 from honeywood.routing import server
+from honeywood.transport.buffer import Buffer
 from honeywood.transport.descriptors import Descriptors
 from play import play, play_sockets
 
@@ -55,6 +58,39 @@
     assert not peer.idle
 
 
+SAMPLES = [
+    (http.Malformed, lambda b: (m := http.request_head(b)) and http.body(b, m), [
+        b"GET /a HTTP/1.1\r\nHost: x\r\nX-Timeout: 0.4\r\n\r\n",
+        b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nA: b\r\n\r\n",
+        b"POST /a HTTP/1.0\r\nContent-Length: 3\r\n\r\nabc"]),
+    (http.Malformed, lambda b: (m := http.response_head(b)) and http.body(b, m), [
+        b"HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"]),
+    (platform.BadLine, lambda b: platform.reply(platform.line(b) or [""], 4), [
+        b"OK 42 1 canary 0.28 310\r\n", b"ERR BUSY\r\n"]),
+    (platform.BadLine, lambda b: platform.tally(platform.line(b) or []), [b"42 lookup 57 2 18.5 900\r\n"]),
+    (discovery.BadList, lambda b: discovery.line(b.take(len(b))), [
+        b'{"revision":4,"complete":true,"members":[{"id":"s","host_port":"a:1","phase":"up","size":1.0,'
+        b'"up_since_ms":0,"release":41}]}', b"[" * 5000, b'{"revision":1e999,"complete":1,"members":[]}'])]
+
+
+@pytest.mark.parametrize("error, parse, samples", SAMPLES)
+def test_parsers_raise_only_their_own(error, parse, samples):
+    """Whatever comes, an actor is told by the one exception it expects: any other would end the program."""
+    chance = random.Random(1)
+    bits = [b"\xb2", b"9" * 5000, b"\r\n", b" ", b"-1", b"1e999", b"\0", b"nan", b"["]
+    for turn in range(3000):
+        text = bytearray(chance.choice(samples))
+        for _ in range(turn % 4):
+            at = chance.randrange(len(text) + 1)
+            text[at:at + chance.randrange(3)] = chance.choice([*bits, bytes([chance.randrange(256)])])
+        buffer = Buffer()
+        buffer.add(text)
+        try:
+            parse(buffer)
+        except error:
+            pass
+
+
 def test_sorted_cut():
     # The paper's section 3.2: 15 endpoints at 0.05, the four smallest are rejected.
     paper = [0.0001, 0.0004, 0.0019, 0.0095, 0.0201, 0.0278, 0.0298, 0.0344, 0.0459, 0.3240, 0.4262, 0.5719,
