--- a/honeywood/routing/gateway.py
+++ b/honeywood/routing/gateway.py
@@ -12,7 +12,8 @@
 from honeywood.transport.listener import Listener
 
 OTHERS = 24                    # descriptors of files, the listener and the interpreter
-ROOM_WITHIN = 0.1              # seconds in which an idle client's place is given up
+ROOM_WITHIN = 0.5              # seconds in which an idle client's place is given up,
+REFUSED_WITHIN = 0.1           # and in which one that is refused sends what it has to
 KEPT = 0.4                     # share of the descriptors that clients leave to servers, list and platform
 
 
@@ -64,7 +65,7 @@
 def refuse(sock):
     """Says 503 on a connection for which there is no place; what it sent is read, else the answer is lost."""
     try:
-        sock.settimeout(ROOM_WITHIN)
+        sock.settimeout(REFUSED_WITHIN)
         sock.sendall(http.response(503, [("retry-after", 1)], keep=False))
         sock.shutdown(socket.SHUT_WR)
         sock.recv(http.MOST_BODY)
