--- a/honeywood/program/config.py
+++ b/honeywood/program/config.py
@@ -42,9 +42,6 @@
     config.discovery = address(top, "discovery", environ.get("ROUTER_DISCOVERY"))
     config.sockets = top.part("limits").whole("sockets", 1024, least=LEAST_SOCKETS)
     config.platform = address(top.part("pipeline"), "address")
-    news = top.part("pipeline").part("news")
-    config.news = (news.whole("image"), news.whole("ring", 0), news.number("ceiling", 1.0, 0, 1),
-                   news.choice("progress", "stable", platform.STANDINGS), int(news.number("lag_ms", 0) * 10))
     config.known = top.raw.get("known", {"revision": 0, "complete": True, "members": []})
     try:
         discovery.members(config.known)
@@ -57,6 +54,5 @@
     config.settings = settings(top.raw.get("settings"), seed, "settings")
     if not config.settings.methods:
         raise BadKey("settings.profiles: no method")
-    if config.news[1] >= len(config.settings.waves):
-        raise news.bad("ring", "a step that settings.family_info.waves has")
+    config.news = platform.news(top.part("pipeline").part("news"), len(config.settings.waves))
     return config
--- a/honeywood/protocol/platform.py
+++ b/honeywood/protocol/platform.py
@@ -56,6 +56,14 @@
         raise BadLine(f"state {words}") from None
 
 
+def news(part, steps):
+    """The same out of the configuration, where it is an object."""
+    if part.whole("ring", 0) >= steps:
+        raise part.bad("ring", "a step that settings.family_info.waves has")
+    return (part.whole("image"), part.whole("ring", 0), part.number("ceiling", 1.0, 0, 1),
+            part.choice("progress", "stable", STANDINGS), int(part.number("lag_ms", 0) * 10))
+
+
 def reply(words, steps):
     """(result, state or None) of the answer to a call."""
     if words[0] == "OK":
