The known list is read once at start; an exchange given up on lets go of its bytes as others do

On reading the whole change: the configuration checked the known list and threw it away, and the list's actor read it again; giving up an exchange was a second way to end it that kept its request. Behaviour as before; tests unchanged.

--- a/honeywood/program/config.py
+++ b/honeywood/program/config.py
@@ -42,9 +42,9 @@
     config.discovery = address(top, "discovery", environ.get("ROUTER_DISCOVERY"))
     config.sockets = top.part("limits").whole("sockets", 1024, least=LEAST_SOCKETS)
     config.platform = address(top.part("pipeline"), "address")
-    config.known = top.raw.get("known", {"revision": 0, "complete": True, "members": []})
+    known = top.raw.get("known", {"revision": 0, "complete": True, "members": []})
     try:
-        discovery.members(config.known)
+        config.known = discovery.members(known)
     except discovery.BadList as wrong:
         raise BadKey(f"known: {wrong}") from None
     try:
--- a/honeywood/protocol/platform.py
+++ b/honeywood/protocol/platform.py
@@ -8,7 +8,6 @@
 VERDICTS = {NO_VOTE: "blank", GO_ON: "go", HOLD: "stay", GO_BACK: "stop"}
 STANDINGS = {"canary": ON_TRIAL, "reverting": GOING_BACK, "stable": RELEASED, "reverted": WITHDRAWN}
 REFUSALS = {"BUSY": FULL, "STALE": MOOT, "FAILED": ERROR, "SYNTAX": MOOT}
-
 RESULTS = {OK: "counts", FULL: "busy", MOOT: "stale", ERROR: "failed", TIMEOUT: "no_answer"}
 
 
@@ -58,9 +57,10 @@
 
 def news(part, steps):
     """The same out of the configuration, where it is an object."""
-    if part.whole("ring", 0) >= steps:
+    step = part.whole("ring", 0)
+    if step >= steps:
         raise part.bad("ring", "a step that settings.family_info.waves has")
-    return (part.whole("image"), part.whole("ring", 0), part.number("ceiling", 1.0, 0, 1),
+    return (part.whole("image"), step, part.number("ceiling", 1.0, 0, 1),
             part.choice("progress", "stable", STANDINGS), int(part.number("lag_ms", 0) * 10))
 
 
--- a/honeywood/routing/roster.py
+++ b/honeywood/routing/roster.py
@@ -12,7 +12,7 @@
     def __init__(self, address, known, gateway):
         super().__init__("discovery", address, gateway)
         self.gateway, self.peers, self.revision, self.head = gateway, {}, 0, None
-        self.take(discovery.members(known))
+        self.take(known)
         self.start()
         if not self.settings.must_ask:
             self.mailbox.post(self.dial)
--- a/honeywood/routing/server.py
+++ b/honeywood/routing/server.py
@@ -21,6 +21,9 @@
         self.serial = self.connection = self.head = None
         self.written = self.ended = False
 
+    def finish(self):
+        self.ended, self.data = True, None  # timers still hold the exchange for a while
+
 
 class ServerConnection(Connection):
     """A connection to the process that was listed when it was dialled, and what is out on it."""
@@ -72,7 +75,7 @@
     def give_up(self, exchange):
         """To give up an exchange its connection is closed."""
         if not exchange.ended:
-            exchange.ended = True
+            exchange.finish()
             exchange.connection.close("given_up")
 
     # What its connections tell.
@@ -136,7 +139,7 @@
     def end(self, exchange, result, answer=None):
         if exchange.ended:
             return
-        exchange.ended, exchange.data = True, None  # timers still hold the exchange for a while
+        exchange.finish()
         told = answer.get("x-server-load") or "" if answer else ""
         if exchange.pick is None:
             told = told or (answer.body.decode("latin-1") if result == OK else "")
