SIGHUP reads the configuration anew and takes over list and platform at new addresses

Cause: program/life.py blocked SIGTERM and SIGINT only; nothing could move a Watch to another address. A list older than what is known is not taken for 5 s after a move. A file that can't be used leaves all as it was, with one line that names the key.

--- a/honeywood/program/config.py
+++ b/honeywood/program/config.py
@@ -9,10 +9,12 @@
 from honeywood.settings import BadKey, Part, settings
 
 LEAST_SOCKETS = 64
+FIXED = "name", "listen", "limits", "settings"
 
 
 class Config:
-    """name, listen, discovery, platform (addresses), news, known, settings, sockets."""
+    """name, listen, discovery, platform (addresses), news, known, settings, sockets; and `fixed`, the text of
+    what is taken at start only."""
 
 
 def address(part, key, otherwise=None):
@@ -54,5 +56,6 @@
     config.settings = settings(top.raw.get("settings"), seed, "settings")
     if not config.settings.methods:
         raise BadKey("settings.profiles: no method")
+    config.fixed = json.dumps([raw.get(key) for key in FIXED], sort_keys=True)
     config.news = platform.news(top.part("pipeline").part("news"), len(config.settings.waves))
     return config
--- a/honeywood/program/life.py
+++ b/honeywood/program/life.py
@@ -11,7 +11,7 @@
 from honeywood.routing.gateway import Gateway
 from honeywood.settings import BadKey
 
-STOPS = {signal.SIGTERM, signal.SIGINT}
+STOPS, AGAIN = {signal.SIGTERM, signal.SIGINT}, signal.SIGHUP
 COMING, SPARE = 0.6, 2.0       # seconds: so long new connections may come; for the last answers to be read
 FLUSHED = 0.5                  # seconds in which the last lines of the log are written
 
@@ -24,7 +24,8 @@
 
 
 def main():
-    signal.pthread_sigmask(signal.SIG_BLOCK, STOPS)  # before any thread: only the wait below takes them
+    # Before any thread: only the wait below takes them.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {*STOPS, AGAIN})
     try:
         given = config.read(os.environ)
     except BadKey as bad:
@@ -37,8 +38,9 @@
     except OSError as wrong:
         print(f"honeywood: listen: {wrong}", file=sys.stderr)
         return 2
-    logger.info("started", listen=":".join(map(str, given.listen)))
-    stopped_by = signal.sigwait(STOPS)
+    logger.info("started", listen=log.name(given.listen))
+    while (stopped_by := signal.sigwait({*STOPS, AGAIN})) == AGAIN:
+        read_again(gateway, given, logger)
     logger.info("stopping", signal=signal.Signals(stopped_by).name)
     stop(gateway)
     logger.info("stopped", clients=len(gateway.clients))
@@ -48,6 +50,18 @@
     return 0
 
 
+def read_again(gateway, given, logger):
+    """What can't be used leaves all as it was; addresses of list and platform are taken over."""
+    try:
+        new = config.read(os.environ)
+    except BadKey as bad:
+        return logger.error("configuration_unusable", what=str(bad))
+    gateway.move(new)
+    logger.info("configuration", discovery=log.name(new.discovery), platform=log.name(new.platform))
+    if new.fixed != given.fixed:
+        logger.warning("configuration_kept", until="restart", what=", ".join(config.FIXED))
+
+
 def stop(gateway):
     """Goes on as before while new connections may still come; then answers all that was taken."""
     gateway.ready = False
--- a/honeywood/program/log.py
+++ b/honeywood/program/log.py
@@ -39,3 +39,7 @@
                     structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"])],
         logger_factory=structlog.WriteLoggerFactory(output), cache_logger_on_first_use=True)
     return structlog.get_logger().bind(front=name)
+
+
+def name(address):
+    return ":".join(map(str, address))
--- a/honeywood/protocol/platform.py
+++ b/honeywood/protocol/platform.py
@@ -64,10 +64,10 @@
             part.choice("progress", "stable", STANDINGS), int(part.number("lag_ms", 0) * 10))
 
 
-def reply(words, steps):
-    """(result, state or None) of the answer to a call."""
-    if words[0] == "OK":
-        return OK, state(words[1:], steps) if len(words) > 1 else None
+def reply(words, steps, bare=False):
+    """(result, state or None) of the answer to a call; only a subscription is answered by a bare OK."""
+    if words[0] == "OK" and bare == (len(words) == 1):
+        return OK, None if bare else state(words[1:], steps)
     if words[0] == "ERR" and len(words) == 2 and words[1] in REFUSALS:
         return REFUSALS[words[1]], None
     raise BadLine(f"answer {words}")
--- a/honeywood/routing/gateway.py
+++ b/honeywood/routing/gateway.py
@@ -46,6 +46,7 @@
                 if not client.call and not client.begun]
         if idle:
             client = min(idle)[-1]
+            self.clients.discard(client)  # asked once: its thread may be held up by a peer that reads nothing
             client.mailbox.post(client.drain, "made_room")
         until = time.monotonic() + ROOM_WITHIN
         while idle and time.monotonic() < until:
@@ -54,6 +55,11 @@
             time.sleep(0.005)
         return False
 
+    def move(self, config):
+        """List and platform are to be found at other addresses: taken over as the program runs."""
+        self.roster.mailbox.post(self.roster.move, config.discovery)
+        self.platform.mailbox.post(self.platform.move, config.platform)
+
     def drain(self):
         """Ends the listener and the connections that are between RPCs; the others end with their answer."""
         self.draining = True
--- a/honeywood/routing/platform.py
+++ b/honeywood/routing/platform.py
@@ -1,10 +1,12 @@
 """The platform: one subscribed connection that tells its news and answers our votes in their order."""
 from collections import deque
 
-from honeywood.interface import ERROR, OK, TIMEOUT
+from honeywood.interface import ERROR, OK, SECOND, TIMEOUT
 from honeywood.protocol import platform
 from honeywood.routing.watch import Watch
 
+ANSWERED = 3 * SECOND          # so long a connection that was left may still answer what was called on it
+
 
 class Platform(Watch):
     unreadable = platform.BadLine
@@ -13,17 +15,16 @@
         super().__init__("platform", address, gateway)
         self.roster, self.steps = gateway.roster, len(self.settings.waves)
         self.subscribing = []      # stands for the first call on a connection, which tells of no vote
-        self.calls = deque()       # what was called on this connection and has no answer yet
         self.start()
         self.mailbox.post(self.dial)
 
     # What the module posts.
     def vote(self, build, step, verdict):
         """A vote that can't be written was not carried out; one without an answer in time may have been."""
-        call = [(build, step, platform.VERDICTS[verdict])]
-        if not self.open or not self.connection.write(platform.ballot(build, step, verdict)):
+        call, connection = [(build, step, platform.VERDICTS[verdict])], self.connection
+        if not connection or not connection.write(platform.ballot(build, step, verdict)):
             return self.reply(call, ERROR, None)
-        self.calls.append(call)
+        connection.calls.append(call)
         self.mailbox.after(self.settings.vote_wait, self.reply, call, TIMEOUT, None)
 
     def reply(self, call, result, state):
@@ -35,39 +36,50 @@
         elif state:
             self.module.post(self.module.news, state)
 
-    # What its connection tells.
+    # What its connections tell.
     def begin(self, connection):
+        """What was called on a connection and has no answer yet stays with it. Until it is subscribed, the
+        one before tells the news: none is lost between the two, and none counts twice."""
+        connection.calls, connection.telling = deque([self.subscribing]), False
         connection.write(platform.SUBSCRIBE)
-        self.calls.append(self.subscribing)
+
+    def leave(self, old):
+        self.mailbox.after(ANSWERED, old.close, "moved")
 
     def read(self, connection):
-        while (words := platform.line(connection.buffer)) is not None:
+        while not connection.code and (words := platform.line(connection.buffer)) is not None:
             if words[0] == "*":
-                self.told(*words[1:])
+                self.told(connection, *words[1:])
             else:
-                self.answered(words)
+                self.answered(connection, words)
 
-    def answered(self, words):
-        if not self.calls:
+    def answered(self, connection, words):
+        if not connection.calls:
             raise platform.BadLine(f"an answer to nothing: {words}")
-        call, (result, state) = self.calls.popleft(), platform.reply(words, self.steps)
-        if call is self.subscribing and result != OK:
-            return self.connection.close("not_subscribed")
-        self.reply(call, result, state)
+        call = connection.calls[0]
+        result, state = platform.reply(words, self.steps, call is self.subscribing)
+        connection.calls.popleft()
+        if call is not self.subscribing:
+            return self.reply(call, result, state)
+        if result != OK:
+            return connection.close("not_subscribed")
+        connection.telling = True
 
-    def told(self, kind=None, *words):
-        self.good()
-        try:
-            if kind == "stage":
-                self.module.post(self.module.news, platform.state(words, self.steps))
-            elif kind == "tally":
-                self.module.post(self.module.tallied, *platform.tally(words))
-            elif kind == "flag":
-                self.roster.mailbox.post(self.roster.flagged, *platform.flag(words))
-        except platform.BadLine as bad:
-            self.log.warning("odd_news", peer="platform", what=str(bad))
+    def told(self, connection, kind=None, *words):
+        if connection is self.connection:
+            self.good()
+        elif self.connection and self.connection.telling:
+            return
+        if kind == "stage":
+            self.module.post(self.module.news, platform.state(words, self.steps))
+        elif kind == "tally":
+            self.module.post(self.module.tallied, *platform.tally(words))
+        elif kind == "flag":
+            self.roster.mailbox.post(self.roster.flagged, *platform.flag(words))
+        elif kind is not None:
+            raise platform.BadLine(f"news {kind}")
 
-    def lost(self):
-        while self.calls:
-            self.reply(self.calls.popleft(), TIMEOUT, None)
-        super().lost()
+    def ended(self, connection):
+        while connection.calls:
+            self.reply(connection.calls.popleft(), TIMEOUT, None)
+        super().ended(connection)
--- a/honeywood/routing/roster.py
+++ b/honeywood/routing/roster.py
@@ -1,23 +1,32 @@
 """The list of servers: watches discovery, and knows the peer behind each id."""
-from honeywood.interface import GONE, LONG_AGO
+from honeywood.interface import GONE, LONG_AGO, SECOND
 from honeywood.protocol import discovery, http
 from honeywood.routing.server import ServerPeer
 from honeywood.routing.watch import Watch
 from honeywood.transport import clock
 
 
+CATCHES_UP = 5 * SECOND        # so long a new address may know less than the one before it told
+
+
 class Roster(Watch):
     unreadable = http.Malformed, discovery.BadList
 
     def __init__(self, address, known, gateway):
         super().__init__("discovery", address, gateway)
         self.gateway, self.peers, self.revision, self.head = gateway, {}, 0, None
+        self.moved_at = -CATCHES_UP
         self.take(known)
         self.start()
         if not self.settings.must_ask:
             self.mailbox.post(self.dial)
 
     # What others post. The module posts dial() as well, where the list must be asked for.
+    def move(self, address):
+        if address != self.address:
+            self.moved_at = clock.now()
+        super().move(address)
+
     def flagged(self, name, method):
         """The platform tells of a wrong answer of the server with this id."""
         if name in self.peers:
@@ -51,7 +60,10 @@
 
     # Its own.
     def take(self, told):
-        self.revision, whole, entries, odd = told
+        revision, whole, entries, odd = told
+        if revision < self.revision and clock.now() - self.moved_at < CATCHES_UP:
+            raise discovery.BadList(f"revision {revision} after {self.revision}: no change is undone")
+        self.revision = revision
         for what in odd:
             self.log.warning("odd_entry", peer="discovery", what=what)
         lines, zones, gone = [], self.settings.zones, set(self.peers) if whole else set()
--- a/honeywood/transport/connection.py
+++ b/honeywood/transport/connection.py
@@ -26,6 +26,7 @@
     def __init__(self, owner, mailbox, descriptors, peer):
         self.owner, self.mailbox, self.descriptors, self.peer = owner, mailbox, descriptors, peer
         self.buffer, self.sock, self.code, self.over = Buffer(), None, None, False
+        self.address, self.calls = None, ()
         self.ahead = threading.Semaphore(PIECES)
 
     def accepted(self, sock):
@@ -33,6 +34,7 @@
         run(f"read {self.peer}", self.read, self.mailbox.fail)
 
     def dial(self, address, within):
+        self.address = address
         run(f"dial {self.peer}", lambda: self.read(address, within), self.mailbox.fail)
 
     def ready(self, sock):
--- a/tests/play.py
+++ b/tests/play.py
@@ -393,6 +393,7 @@
         tell TEXT | lists TEXT          what the platform says, and discovery, as it stands
         reply TEXT | welcome TEXT       how the platform answers votes, and those who subscribe
         let NAME                        a server that held its answers lets them go
+        moved | hup                     list and platform at new addresses, told by SIGHUP; SIGHUP alone
         drop WHO | back WHO             platform, discovery, server, or a client by its name; listens again
         until WHAT | expect WHAT        a Python expression, that becomes true within 15 s, or is true
     """
@@ -405,6 +406,7 @@
         self.folder, self.config, self.process = folder, copy.deepcopy(CONFIG), None
         self.servers, self.answers, self.clients, self.files = {}, {}, {}, []
         self.discovery, self.platform, self.known = DiscoveryStand(), PlatformStand(), []
+        self.left = ()             # where list and platform were before they moved
 
     def line(self, verb, rest):
         whole = verb in ("until", "expect", "tell", "lists", "refused")
@@ -457,12 +459,15 @@
     def do_welcome(self, *words):
         self.platform.welcome = " ".join(words)
 
-    def spawn(self):
+    def write(self):
         self.config.update(listen=f"{self.listen[0]}:{self.listen[1]}", discovery=self.discovery.address)
         self.config["pipeline"].setdefault("address", self.platform.address)
         self.config.setdefault("known", {"revision": 1, "complete": True, "members": self.known})
+        (self.folder / "config.json").write_text(json.dumps(self.config))
+
+    def spawn(self):
+        self.write()
         path, log = self.folder / "config.json", open(self.folder / "log", "ab")
-        path.write_text(json.dumps(self.config))
         self.files.append(log)
         return subprocess.Popen([sys.executable, "-m", "honeywood"], stdout=log, stderr=log,
                                 env={**os.environ, "ROUTER_CONFIG": str(path)})
@@ -477,6 +482,17 @@
         assert self.log().splitlines()[-1:] == [f"honeywood: {text}"], self.log()
         self.config = copy.deepcopy(CONFIG)
 
+    def do_moved(self):
+        self.left = self.discovery, self.platform
+        self.discovery, self.platform = DiscoveryStand(), PlatformStand()
+        self.discovery.revision, self.platform.reply = self.left[0].revision, self.left[1].reply
+        self.config["pipeline"]["address"] = self.platform.address
+        self.do_hup()
+
+    def do_hup(self):
+        self.write()
+        self.process.send_signal(signal.SIGHUP)
+
     def do_stop(self, name):
         self.process.send_signal(getattr(signal, name))
 
@@ -538,8 +554,8 @@
 
     def true(self, what):
         names = dict(status=self.status, health=self.health, discovery=self.discovery, log=self.log,
-                     platform=self.platform, answers=self.answers, process=self.process, ended=lambda n: (
-                         f"{n}.end" in self.answers), picks=lambda n: len(self.servers[n].seen),
+                     platform=self.platform, left=self.left, answers=self.answers, process=self.process,
+                     ended=lambda n: f"{n}.end" in self.answers, picks=lambda n: len(self.servers[n].seen),
                      seen=lambda n: self.servers[n].seen, probes=lambda n: self.servers[n].probes,
                      held=lambda: len(os.listdir(f"/proc/{self.process.pid}/fd")),
                      threads=lambda: len(os.listdir(f"/proc/{self.process.pid}/task")))
@@ -559,7 +575,7 @@
             time.sleep(0.01)
 
     def end(self):
-        for peer in (self.discovery, self.platform, *self.servers.values()):
+        for peer in (self.discovery, self.platform, *self.left, *self.servers.values()):
             try:
                 peer.drop()
             except OSError:
