Clients and servers without threads of their own; silent and bad clients lose their place at once

Excluded: the limit on CPU (0.5 s in the fullest second).

Now: a reading thread only waits (it peeks); client and server actors have mailboxes without a thread, served by whoever posts, so an RPC takes two hops between threads instead of six. Bytes are read by the owner alone, so what is behind an answer is either in its buffer or still in the kernel, where stands() sees it (it could sit in the mailbox before, and the next exchange took it for its answer). Writes never wait. At the bound the newcomer is taken and one that waits for no answer gives way, within a reserve; closing frees its place at once. First request within 2 s, 5 s between requests. At the door: ids of open RPCs, repeated fields, times that are no plain number, methods of another class are refused and the connection ends. 1xx answers and empty lines ahead are bounded, load reports must be plain figures. limits.memory_mb bounds the clients. The listener ends at SIGTERM even while more connect (it waited for a pause of 50 ms that a steady stream never gave).

--- a/honeywood/program/config.py
+++ b/honeywood/program/config.py
@@ -8,13 +8,13 @@
 from honeywood.protocol import discovery, platform
 from honeywood.settings import BadKey, Part, settings
 
-LEAST_SOCKETS = 64
+LEAST_SOCKETS, LEAST_MEMORY = 64, 32
 FIXED = "name", "listen", "limits", "settings"
 
 
 class Config:
-    """name, listen, discovery, platform (addresses), news, known, settings, sockets; and `fixed`, the text of
-    what is taken at start only."""
+    """name, listen, discovery, platform (addresses), news, known, settings, sockets, memory_mb; and `fixed`,
+    the text of what is taken at start only."""
 
 
 def address(part, key, otherwise=None):
@@ -43,6 +43,7 @@
     config.listen = address(top, "listen", environ.get("ROUTER_LISTEN"))
     config.discovery = address(top, "discovery", environ.get("ROUTER_DISCOVERY"))
     config.sockets = top.part("limits").whole("sockets", 1024, least=LEAST_SOCKETS)
+    config.memory_mb = top.part("limits").whole("memory_mb", 192, least=LEAST_MEMORY)
     config.platform = address(top.part("pipeline"), "address")
     known = top.raw.get("known", {"revision": 0, "complete": True, "members": []})
     try:
--- a/honeywood/protocol/http.py
+++ b/honeywood/protocol/http.py
@@ -5,16 +5,19 @@
 
 MOST_HEAD, MOST_BODY, MOST_CHUNK_LINE = 16 * 1024, 64 * 1024, 256
 TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
+CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 TARGET = re.compile(rb"[!-~]+\Z")
 STATUS = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: .*)?\Z")
 DIGITS = re.compile(rb"[0-9]+\Z")
 SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?\Z")
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout", 413: "Content Too Large",
+REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+           409: "Conflict", 413: "Content Too Large",
            417: "Expectation Failed", 431: "Request Header Fields Too Large", 501: "Not Implemented",
            502: "Bad Gateway", 503: "Service Unavailable", 505: "HTTP Version Not Supported"}
 # What belongs to one connection and is not passed on.
 HOP = {"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
        "content-length", "expect"}
+UNREAD = (b"x-server-load",)   # what can't be read in it changes nothing else about its message
 
 
 class Malformed(Exception):
@@ -31,7 +34,15 @@
     __slots__ = ("method", "target", "status", "minor", "fields", "body", "length", "chunked")
 
     def get(self, name):
-        return next((value for key, value in self.fields if key == name), None)
+        for key, value in self.fields:
+            if key == name:
+                return value
+        return None
+
+    def once(self, name):
+        """The value of a field that must be there once."""
+        values = [value for key, value in self.fields if key == name]
+        return values[0] if len(values) == 1 else None
 
     def tokens(self, name):
         joined = ",".join(value for key, value in self.fields if key == name)
@@ -52,8 +63,9 @@
 def head(buffer):
     """The lines of a head, taken out of the buffer; None while it is not whole."""
     while buffer.view(0, 2) == b"\r\n":  # RFC 9112, 2.2: empty lines before a message are passed over
+        passed(buffer, 2)
         buffer.take(2)
-    end = buffer.find(b"\r\n\r\n")
+    end = buffer.until(b"\r\n\r\n")
     if end > MOST_HEAD or (end < 0 and len(buffer) > MOST_HEAD):
         raise Malformed(431, "head too large")
     if end < 0:
@@ -62,10 +74,19 @@
     return first, [field(line) for line in rest]
 
 
+def passed(buffer, size):
+    """Bounds what is passed over before a message: empty lines, and answers of the kind 1xx."""
+    buffer.passed += size
+    if buffer.passed > MOST_HEAD:
+        raise Malformed(431, "too much ahead")
+
+
 def field(line):
     name, colon, value = line.partition(b":")
     value = value.strip(b" \t")
-    if not colon or not TOKEN.match(name) or any(c < 32 and c != 9 or c == 127 for c in value):
+    if CONTROL.search(value) and name.lower() in UNREAD:
+        value = b""
+    if not colon or not TOKEN.match(name) or CONTROL.search(value):
         raise Malformed(400, "header line")
     return name.decode().lower(), value.decode("latin-1")
 
@@ -92,6 +113,7 @@
     found = head(buffer)
     if found is None:
         return None
+    buffer.passed = 0
     message, parts = Message(), found[0].split(b" ")
     message.fields = found[1]
     if len(parts) != 3 or not TOKEN.match(parts[0]) or not TARGET.match(parts[1]):
@@ -119,7 +141,9 @@
         message = Message()
         message.minor, message.status, message.fields = int(match[1]), int(match[2]), found[1]
         if message.status < 200:
+            passed(buffer, len(found[0]) + sum(len(name) + len(value) for name, value in found[1]))
             continue
+        buffer.passed = 0
         framing(message, most)
         if to == "HEAD" or message.status in (204, 304):
             message.length, message.chunked = 0, None
--- a/honeywood/routing/client.py
+++ b/honeywood/routing/client.py
@@ -1,26 +1,33 @@
 """One connection of a client: reads its requests, one RPC at a time, and writes the one answer of each."""
-from math import isfinite
+import re
 
-from honeywood.interface import SECOND
+from honeywood.interface import IDEMPOTENT, SECOND
 from honeywood.protocol import http
 from honeywood.transport import clock
 from honeywood.transport.connection import Connection
-from honeywood.transport.mailbox import Mailbox
+from honeywood.transport.mailbox import LentMailbox
 
 HEALTH = "/_health"
-IDLE, SLOW, LINGER = 60 * SECOND, 10 * SECOND, SECOND  # between requests; for one to be whole; when ending
+SLOW = 2 * SECOND              # a request must be whole after this, the first one counted from connecting
+IDLE, LINGER = 5 * SECOND, SECOND // 2           # kept open between requests; for the last answer to be read
 MOST_AHEAD = http.MOST_HEAD + 2 * http.MOST_BODY       # bytes a client may send ahead of its answers
+MOST_CALLS = 64
 RESERVE = 150  # a client's time ran from when it sent, and its answer has to reach it: so much less is used
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+TIME = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?\Z", re.ASCII)
+IDS = re.compile(r"[!-~]{1,128}\Z")
+SAFE, UNSAFE = {"GET", "HEAD"}, {"POST", "PUT", "PATCH", "DELETE"}
+OURS = "x-request-id", "x-priority-class", "x-timeout", "x-cost", "x-retried"  # to be there once, if at all
 
 
 class Call:
     """A request that became an RPC: where its answer goes, and what of it goes on to servers."""
-    __slots__ = ("client", "request", "deadline", "method", "work", "repeat", "rpc")
+    __slots__ = ("client", "request", "name", "arrived", "deadline", "method", "work", "repeat", "rpc")
 
     def __init__(self, client, request, timeout, method):
-        self.client, self.request = client, request
-        self.deadline = clock.now() + int(min(method.deadline, timeout * SECOND)) - RESERVE
+        self.client, self.request, self.name = client, request, request.get("x-request-id")
+        self.arrived = clock.now()
+        self.deadline = self.arrived + int(min(method.deadline, timeout * SECOND)) - RESERVE
         self.method, self.rpc = method, None
         cost = request.get("x-cost") or ""
         self.work = int(cost) // 100 if cost.isdecimal() and len(cost) < 16 else 0
@@ -28,15 +35,14 @@
 
 
 class Client:
-    def __init__(self, gateway, sock, peer):
+    def __init__(self, gateway, peer):
         self.gateway, self.module, self.log = gateway, gateway.module, gateway.log
         self.call = self.head = None
-        self.begun, self.active = None, clock.now()  # when the request being read began; last answer
-        self.mailbox = Mailbox(f"client {peer}", 64, gateway.fail)
+        # When it connected or got its last answer, whether it had one, and when what is being read began.
+        self.active, self.served, self.begun = clock.now(), False, None
+        self.ends = 0              # when the rest of a connection that is ending is closed
+        self.mailbox = LentMailbox(f"client {peer}", MOST_CALLS, gateway.fail)
         self.connection = Connection(self, self.mailbox, gateway.descriptors, peer)
-        self.mailbox.start()
-        self.connection.accepted(sock)
-        self.mailbox.post(self.look)
 
     # What its connection tells.
     def received(self, connection):
@@ -50,7 +56,6 @@
             self.module.post(self.module.left, self.call)
         self.gateway.clients.discard(self)
         self.log.info("connection_ended", peer="client", id=connection.peer, code=connection.code)
-        self.mailbox.end()
 
     # What the module posts.
     def answer(self, call, status, fields=(), data=b""):
@@ -61,12 +66,41 @@
         call.request = None        # timers still hold the call for a while
         self.go_on()
 
-    # What the life cycle posts.
+    # What the gateway posts.
     def drain(self, code="draining"):
         """Ends it if it is between RPCs; else, while the front drains, its next answer does."""
         if not self.call and not self.head and not len(self.connection.buffer):
             self.connection.close(code)
 
+    def make_room(self):
+        """Its place is needed: one that waits for no answer gives it up, with a word if it is owed one."""
+        if self.call:
+            return self.gateway.clients.add(self)  # it has asked meanwhile
+        if self.begun:
+            self.turn_away()
+        self.connection.close("made_room")
+
+    def turn_away(self):
+        """There is no place for it. What it still sends is read and dropped for a while, else it would not
+        read this."""
+        if not self.call and not self.connection.code:
+            self.refuse(503, "no place", "no_descriptor")
+
+    def look(self):
+        """Slow and silent clients hold nothing for ever."""
+        now, since = clock.now(), self.active
+        if self.call or self.connection.over:
+            return
+        if self.connection.code:
+            if now >= self.ends:
+                self.connection.close(self.connection.code)
+        elif self.gateway.draining and not self.begun:
+            self.drain()
+        elif self.begun and now - (self.begun if self.served else since) > SLOW:
+            self.refuse(408, "request too slow")
+        elif not self.begun and now - since > (IDLE if self.served else SLOW):
+            self.connection.close("idle")
+
     # Its own.
     def go_on(self):
         """Reads what has come as far as it is whole and no answer is owed."""
@@ -78,13 +112,13 @@
                     if self.head and self.head.get("expect"):
                         self.expected(self.head.get("expect"))
                 data = self.head and http.body(buffer, self.head)
+                if self.head is None or data is None:
+                    return
+                request, self.head, self.begun = self.head, None, clock.now() if len(buffer) else None
+                request.body = data
+                self.serve(request)
             except http.Malformed as bad:
                 return self.refuse(bad.status, str(bad))
-            if self.head is None or data is None:
-                return
-            request, self.head, self.begun = self.head, None, clock.now() if len(buffer) else None
-            request.body = data
-            self.serve(request)
 
     def expected(self, what):
         if what.lower() != "100-continue":
@@ -92,40 +126,37 @@
         self.connection.write(CONTINUE)
 
     def serve(self, request):
+        """What is no RPC is refused here, and its connection ends: its next one may be no better."""
         if request.target == HEALTH:
             return self.write(request, 200 if self.gateway.ready else 503, (), b"")
+        for name in OURS:
+            if request.get(name) is not None and request.once(name) is None:
+                raise http.Malformed(400, f"{name} twice")
         method = self.gateway.methods.get(request.get("x-priority-class"))
-        try:
-            timeout = float(request.get("x-timeout") or "")
-        except ValueError:
-            timeout = 0
-        if method is None or not isfinite(timeout) or timeout <= 0:
-            what = "x-priority-class" if method is None else "x-timeout"
-            return self.write(request, 400, (), f"{what} missing or unusable\n".encode())
-        if not request.get("x-request-id"):
-            return self.write(request, 400, (), b"x-request-id missing\n")
-        self.call = Call(self, request, timeout, method)
+        if method is None:
+            raise http.Malformed(400, "x-priority-class missing or unusable")
+        if request.method not in (SAFE if method.kind == IDEMPOTENT else UNSAFE):
+            raise http.Malformed(405, "method of another class")
+        timeout = request.get("x-timeout") or ""
+        if not TIME.match(timeout) or not float(timeout):
+            raise http.Malformed(400, "x-timeout missing or unusable")
+        if not IDS.match(request.get("x-request-id") or ""):
+            raise http.Malformed(400, "x-request-id missing or unusable")
+        self.call = Call(self, request, float(timeout), method)
         self.module.post(self.module.take, self.call)
 
     def write(self, request, status, fields, data):
         keep = request.keep and not self.gateway.draining
-        self.connection.write(http.response(status, fields, data, keep, request))
-        self.active = clock.now()
-        if not keep:
-            self.connection.finish("draining" if request.keep else "close_asked", LINGER)
-
-    def refuse(self, status, why):
-        """Framing is lost: the answer is the last thing said."""
-        self.connection.write(http.response(status, (), f"{why}\n".encode(), keep=False))
-        self.connection.finish(f"bad_request_{status}", LINGER)
-
-    def look(self):
-        """Slow and silent clients hold nothing for ever."""
-        if not self.call and not self.connection.code:
-            if self.gateway.draining:
-                self.drain()
-            elif self.begun and clock.now() - self.begun > SLOW:
-                self.refuse(408, "request too slow")
-            elif not self.begun and clock.now() - self.active > IDLE:
-                self.connection.close("idle")
-        self.mailbox.after(SECOND, self.look)
+        if self.connection.write(http.response(status, fields, data, keep, request)):
+            self.active, self.served = clock.now(), True
+            if not keep:
+                self.finish("draining" if request.keep else "close_asked")
+
+    def refuse(self, status, why, code="bad_request"):
+        """The answer is the last thing said."""
+        if self.connection.write(http.response(status, (), f"{why}\n".encode(), keep=False)):
+            self.finish(f"{code}_{status}")
+
+    def finish(self, code):
+        self.ends = clock.now() + LINGER
+        self.connection.finish(code)
--- a/honeywood/routing/gateway.py
+++ b/honeywood/routing/gateway.py
@@ -1,8 +1,8 @@
 """The parts of one front, made and joined; what they share is read only, but for the count of descriptors."""
 import socket
-import time
 from random import Random
 
+from honeywood.interface import SECOND
 from honeywood.protocol import http
 from honeywood.routing.client import Client
 from honeywood.routing.module import Module
@@ -10,11 +10,13 @@
 from honeywood.routing.roster import Roster
 from honeywood.transport.descriptors import Descriptors
 from honeywood.transport.listener import Listener
+from honeywood.transport.mailbox import Mailbox
 
 OTHERS = 24                    # descriptors of files, the listener and the interpreter
-ROOM_WITHIN = 0.5              # seconds in which an idle client's place is given up,
-REFUSED_WITHIN = 0.1           # and in which one that is refused sends what it has to
 KEPT = 0.4                     # share of the descriptors that clients leave to servers, list and platform
+ENDING = 0.1                   # a share of them for clients that have come while others still make room
+BASE_MB, CLIENTS_A_MB = 32, 8  # memory of the program without clients; clients in one more, buffers full
+SWEEP, SERVERS_EVERY = SECOND // 4, 4  # clients that are due are looked for so often; servers more seldom
 
 
 class Gateway:
@@ -24,37 +26,58 @@
         self.random = Random(config.settings.seed)
         self.descriptors = Descriptors(config.sockets - OTHERS)
         self.kept = int(config.sockets * KEPT)  # of those counted, so many are not for clients
-        self.clients = set()
+        self.most_clients = max(CLIENTS_A_MB, (config.memory_mb - BASE_MB) * CLIENTS_A_MB)
+        self.ending = int(config.sockets * ENDING)
+        self.clients, self.sweeps = set(), 0
         self.methods = {method.name: method for method in config.settings.methods}
         self.listener = Listener(config.listen, self.accept, fail)
         self.module = Module(self)
         self.roster = Roster(config.discovery, config.known, self)
         self.platform = Platform(config.platform, self)
         self.module.start(config.news)
+        self.keeper = Mailbox("keeper", 16, fail)
+        self.keeper.post(self.sweep)
+        self.keeper.start()
         self.listener.start()
 
     def accept(self, sock, peer):
-        """On the listener's thread."""
-        if not self.descriptors.take(self.kept) and not self.make_room():
+        """On the listener's thread, which waits for nothing: a crowd that connects must not hold up the rest.
+        At the bound the newcomer is taken all the same, while there is room for the one that gives way to it
+        to end."""
+        if not self.descriptors.take(self.kept - self.ending):
             refuse(sock)
             return self.log.warning("connection_ended", peer="client", id=peer, code="no_descriptor")
-        self.clients.add(Client(self, sock, peer))
+        client = Client(self, peer)
+        full = self.descriptors.free < self.kept or len(self.clients) >= self.most_clients
+        roomy = not full or self.make_room()
+        self.clients.add(client)
+        client.connection.accepted(sock)
+        if not roomy:
+            client.mailbox.post(client.turn_away)
 
     def make_room(self):
-        """Ends the client that has been idle longest, if any, and waits a little for its place."""
-        idle = [(client.active, id(client), client) for client in list(self.clients)
-                if not client.call and not client.begun]
-        if idle:
-            client = min(idle)[-1]
-            self.clients.discard(client)  # asked once: its thread may be held up by a peer that reads nothing
-            client.mailbox.post(client.drain, "made_room")
-        until = time.monotonic() + ROOM_WITHIN
-        while idle and time.monotonic() < until:
-            if self.descriptors.take(self.kept):
+        """Of the clients that wait for no answer one gives way: one whose last answer is written, else one
+        that has asked for nothing yet, else one between requests; of these the one silent for longest."""
+        free = [(not client.connection.code, client.served, client.active, id(client), client)
+                for client in list(self.clients) if not client.call]
+        for *_, client in sorted(free):
+            # One that has asked in this moment is not silent: its bytes have come, though none has read them.
+            if client.connection.code or client.begun or client.connection.stands():
+                self.clients.discard(client)  # it is asked once
+                client.mailbox.post(client.make_room)
                 return True
-            time.sleep(0.005)
         return False
 
+    def sweep(self):
+        """On the keeper's thread: looks for what is due."""
+        self.keeper.after(SWEEP, self.sweep)
+        for client in list(self.clients):
+            if not client.call:
+                client.mailbox.post(client.look)
+        self.sweeps += 1
+        for peer in list(self.roster.peers.values()) if self.sweeps % SERVERS_EVERY == 0 else ():
+            peer.mailbox.post(peer.look)
+
     def move(self, config):
         """List and platform are to be found at other addresses: taken over as the program runs."""
         self.roster.mailbox.post(self.roster.move, config.discovery)
@@ -69,12 +92,12 @@
 
 
 def refuse(sock):
-    """Says 503 on a connection for which there is no place; what it sent is read, else the answer is lost."""
+    """Says 503 on a connection for which there is no place, without waiting for what it sends."""
     try:
-        sock.settimeout(REFUSED_WITHIN)
-        sock.sendall(http.response(503, [("retry-after", 1)], keep=False))
+        sock.setblocking(False)
+        sock.send(http.response(503, [("retry-after", 1)], keep=False))
         sock.shutdown(socket.SHUT_WR)
         sock.recv(http.MOST_BODY)
     except OSError:
-        pass  # it has gone
+        pass  # nothing came, or it has gone
     sock.close()
--- a/honeywood/routing/module.py
+++ b/honeywood/routing/module.py
@@ -20,6 +20,7 @@
         self.post = self.mailbox.post
         self.methods = gateway.methods
         self.front = decide.Front(self.settings, self)
+        self.names = set()         # ids of the RPCs that are open
 
     def start(self, news):
         """The list known at start is posted already: it comes first."""
@@ -79,12 +80,18 @@
     # What the actors post.
     def take(self, call):
         now = clock.now()
+        if call.name in self.names:  # else two of one id would be out, and its servers could not tell them
+            return call.client.mailbox.post(call.client.answer, call, 409)
+        self.names.add(call.name)
         rpc = call.rpc = Rpc(
             method=call.method, customer=0, key=0, work=call.work, repeat=call.repeat, taken=now, picks=[],
             deadline=call.deadline, done=False, host=call)
         self.front.take(now, rpc)
 
     def left(self, call):
+        if call.rpc is None:       # it was refused
+            return
+        self.names.discard(call.name)
         self.front.left(clock.now(), call.rpc)
 
     def ended(self, pick, result, load, answer=None):
@@ -149,4 +156,5 @@
     # Its own.
     def answer(self, rpc, status, fields=(), data=b""):
         client = rpc.host.client
+        self.names.discard(rpc.host.name)
         client.mailbox.post(client.answer, rpc.host, status, fields, data)
--- a/honeywood/routing/server.py
+++ b/honeywood/routing/server.py
@@ -1,13 +1,16 @@
 """One server: its connections, what is out on them, and how each request to it ended."""
+import re
 from collections import deque
 
-from honeywood.interface import CONNECT_FAILED, ERROR, FULL, GONE, MOOT, OK, READY, RESET, SECOND, Server
+from honeywood.interface import CONNECT_FAILED, ERROR, FULL, MOOT, OK, READY, RESET, SECOND, Server
 from honeywood.protocol import http
 from honeywood.transport import clock
 from honeywood.transport.connection import Connection
-from honeywood.transport.mailbox import Mailbox
+from honeywood.transport.mailbox import LentMailbox
 
 MOST_CALLS = 4096
+REPORT = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?\Z", re.ASCII)  # a figure of a load report
+MOST_REPORT = 1024
 KEPT = 8                       # descriptors that servers leave to list and platform
 
 
@@ -34,18 +37,16 @@
 
 
 class ServerPeer:
-    """The module posts calls to `mailbox`; all else happens on its thread."""
+    """Module and gateway post calls to `mailbox`, and so do its connections."""
 
     def __init__(self, name, gateway):
         self.name, self.module, self.settings = name, gateway.module, gateway.settings
         self.log, self.descriptors = gateway.log, gateway.descriptors
         self.server = Server(host=self)
         self.process = self.status = None  # (address, build, start) and status, as listed
-        self.serial, self.connections = 0, 0
+        self.serial = 0
         self.idle, self.keep = deque(), self.settings.idle_close * 2 // 3  # dropped before the server does
-        self.mailbox = Mailbox(f"server {name}", MOST_CALLS, gateway.fail)
-        self.mailbox.start()
-        self.mailbox.post(self.look)
+        self.mailbox = LentMailbox(f"server {name}", MOST_CALLS, gateway.fail)
 
     # What the module posts.
     def listed(self, status, process):
@@ -56,7 +57,6 @@
             self.serial += 1
             while self.idle:
                 self.idle.pop().close(self.unfit())
-            self.end_if_done()
 
     def send(self, exchange):
         exchange.serial = self.serial
@@ -67,7 +67,6 @@
                 return self.write(exchange)
         if not self.descriptors.take(KEPT):
             return self.end(exchange, CONNECT_FAILED)
-        self.connections += 1
         connection = exchange.connection = ServerConnection(self)
         connection.exchange = exchange
         connection.dial(self.process[0], self.settings.connect_within / SECOND)
@@ -116,12 +115,10 @@
         return OK if answer.status == 200 else turned_away.get(answer.status, ERROR)
 
     def ended(self, connection):
-        self.connections -= 1
         exchange, connection.exchange = connection.exchange, None
         if exchange:
             self.end(exchange, RESET if exchange.written else CONNECT_FAILED)
         self.log.info("connection_ended", peer="server", id=self.name, code=connection.code)
-        self.end_if_done()
 
     # Its own.
     def rest(self, connection):
@@ -149,17 +146,12 @@
 
     def load(self, text):
         """A load report in the order of the settings' fields; () where it is not whole."""
-        told = dict(word.strip().partition("=")[::2] for word in text.split(","))
-        try:
-            return tuple(float(told[name]) for name in self.settings.report_fields)
-        except (KeyError, ValueError):
+        if not text:
             return ()
+        told = dict(word.strip().partition("=")[::2] for word in text[:MOST_REPORT].split(","))
+        figures = [told.get(name, "") for name in self.settings.report_fields]
+        return tuple(map(float, figures)) if all(map(REPORT.match, figures)) else ()
 
     def look(self):
         while self.idle and clock.now() - self.idle[0].rested > self.keep:
             self.idle.popleft().close("idle")
-        self.mailbox.after(SECOND, self.look)
-
-    def end_if_done(self):
-        if self.status == GONE and not self.connections:
-            self.mailbox.end()
--- a/honeywood/transport/buffer.py
+++ b/honeywood/transport/buffer.py
@@ -6,11 +6,18 @@
 
     >>> b = Buffer(); b.add(b"GET / "); b.add(b"HTTP"); b.take(4), len(b), b.find(b"HT"), bytes(b.view(0, 3))
     (b'GET ', 6, 2, b'/ H')
+
+    What ends a part is looked for only where it was not yet: a part may come byte by byte.
+
+    >>> b.until(b"X"), b.looked, b.add(b"PX"), b.until(b"X")
+    (-1, 6, None, 7)
     """
-    __slots__ = ("data", "gone")
+    __slots__ = ("data", "gone", "looked", "passed")
 
     def __init__(self):
         self.data, self.gone = bytearray(), 0
+        self.looked = 0            # so much of what is here was searched by until()
+        self.passed = 0            # bytes passed over since a message began, for those who bound that
 
     def __len__(self):
         return len(self.data) - self.gone
@@ -21,8 +28,13 @@
             self.gone = 0
         self.data += some
 
-    def find(self, what, start=0):
-        at = self.data.find(what, self.gone + start)
+    def find(self, what):
+        at = self.data.find(what, self.gone)
+        return at if at < 0 else at - self.gone
+
+    def until(self, what):
+        at = self.data.find(what, self.gone + max(0, self.looked - len(what) + 1))
+        self.looked = len(self)
         return at if at < 0 else at - self.gone
 
     def view(self, start, end):
@@ -30,5 +42,5 @@
 
     def take(self, size):
         some = bytes(self.view(0, size))
-        self.gone += len(some)
+        self.gone, self.looked = self.gone + len(some), 0
         return some
--- a/honeywood/transport/connection.py
+++ b/honeywood/transport/connection.py
@@ -1,18 +1,19 @@
-"""One connection: a blocking socket, its buffer, and the thread that reads it.
+"""One connection: a blocking socket, its buffer, and the thread that waits for it.
 
-The thread hands all it reads to the mailbox of the owner, who alone touches buffer and socket otherwise. The
-owner is told opened(connection), received(connection) and, once and last, ended(connection).
+The thread only waits until there is something to read, and posts that to the mailbox of the owner, who alone
+reads and writes: what has come and is not yet used stands in the buffer or in the kernel, nowhere between.
+The owner is told opened(connection), received(connection) and, once and last, ended(connection).
 """
+import _thread
 import errno
 import socket
-import struct
-import threading
 
 from honeywood.transport.buffer import Buffer
 from honeywood.transport.mailbox import run
 
-PIECE, PIECES = 16 * 1024, 4  # bytes read at once, and pieces read ahead of the owner
-WRITE_WITHIN = 2              # seconds for which a peer may refuse to take what is written to it
+PIECE = 16 * 1024              # bytes read at once
+UNREAD = 128 * 1024            # bytes of ours that a peer may leave unread (the kernel counts them twice)
+MOST_DROPPED = 1024 * 1024     # bytes that are read and dropped, so that a peer still reads our last words
 
 
 def code_of(wrong):
@@ -25,56 +26,74 @@
 class Connection:
     def __init__(self, owner, mailbox, descriptors, peer):
         self.owner, self.mailbox, self.descriptors, self.peer = owner, mailbox, descriptors, peer
-        self.buffer, self.sock, self.code, self.over = Buffer(), None, None, False
+        self.buffer, self.sock, self.code, self.dropped = Buffer(), None, None, 0
         self.address, self.calls = None, ()
-        self.ahead = threading.Semaphore(PIECES)
+        self.shut = self.over = False  # both ways are closed; it has ended
+        self.turn = _thread.allocate_lock()  # held from when something has come until it is read
 
     def accepted(self, sock):
         self.sock = self.ready(sock)
-        run(f"read {self.peer}", self.read, self.mailbox.fail)
+        run(f"read {self.peer}", self.wait, self.mailbox.fail)
 
     def dial(self, address, within):
         self.address = address
-        run(f"dial {self.peer}", lambda: self.read(address, within), self.mailbox.fail)
+        run(f"dial {self.peer}", lambda: self.wait(address, within), self.mailbox.fail)
 
     def ready(self, sock):
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, struct.pack("ll", WRITE_WITHIN, 0))
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, UNREAD)
         return sock
 
-    # On the thread that reads.
-    def read(self, address=None, within=None):
-        code = "closed_by_peer"
+    # On the thread that waits.
+    def wait(self, address=None, within=None):
         try:
             if address:
                 self.sock = self.ready(socket.create_connection(address, timeout=within))
                 self.mailbox.post(self.opened)
-            while self.ahead.acquire() and (some := self.sock.recv(PIECE)):
-                self.mailbox.post(self.received, some)
+            while self.turn.acquire() and not self.over:
+                self.sock.recv(1, socket.MSG_PEEK)
+                self.mailbox.post(self.readable)
         except OSError as wrong:
-            code = code_of(wrong)
-        self.mailbox.post(self.ended, code)
+            self.mailbox.post(self.end, code_of(wrong))
 
-    # On the owner's thread.
+    # On the owner's side.
     def opened(self):
         if self.code:  # closed while it was being dialled
             self.close(self.code)
         else:
             self.owner.opened(self)
 
-    def received(self, some):
+    def readable(self):
+        if self.over:
+            return
+        try:
+            some = self.sock.recv(PIECE, socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return self.turn.release()
+        except OSError as wrong:
+            return self.end(code_of(wrong))
+        if not some:
+            return self.end("closed_by_peer")
         if not self.code:
             self.buffer.add(some)
             self.owner.received(self)
-        self.ahead.release()
-
-    def ended(self, code):
+        else:
+            self.dropped += len(some)
+            if self.dropped > MOST_DROPPED:
+                self.close(self.code)
+        self.turn.release()
+
+    def end(self, code):
+        if self.over:
+            return
         self.over, self.code = True, self.code or code
         if self.sock:
             self.sock.close()
         self.descriptors.give()
         self.owner.ended(self)
+        if self.turn.locked():
+            self.turn.release()
 
     def stands(self):
         """Whether a kept connection is still open and silent, by what has arrived up to now."""
@@ -82,29 +101,41 @@
             self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
             return not self.code
-        except OSError:
-            pass
+        except (OSError, AttributeError):
+            pass  # it has ended, or was never open
         return False
 
     def write(self, data):
-        """Whether all of it was written; a connection on which it was not has ended."""
+        """Whether all of it was written. It never waits: a peer that has left so much unread that it does not
+        fit loses its connection."""
         try:
-            self.sock.sendall(data)
-            return True
+            if not self.shut and self.sock.send(data, socket.MSG_DONTWAIT) == len(data):
+                return True
+            self.close("reads_nothing")
+        except BlockingIOError:
+            self.close("reads_nothing")
         except OSError as wrong:
-            self.close("write_timeout" if isinstance(wrong, BlockingIOError) else code_of(wrong))
-            return False
+            self.close(code_of(wrong))
+        return False
+
+    def close(self, code):
+        """Ends it for the reason `code` as soon as the present call is over: its place is needed now, not when
+        the thread that waits has woken up. That thread only ever peeks, so it does no harm to another
+        connection that has got the same descriptor meanwhile."""
+        self.code = self.code or code
+        if self.sock and not self.shut:
+            self.shut = True
+            self.shutdown(socket.SHUT_RDWR)
+            self.mailbox.post(self.end, code)
 
-    def close(self, code, how=socket.SHUT_RDWR):
-        """Ends it for the reason `code`; the thread that reads wakes up and has the rest done."""
+    def finish(self, code):
+        """Ends what is written, so that the peer reads all of it; close() is to follow a little later."""
         self.code = self.code or code
         if self.sock and not self.over:
-            try:
-                self.sock.shutdown(how)
-            except OSError:
-                pass  # the peer was first
-
-    def finish(self, code, linger):
-        """Ends what is written, so that the peer reads all of it, and the rest a little later."""
-        self.close(code, socket.SHUT_WR)
-        self.mailbox.after(linger, self.close, code)
+            self.shutdown(socket.SHUT_WR)
+
+    def shutdown(self, how):
+        try:
+            self.sock.shutdown(how)
+        except OSError:
+            pass  # the peer was first
--- a/honeywood/transport/listener.py
+++ b/honeywood/transport/listener.py
@@ -1,8 +1,11 @@
 """Listens at one address and hands on what it accepts."""
+import errno
 import socket
+import time
 
 from honeywood.transport.mailbox import run
 
+PASSING = errno.ECONNABORTED, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM
 BACKLOG, LOOK = 512, 0.05  # connections that wait to be accepted; seconds between looks at `over`
 
 
@@ -15,19 +18,29 @@
         run("listener", self.loop, self.fail)
 
     def loop(self):
-        """Ends when it is told to and what had connected by then is accepted."""
+        """Ends when it is told to and what had connected by then is accepted, even while more come."""
         self.sock.settimeout(LOOK)
-        while True:
-            over = self.over
-            try:
-                sock, peer = self.sock.accept()
-            except TimeoutError:
-                if over:
-                    break
-            else:
-                self.accept(sock, f"{peer[0]}:{peer[1]}")
+        while not self.over:
+            self.one()
+        self.sock.settimeout(0)
+        for _ in range(BACKLOG):
+            if not self.one():
+                break
         self.sock.close()
         self.ended = True
 
+    def one(self):
+        try:
+            sock, peer = self.sock.accept()
+        except (TimeoutError, BlockingIOError):
+            return False
+        except OSError as wrong:       # one that is gone again, or no descriptor: not the listener's end
+            if wrong.errno not in PASSING:
+                raise
+            time.sleep(LOOK)
+            return True
+        self.accept(sock, f"{peer[0]}:{peer[1]}")
+        return True
+
     def close(self):
         self.over = True
--- a/honeywood/transport/mailbox.py
+++ b/honeywood/transport/mailbox.py
@@ -1,5 +1,6 @@
-"""A mailbox: bound calls that other threads post and its own thread makes, in order, with its timers."""
-import threading
+"""Mailboxes: bound calls that other threads post and that are made one at a time, in order."""
+import _thread
+from collections import deque
 from queue import Empty, SimpleQueue
 
 from honeywood.transport import clock
@@ -13,12 +14,13 @@
 
 
 class Mailbox:
-    """What may be posted is bounded by what posts (an RPC a connection, a result a pick); `bound` catches a
-    fault in that. An exception in a call goes to `fail`, which ends the program."""
+    """One with a thread of its own, and timers. What may be posted is bounded by what posts (an RPC a
+    connection, a result a pick); `bound` catches a fault in that. An exception in a call goes to `fail`,
+    which ends the program."""
 
     def __init__(self, name, bound, fail):
         self.name, self.bound, self.fail = name, bound, fail
-        self.calls, self.timers, self.over = SimpleQueue(), Timers(), False
+        self.calls, self.timers = SimpleQueue(), Timers()
 
     def start(self):
         run(self.name, self.loop, self.fail)
@@ -31,27 +33,43 @@
     def after(self, units, call, *given):
         self.timers.at(clock.now() + units, call, *given)
 
-    def end(self):
-        """Called by its own thread: no call is made after the present one."""
-        self.over = True
-
     def loop(self):
-        while not self.over:
+        while True:
             try:
                 call, given = self.calls.get(timeout=self.timers.wait(clock.now()))
                 call(*given)
             except Empty:
                 pass
-            if not self.over:
-                self.timers.run(clock.now())
+            self.timers.run(clock.now())
+
+
+class LentMailbox:
+    """One without a thread: whoever posts while no call is being made makes this one and those that others
+    post meanwhile. A hop between threads costs more than most calls, so no call may wait for anything."""
+
+    def __init__(self, name, bound, fail):
+        self.name, self.bound, self.fail = name, bound, fail
+        self.calls, self.free = deque(), _thread.allocate_lock()
+
+    def post(self, call, *given):
+        if len(self.calls) >= self.bound:
+            raise Overflow(f"mailbox of {self.name} is full at {self.bound}")
+        self.calls.append((call, given))
+        while self.calls and self.free.acquire(False):  # looks again: one may have come just before the end
+            try:
+                while self.calls:
+                    call, given = self.calls.popleft()
+                    call(*given)
+            finally:
+                self.free.release()
 
 
 def run(name, call, fail):
-    """A thread with a small stack; what it raises ends the program."""
+    """A thread with a small stack; what it raises ends the program. It is not waited for until it runs."""
     def guarded():
         try:
             call()
         except BaseException as wrong:
             fail(name, wrong)
-    threading.stack_size(STACK)
-    threading.Thread(target=guarded, name=name, daemon=True).start()
+    _thread.stack_size(STACK)
+    _thread.start_new_thread(guarded, ())
--- a/tests/play.py
+++ b/tests/play.py
@@ -17,6 +17,7 @@
 import copy
 import json
 import os
+import select
 import signal
 import socket
 import struct
@@ -295,7 +296,11 @@
         "full": "503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n",
         "moot": "504 Late\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n",
         "short": "200 OK\r\nContent-Length: 9\r\n\r\nhi", "endless": "200 OK\r\n\r\nhi",
-        "garbage": "what?\r\n\r\n"}
+        "garbage": "what?\r\n\r\n", "huge": "200 OK\r\nContent-Length: 3000000000\r\n\r\n" + "x" * 99,
+        "more": "200 OK\r\nContent-Length: 2\r\n\r\nhiHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nho",
+        "ahead": "100 Go on\r\n\r\nHTTP/1.1 103 Hint\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n"
+                 "X-Server-Load: active=nan\r\nContent-Length: 2\r\n\r\nhi",
+        "waits": "100 Go on\r\n\r\n" * 2000}
 
     def __init__(self, build, how):
         super().__init__()
@@ -392,6 +397,7 @@
         raw NAME TEXT                   bytes on a connection of their own, with Python's escapes
         tell TEXT | lists TEXT          what the platform says, and discovery, as it stands
         reply TEXT | welcome TEXT       how the platform answers votes, and those who subscribe
+        crowd N                         connections that say nothing; crowded() of them are still open
         let NAME                        a server that held its answers lets them go
         moved | hup                     list and platform at new addresses, told by SIGHUP; SIGHUP alone
         drop WHO | back WHO             platform, discovery, server, or a client by its name; listens again
@@ -526,9 +532,15 @@
         self.talk(name, f"{first} HTTP/1.1\r\nHOST: x\r\nX-Request-ID: id-{name}\r\nX-Timeout: {timeout}\r\n"
                   f"x-priority-class: {method}\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
 
-    def do_raw(self, name, text):
+    def do_raw(self, name, text=""):
         self.talk(name, text.encode().decode("unicode_escape").encode("latin-1"))
 
+    def do_crowd(self, size):
+        self.crowd = [socket.create_connection(self.listen, 15) for _ in range(int(size))]
+
+    def crowded(self):
+        return len(self.crowd) - len(select.select(self.crowd, [], [], 0)[0])
+
     def who(self, name):
         return {"platform": self.platform, "discovery": self.discovery}.get(name) or self.servers.get(name)
 
@@ -556,7 +568,8 @@
         names = dict(status=self.status, health=self.health, discovery=self.discovery, log=self.log,
                      platform=self.platform, left=self.left, answers=self.answers, process=self.process,
                      ended=lambda n: f"{n}.end" in self.answers, picks=lambda n: len(self.servers[n].seen),
-                     seen=lambda n: self.servers[n].seen, probes=lambda n: self.servers[n].probes,
+                     seen=lambda n: self.servers[n].seen, crowded=self.crowded,
+                     probes=lambda n: self.servers[n].probes,
                      held=lambda: len(os.listdir(f"/proc/{self.process.pid}/fd")),
                      threads=lambda: len(os.listdir(f"/proc/{self.process.pid}/task")))
         return eval(what, names)
--- a/tests/test_all.py
+++ b/tests/test_all.py
@@ -37,7 +37,7 @@
     monkeypatch.setattr(server, "ServerConnection", lambda peer: types.SimpleNamespace(
         process=peer.process, dial=lambda *_: None, close=lambda *_: None, code=None,
         write=lambda data: told.append(data) or True))
-    monkeypatch.setattr(server, "Mailbox", lambda *_: types.SimpleNamespace(start=int, post=lambda *_: None))
+    monkeypatch.setattr(server, "LentMailbox", lambda *_: None)
     monkeypatch.setattr(server.clock, "now", lambda: at[0])
     module = types.SimpleNamespace(ended="ended", post=lambda call, pick, result, *_: told.append(result))
     peer = server.ServerPeer("a", types.SimpleNamespace(
