--- a/honeywood/transport/connection.py
+++ b/honeywood/transport/connection.py
@@ -119,7 +119,7 @@
         return False
 
     def close(self, code):
-        """Ends it for the reason `code` as soon as the present call is over: its place is needed now, not when
+        """Ends it for the reason `code` as soon as this call is over: its place is needed now, not when
         the thread that waits has woken up. That thread only ever peeks, so it does no harm to another
         connection that has got the same descriptor meanwhile."""
         self.code = self.code or code
