High rates: few threads start at once, refusals at the door, large answers, two failures leave a server out

Measured by a probe of the module's lag, by CPU time a thread, by stacks: - Left out: 17 to 28 of 22 to 32 servers were shunned at any time, nearly all well: one spoilt, silent or late answer shunned a server for 2 s, at 2% of picks. Now whole bodies are handed over, not copied (270 KB: 923 us of CPU, now 191), nothing is kept between messages: 32 to 43 MB. - The collapse: 400 connections a second, each a thread that waits for the interpreter's lock; the module's thread lost it at each write and got 0.06 of a core. Now eight may be starting at once, the interpreter's switch interval is 50 ms (each waiting thread woke 200 times a second), the backlog is 128 (in 512 all had given up when taken). - What waited for the front is known to the decisions: an RPC that waited over a quarter of its soft deadline is pushed back at once with the longest time to come back, and for 0.1 s the host takes no new client (Intake.take). Excluded: memory pressure, the collector, the decisions' own cost (0.4 ms an RPC before and after). Tried and undone: records filled by generated code (2% of the CPU); malloc's map threshold at 64 KiB (twice the CPU).

--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -1,9 +1,8 @@
 """All decisions of a front: which server an RPC goes to, when it goes again or is given up, and what the
 front votes on the build on trial.
 
-The host (interface.Host) makes one Front an instance and calls it as interface.Decisions lists. An RPC runs
-down a chain of stages, Intake - Trial - Routing - Gate; a stage passes it on, keeps it or ends it, and what
-comes back runs up the chain. Judge looks at what came back and votes. Times are tenths of a millisecond.
+The host calls a Front as interface.Decisions lists. An RPC runs down a chain: Intake, Trial, Routing, Gate;
+what comes back runs up. Judge looks at that and votes. Times are tenths of a millisecond.
 """
 from bisect import bisect_left
 from collections import defaultdict, deque
@@ -33,6 +32,7 @@
 SHUN = 2 * SECOND              # a server that could not be reached, is full or timed out is left alone for
 REPORT_AGE, RATE_OVER = SECOND, 2 * SECOND  # for so long reports of servers count, and answers to a rate
 SOON = 0.4                     # RPCs may be open that the rate answers in this share of the soft deadline,
+LAG = 0.25                     # and none is begun that waited for this front for this share of it;
 HELD = 3                       # or so many a server by all fronts together, if that is more
 FAILED_FADES, PACE_FADES = 7 * SECOND // 10, 7 * SECOND  # half is forgotten after this
 REPEATS, DRAWN = 0.1, 6        # further picks earned by an RPC; servers drawn at most to find two fit ones
@@ -66,11 +66,7 @@
 
 def level_each(fronts, votes):
     """The level at which each of many fronts may test, so that with chance Q at most so many err together as
-    their votes take a good build off: the fronts' hypotheses are some of one family's (Poisson's tail).
-
-    >>> level_each(1, 1), round(level_each(130, 1), 5), round(level_each(470, 24), 3)
-    (0.05, 0.00038, 0.035)
-    """
+    their votes take a good build off: the fronts' hypotheses are some of one family's (Poisson's tail)."""
     mean = votes * (1 - 1 / (9 * votes) - NormalDist().inv_cdf(1 - Q) / (3 * sqrt(votes))) ** 3
     return max(Q, mean) / fronts
 
@@ -116,12 +112,10 @@
         self.hold_level = min(votes * Q, level_each(fronts, max(1, fronts - settings.go_votes + 1)))
         self.least = max(FEW, LEAST // votes)  # fronts whose votes are needed together share the sample
         self.build = self.step = self.standing = None
-        self.cap, self.since, self.halved = 0.0, 0, 0
-        # By method: the earlier build, and the one judged; the latter's outcomes also server by server.
-        self.before, self.mine = ([Counts() for _ in self.methods] for _ in range(2))
+        self.cap, self.since, self.halved, self.places = 0.0, 0, 0, 0  # of the earlier build, at first
+        self.before, self.mine = ([Counts() for _ in self.methods] for _ in range(2))  # earlier, new
         self.trial, self.told, self.tallies = {}, {}, {}
         self.recent, self.normal, self.recent_at, self.worse_since = [0.0, 0.0], [0.0, 0.0], 0, None
-        self.places = 0            # servers of the earlier build when the trial was first seen
         self.suspect_since, self.bad, self.changed, self.found = None, [], True, []  # bad: here or by others
         self.vote, self.voted_at, self.asked, self.asked_at, self.spread = None, 0, None, -inf, 1.0
 
@@ -357,8 +351,8 @@
 
     def warmth(self, now, server):
         """The part of its capacity that a server has at least, so long after its start."""
-        age = max(0, now - server.booted)
-        return min(1.0, self.cold_share + (1 - self.cold_share) * age / max(1, self.cold_time))
+        age, cold = max(0, now - server.booted), self.cold_time
+        return 1.0 if age >= cold else self.cold_share + (1 - self.cold_share) * age / cold
 
     def may(self, now, rpc, server):
         if rpc.done or server.status != READY or len(rpc.picks) >= self.max_picks or now >= rpc.deadline:
@@ -456,7 +450,7 @@
         while self.heard and self.heard[0][0] < now - REPORT_AGE:
             self.heard.popleft()
         # A probe an RPC at most: many small fronts that probe all would cost more than their RPCs.
-        if self.probes and len(self.heard) < len(self.front.ready) and now == rpc.taken:
+        if self.probes and len(self.heard) < len(self.front.ready) and not rpc.picks:
             self.turn = (self.turn + 1) % len(self.front.ready)
             self.front.host.probe(self.front.ready[self.turn])
         one = self.two(now, rpc, first) or self.two(now, rpc, second)
@@ -471,10 +465,13 @@
         self.below.back(now, pick)
         server, place = pick.server, pick.rpc.method.place
         self.probed(now, server, pick.result, pick.latency, load)
-        if pick.result in (CONNECT_FAILED, RESET, TIMEOUT, FULL):
+        # One alone says nothing of its server: the connection, the answer or the RPC may have been ill.
+        ill = pick.result in (CONNECT_FAILED, RESET, TIMEOUT)
+        if pick.result == FULL or (ill and server.ill):
             server.shun_until = now + SHUN
-        elif pick.result in (OK, ERROR):
+        if pick.result in (OK, ERROR):
             server.answered_at = now
+        server.ill = ill or (server.ill and pick.result == CANCELLED)
         # A server that fails at once holds nothing and would draw all traffic: its failures count as held.
         server.failed += pick.result not in (OK, CANCELLED)
         if pick.result == OK:
@@ -514,11 +511,13 @@
 
     def take(self, now, rpc):
         method, gate = rpc.method, self.front.gate
-        rpc.soft = min(rpc.deadline, now + method.soft + int(method.soft_stretch * rpc.work))
-        trimmed(gate.taken[gate.lane(method)], now - gate.window).append(now)
+        rpc.soft = min(rpc.deadline, rpc.taken + method.soft + int(method.soft_stretch * rpc.work))
+        trimmed(gate.taken[gate.lane(method)], now - gate.window).append(rpc.taken)
         self.spare = min(10.0, self.spare + REPEATS)
         self.open.append(rpc)
-        if self.full(now, rpc) or not self.below.take(now, rpc):
+        if late := now - rpc.taken > LAG * method.soft:  # and so would be those that wait behind it
+            self.front.closed_until = now + LOOK
+        if late or self.full(now, rpc) or not self.below.take(now, rpc):
             self.give_up(now, rpc)
 
     def end(self, now, rpc, badly):
@@ -533,7 +532,8 @@
     def give_up(self, now, rpc):  # a pushback while the client may still gain by it, else an abort
         self.end(now, rpc, True)
         if self.front.gate.may_push_back(rpc) and now < rpc.soft:
-            self.front.host.push_back(rpc, min(self.max_wait, rpc.method.soft // 4))
+            soon = rpc.method.soft // 4 if now >= self.front.closed_until else self.max_wait
+            self.front.host.push_back(rpc, min(self.max_wait, soon))
         else:
             self.front.host.abort(rpc)
 
@@ -586,7 +586,7 @@
         self.intake = Intake(self, Trial(self, self.routing), settings)
         self.news, self.take, self.found_wrong = self.judge.news, self.intake.take, self.judge.found_wrong
         self.tallied, self.start, self.probed = self.judge.tallied, self.woken, self.routing.probed
-        self.must_ask, self.asked_at, self.watching = settings.must_ask, -inf, False
+        self.must_ask, self.asked_at, self.watching, self.closed_until = settings.must_ask, -inf, False, -inf
         self.ask_every = min(ASK_EVERY, settings.ask_within // 3 or ASK_EVERY)
 
     def listed(self, now, lines, whole):
@@ -596,9 +596,8 @@
             if server.status in (None, GONE) or booted != server.booted or build != server.build:
                 # New, or back under its old id: what was seen of the earlier process says nothing.
                 server.pace, server.failed, server.faded_at, server.shun_until = 1.0, 0.0, now, now
-                server.reported, server.reported_at = 0.0, -inf
-                server.sent, server.answered_at = deque(), now
-                server.open = server.open or 0
+                server.reported, server.reported_at, server.open = 0.0, -inf, server.open or 0
+                server.sent, server.answered_at, server.ill = deque(), now, False
             server.build, server.zone, server.cell, server.scale = build, zone, cell, scale
             server.status, server.booted = status, booted
         if whole:
--- a/honeywood/interface.py
+++ b/honeywood/interface.py
@@ -40,7 +40,7 @@
     """A server: what the list says of it, then what the decisions keep about it."""
     __slots__ = ("build", "zone", "cell", "scale", "status", "booted",
                  "open", "sent", "pace", "reported", "reported_at", "failed", "shun_until",
-                 "answered_at", "trial", "faded_at", "host")
+                 "answered_at", "ill", "trial", "faded_at", "host")
 
 
 class Rpc(Record):
@@ -79,7 +79,9 @@
 
 
 class Decisions(Protocol):
-    """What the host calls, with the time of each call first."""
+    """What the host calls, with the time of each call first; until `closed_until` it takes no new client."""
+
+    closed_until: float
 
     def start(self, now: int) -> None: ...
     def listed(self, now: int, lines: list[tuple], whole: bool) -> None: ...
--- a/honeywood/program/life.py
+++ b/honeywood/program/life.py
@@ -1,4 +1,5 @@
 """The life of the program: start, a planned stop at SIGTERM, and the sudden end that a fault makes."""
+import gc
 import os
 import signal
 import sys
@@ -13,6 +14,7 @@
 
 STOPS, AGAIN = {signal.SIGTERM, signal.SIGINT}, signal.SIGHUP
 COMING, SPARE = 0.6, 2.0       # seconds: so long new connections may come; for the last answers to be read
+SWITCH = 0.05                  # seconds after which a thread that waits for the interpreter asks for it
 FLUSHED = 0.5                  # seconds in which the last lines of the log are written
 
 
@@ -38,6 +40,8 @@
     except OSError as wrong:
         print(f"honeywood: listen: {wrong}", file=sys.stderr)
         return 2
+    sys.setswitchinterval(SWITCH)
+    gc.freeze()                # what is here now stays: the collector need not go through it
     logger.info("started", listen=log.name(given.listen))
     while (stopped_by := signal.sigwait({*STOPS, AGAIN})) == AGAIN:
         read_again(gateway, given, logger)
--- a/honeywood/routing/client.py
+++ b/honeywood/routing/client.py
@@ -41,6 +41,7 @@
         # When it connected or got its last answer, whether it had one, and when what is being read began.
         self.active, self.served, self.begun = clock.now(), False, None
         self.ends = 0              # when the rest of a connection that is ending is closed
+        self.group = None          # of the gateway's, where it waits for no answer
         self.mailbox = LentMailbox(f"client {peer}", MOST_CALLS, gateway.fail)
         self.connection = Connection(self, self.mailbox, gateway.descriptors, peer)
 
@@ -54,6 +55,7 @@
     def ended(self, connection):
         if self.call:
             self.module.post(self.module.left, self.call)
+        self.stand(None)
         self.gateway.clients.discard(self)
         self.log.info("connection_ended", peer="client", id=connection.peer, code=connection.code)
 
@@ -75,7 +77,7 @@
     def make_room(self):
         """Its place is needed: one that waits for no answer gives it up, with a word if it is owed one."""
         if self.call:
-            return self.gateway.clients.add(self)  # it has asked meanwhile
+            return                 # it has asked meanwhile
         if self.begun:
             self.turn_away()
         self.connection.close("made_room")
@@ -102,6 +104,14 @@
             self.connection.close("idle")
 
     # Its own.
+    def stand(self, group):
+        """Takes its place, the last, among those that may be asked to give way; None: it may not."""
+        if self.group is not None:
+            self.group.pop(self, None)
+        self.group = group
+        if group is not None:
+            group[self] = None
+
     def go_on(self):
         """Reads what has come as far as it is whole and no answer is owed."""
         buffer = self.connection.buffer
@@ -143,12 +153,14 @@
         if not IDS.match(request.get("x-request-id") or ""):
             raise http.Malformed(400, "x-request-id missing or unusable")
         self.call = Call(self, request, float(timeout), method)
+        self.stand(None)
         self.module.post(self.module.take, self.call)
 
     def write(self, request, status, fields, data):
         keep = request.keep and not self.gateway.draining
         if self.connection.write(http.response(status, fields, data, keep, request)):
             self.active, self.served = clock.now(), True
+            self.stand(self.gateway.idle)
             if not keep:
                 self.finish("draining" if request.keep else "close_asked")
 
@@ -159,4 +171,5 @@
 
     def finish(self, code):
         self.ends = clock.now() + LINGER
+        self.stand(self.gateway.ending)
         self.connection.finish(code)
--- a/honeywood/routing/gateway.py
+++ b/honeywood/routing/gateway.py
@@ -8,6 +8,7 @@
 from honeywood.routing.module import Module
 from honeywood.routing.platform import Platform
 from honeywood.routing.roster import Roster
+from honeywood.transport import clock
 from honeywood.transport.descriptors import Descriptors
 from honeywood.transport.listener import Listener
 from honeywood.transport.mailbox import Mailbox
@@ -15,7 +16,9 @@
 OTHERS = 24                    # descriptors of files, the listener and the interpreter
 KEPT = 0.4                     # share of the descriptors that clients leave to servers, list and platform
 ENDING = 0.1                   # a share of them for clients that have come while others still make room
+LOOKED_AT = 4                  # clients that are looked at, of a kind, to find one that gives way
 BASE_MB, CLIENTS_A_MB = 32, 8  # memory of the program without clients; clients in one more, buffers full
+ANSWER_A_MB = 8 * 1024         # bytes of a server's answer for each MB of memory, at the most
 SWEEP, SERVERS_EVERY = SECOND // 4, 4  # clients that are due are looked for so often; servers more seldom
 
 
@@ -23,12 +26,17 @@
     def __init__(self, config, log, fail):
         self.settings, self.log, self.fail = config.settings, log, fail
         self.ready = self.draining = False
+        self.closed_until = 0      # as the decisions have it
         self.random = Random(config.settings.seed)
         self.descriptors = Descriptors(config.sockets - OTHERS)
         self.kept = int(config.sockets * KEPT)  # of those counted, so many are not for clients
         self.most_clients = max(CLIENTS_A_MB, (config.memory_mb - BASE_MB) * CLIENTS_A_MB)
-        self.ending = int(config.sockets * ENDING)
-        self.clients, self.sweeps = set(), 0
+        self.most_answer = max(http.MOST_BODY, config.memory_mb * ANSWER_A_MB)
+        self.reserve = int(config.sockets * ENDING)
+        # Clients, and by age those that wait for no answer: their last one is written, none was asked for
+        # yet, or they are between requests.
+        self.clients, self.ending, self.silent, self.idle = set(), {}, {}, {}
+        self.sweeps = 0
         self.methods = {method.name: method for method in config.settings.methods}
         self.listener = Listener(config.listen, self.accept, fail)
         self.module = Module(self)
@@ -40,32 +48,34 @@
         self.keeper.start()
         self.listener.start()
 
-    def accept(self, sock, peer):
+    def accept(self, sock, peer, begun):
         """On the listener's thread, which waits for nothing: a crowd that connects must not hold up the rest.
         At the bound the newcomer is taken all the same, while there is room for the one that gives way to it
         to end."""
-        if not self.descriptors.take(self.kept - self.ending):
+        code = "overloaded" if clock.now() < self.closed_until else "no_descriptor"
+        if code == "overloaded" or not self.descriptors.take(self.kept - self.reserve):
             refuse(sock)
-            return self.log.warning("connection_ended", peer="client", id=peer, code="no_descriptor")
+            begun()
+            return self.log.warning("connection_ended", peer="client", id=peer, code=code)
         client = Client(self, peer)
         full = self.descriptors.free < self.kept or len(self.clients) >= self.most_clients
         roomy = not full or self.make_room()
         self.clients.add(client)
-        client.connection.accepted(sock)
+        client.stand(self.silent)
+        client.connection.accepted(sock, begun)
         if not roomy:
             client.mailbox.post(client.turn_away)
 
     def make_room(self):
-        """Of the clients that wait for no answer one gives way: one whose last answer is written, else one
-        that has asked for nothing yet, else one between requests; of these the one silent for longest."""
-        free = [(not client.connection.code, client.served, client.active, id(client), client)
-                for client in list(self.clients) if not client.call]
-        for *_, client in sorted(free):
-            # One that has asked in this moment is not silent: its bytes have come, though none has read them.
-            if client.connection.code or client.begun or client.connection.stands():
-                self.clients.discard(client)  # it is asked once
-                client.mailbox.post(client.make_room)
-                return True
+        """Of the clients that wait for no answer one gives way, the one silent for longest; only a few are
+        looked at, since in a crowd this is done for each that comes."""
+        for group in (self.ending, self.silent, self.idle):
+            for client in list(group)[:LOOKED_AT]:
+                # One that has asked in this moment is not silent: its bytes have come and are not read.
+                if group is self.ending or client.begun or client.connection.stands():
+                    group.pop(client, None)  # it is asked once
+                    client.mailbox.post(client.make_room)
+                    return True
         return False
 
     def sweep(self):
--- a/honeywood/routing/module.py
+++ b/honeywood/routing/module.py
@@ -84,9 +84,10 @@
             return call.client.mailbox.post(call.client.answer, call, 409)
         self.names.add(call.name)
         rpc = call.rpc = Rpc(
-            method=call.method, customer=0, key=0, work=call.work, repeat=call.repeat, taken=now, picks=[],
-            deadline=call.deadline, done=False, host=call)
+            method=call.method, customer=0, key=0, work=call.work, repeat=call.repeat, taken=call.arrived,
+            picks=[], deadline=call.deadline, done=False, host=call)
         self.front.take(now, rpc)
+        self.gateway.closed_until = self.front.closed_until
 
     def left(self, call):
         if call.rpc is None:       # it was refused
--- a/honeywood/routing/server.py
+++ b/honeywood/routing/server.py
@@ -25,7 +25,7 @@
         self.written = self.ended = False
 
     def finish(self):
-        self.ended, self.data = True, None  # timers still hold the exchange for a while
+        self.ended, self.data, self.head = True, None, None  # timers still hold the exchange for a while
 
 
 class ServerConnection(Connection):
@@ -44,7 +44,7 @@
         self.log, self.descriptors = gateway.log, gateway.descriptors
         self.server = Server(host=self)
         self.process = self.status = None  # (address, build, start) and status, as listed
-        self.serial = 0
+        self.serial, self.most_answer = 0, gateway.most_answer
         self.idle, self.keep = deque(), self.settings.idle_close * 2 // 3  # dropped before the server does
         self.mailbox = LentMailbox(f"server {name}", MOST_CALLS, gateway.fail)
 
@@ -95,7 +95,8 @@
         if exchange is None or not exchange.written:
             return connection.close("unasked_bytes")
         try:
-            exchange.head = exchange.head or http.response_head(connection.buffer, exchange.method)
+            exchange.head = exchange.head or http.response_head(
+                connection.buffer, exchange.method, self.most_answer)
             data = exchange.head and http.body(connection.buffer, exchange.head)
         except http.Malformed as bad:
             connection.close(f"unreadable_{str(bad).replace(' ', '_')}")
--- a/honeywood/transport/buffer.py
+++ b/honeywood/transport/buffer.py
@@ -1,6 +1,9 @@
 """The one buffer of a connection: bytes come in at its end and leave at its front."""
 
 
+COPIED = 4096                  # what is larger and all there is, is handed over as it is
+
+
 class Buffer:
     """Grows as needed; what has left is cut off in place, by and by.
 
@@ -11,6 +14,11 @@
 
     >>> b.until(b"X"), b.looked, b.add(b"PX"), b.until(b"X")
     (-1, 6, None, 7)
+
+    What was taken is let go of, also where nothing more comes.
+
+    >>> b.take(99), len(b.data)
+    (b'/ HTTPPX', 0)
     """
     __slots__ = ("data", "gone", "looked", "passed")
 
@@ -41,6 +49,13 @@
         return self.data[self.gone + start:self.gone + end]
 
     def take(self, size):
-        some = bytes(self.view(0, size))
-        self.gone, self.looked = self.gone + len(some), 0
+        self.looked = 0
+        if size >= len(self):          # nothing is kept for a connection between two messages
+            some, self.data = self.data, bytearray()
+            del some[:self.gone]
+            self.gone = 0
+            return some if len(some) > COPIED else bytes(some)
+        with memoryview(self.data) as here:
+            some = bytes(here[self.gone:self.gone + size])
+        self.gone += size
         return some
--- a/honeywood/transport/connection.py
+++ b/honeywood/transport/connection.py
@@ -7,12 +7,14 @@
 import _thread
 import errno
 import socket
+import struct
 
 from honeywood.transport.buffer import Buffer
 from honeywood.transport.mailbox import run
 
-PIECE = 16 * 1024              # bytes read at once
-UNREAD = 128 * 1024            # bytes of ours that a peer may leave unread (the kernel counts them twice)
+PIECE = 64 * 1024              # bytes read at once
+UNREAD = 200 * 1024            # bytes of ours that the kernel keeps for a peer (it counts them twice)
+MOST_UNSENT, UNSENT_FOR = 4, 2  # pieces beyond that, with a thread of their own; seconds without any read
 MOST_DROPPED = 1024 * 1024     # bytes that are read and dropped, so that a peer still reads our last words
 
 
@@ -28,12 +30,13 @@
         self.owner, self.mailbox, self.descriptors, self.peer = owner, mailbox, descriptors, peer
         self.buffer, self.sock, self.code, self.dropped = Buffer(), None, None, 0
         self.address, self.calls = None, ()
+        self.unsent, self.flushing, self.finishing = [], False, False
         self.shut = self.over = False  # both ways are closed; it has ended
         self.turn = _thread.allocate_lock()  # held from when something has come until it is read
 
-    def accepted(self, sock):
+    def accepted(self, sock, begun):
         self.sock = self.ready(sock)
-        run(f"read {self.peer}", self.wait, self.mailbox.fail)
+        run(f"read {self.peer}", lambda: self.wait(begun=begun), self.mailbox.fail)
 
     def dial(self, address, within):
         self.address = address
@@ -43,10 +46,13 @@
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, UNREAD)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, struct.pack("ll", UNSENT_FOR, 0))
         return sock
 
     # On the thread that waits.
-    def wait(self, address=None, within=None):
+    def wait(self, address=None, within=None, begun=None):
+        if begun:
+            begun()
         try:
             if address:
                 self.sock = self.ready(socket.create_connection(address, timeout=within))
@@ -88,13 +94,19 @@
         if self.over:
             return
         self.over, self.code = True, self.code or code
-        if self.sock:
-            self.sock.close()
-        self.descriptors.give()
+        if not self.flushing:      # else flushed() does: what it writes must not meet another connection
+            self.release()
         self.owner.ended(self)
+        self.buffer = Buffer()     # who still knows of the connection holds none of its bytes
         if self.turn.locked():
             self.turn.release()
 
+    def release(self):
+        if self.sock:
+            self.sock.close()
+        self.unsent = []
+        self.descriptors.give()
+
     def stands(self):
         """Whether a kept connection is still open and silent, by what has arrived up to now."""
         try:
@@ -106,17 +118,49 @@
         return False
 
     def write(self, data):
-        """Whether all of it was written. It never waits: a peer that has left so much unread that it does not
-        fit loses its connection."""
+        """Whether it was written, or is being written: it never waits. A peer that goes on asking and reads
+        nothing loses its connection."""
+        sent = 0
         try:
-            if not self.shut and self.sock.send(data, socket.MSG_DONTWAIT) == len(data):
-                return True
-            self.close("reads_nothing")
+            if not self.flushing and not self.shut:
+                sent = self.sock.send(data, socket.MSG_DONTWAIT)
         except BlockingIOError:
-            self.close("reads_nothing")
+            pass
         except OSError as wrong:
             self.close(code_of(wrong))
-        return False
+        if len(self.unsent) >= MOST_UNSENT:
+            self.close("reads_nothing")
+        elif sent < len(data) and not self.shut:
+            self.unsent.append(memoryview(data)[sent:])
+            self.flush()
+        return not self.shut
+
+    def flush(self):
+        if not self.flushing:
+            self.flushing = True
+            run(f"write {self.peer}", self.write_unsent, self.mailbox.fail)
+
+    def write_unsent(self):
+        """On a thread of its own."""
+        code = None
+        try:
+            while self.unsent:
+                self.sock.sendall(self.unsent[0])
+                del self.unsent[0]
+        except OSError as wrong:
+            code = "reads_nothing" if isinstance(wrong, BlockingIOError) else code_of(wrong)
+        self.mailbox.post(self.flushed, code)
+
+    def flushed(self, code):
+        self.flushing = False
+        if self.over:
+            self.release()
+        elif code:
+            self.close(code)
+        elif self.unsent:
+            self.flush()
+        elif self.finishing:
+            self.shutdown(socket.SHUT_WR)
 
     def close(self, code):
         """Ends it for the reason `code` as soon as this call is over: its place is needed now, not when
@@ -131,7 +175,8 @@
     def finish(self, code):
         """Ends what is written, so that the peer reads all of it; close() is to follow a little later."""
         self.code = self.code or code
-        if self.sock and not self.over:
+        self.finishing = True
+        if self.sock and not self.over and not self.flushing:
             self.shutdown(socket.SHUT_WR)
 
     def shutdown(self, how):
--- a/tests/play.py
+++ b/tests/play.py
@@ -8,6 +8,7 @@
     MS answer PATTERN RESULT MS     from now on picks matching PATTERN (server, /build or method) end so;
                                     RESULT may be OTHER:N for every Nth, ok else; "never" leaves them out
     MS rpc NAME METHOD [DEADLINE [KEY]]   one RPC
+    MS waited NAME METHOD WAITED    one that has waited for the front for so long
     MS flow UNTIL EVERY METHOD [CUSTOMER]   a stream of them
     MS wrong SERVER METHOD N        so many wrong answers are reported
     MS tally BUILD METHOD FAILED ENDED MS   what the platform counted until 1500 ms ago
@@ -178,6 +179,15 @@
             deadline=self.now + (int(deadline) * MS if deadline else kind.deadline))
         self.front.take(self.now, rpc)
 
+    def do_waited(self, name, method, waited):
+        """An RPC that has waited for the front for so long."""
+        self.now, now = self.now - int(waited) * MS, self.now
+        kind = self.methods[method]
+        rpc = self.rpcs[name] = face.Rpc(method=kind, customer=0, key=1, work=0, repeat=False, taken=self.now,
+                                         picks=[], done=False, deadline=self.now + kind.deadline)
+        self.now = now
+        self.front.take(now, rpc)
+
     def do_flow(self, until, every, method, customer=0):
         for at in range(self.now, int(until) * MS, int(every) * MS):
             name = f"{method}{at}{every}"
@@ -198,6 +208,7 @@
             pushes=len(self.pushed), votes=self.votes, judge=self.front.judge, watches=self.watches,
             log=self.lines, pushes_of=[sum(r.customer == c for r in self.pushed) for c in (0, 1)],
             on=lambda n: [self.name(p.server) for p in self.rpcs[n].picks],
+            closed=lambda: self.front.closed_until > self.now,
             pushed=lambda n: self.rpcs[n] in self.pushed, aborted=lambda n: self.rpcs[n] in self.aborted,
             ended=lambda n: self.rpcs[n].done, sent=self.sent, most=self.most,
             unended=[n for n, r in self.rpcs.items() if not r.done])
@@ -298,6 +309,7 @@
         "short": "200 OK\r\nContent-Length: 9\r\n\r\nhi", "endless": "200 OK\r\n\r\nhi",
         "garbage": "what?\r\n\r\n", "huge": "200 OK\r\nContent-Length: 3000000000\r\n\r\n" + "x" * 99,
         "more": "200 OK\r\nContent-Length: 2\r\n\r\nhiHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nho",
+        "big": f"200 OK\r\nContent-Length: 400000\r\n\r\n{'x' * 400000}",
         "ahead": "100 Go on\r\n\r\nHTTP/1.1 103 Hint\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n"
                  "X-Server-Load: active=nan\r\nContent-Length: 2\r\n\r\nhi",
         "waits": "100 Go on\r\n\r\n" * 2000}
--- a/tests/test_all.py
+++ b/tests/test_all.py
@@ -2,18 +2,23 @@
 import io
 import pathlib
 import random
+import socket
 import struct
+import time
 import types
 
 import pytest
 
+from honeywood import decide
 from honeywood import interface as face
 from honeywood.benchlink import adapter, codec
 from honeywood.decide import sorted_cut, trails
 from honeywood.protocol import discovery, http, platform
-from honeywood.routing import server
+from honeywood.routing import gateway, server
+from honeywood.transport import connection, listener
 from honeywood.transport.buffer import Buffer
 from honeywood.transport.descriptors import Descriptors
+from honeywood.transport.mailbox import LentMailbox
 from play import play, play_sockets
 
 HERE = pathlib.Path(__file__).parent
@@ -41,7 +46,7 @@
     monkeypatch.setattr(server.clock, "now", lambda: at[0])
     module = types.SimpleNamespace(ended="ended", post=lambda call, pick, result, *_: told.append(result))
     peer = server.ServerPeer("a", types.SimpleNamespace(
-        module=module, log=None, fail=None, descriptors=Descriptors(20),
+        module=module, log=None, fail=None, descriptors=Descriptors(20), most_answer=9,
         settings=types.SimpleNamespace(idle_close=1, connect_within=2500, report_fields=())))
     peer.listed(face.READY, (("127.0.0.1", 1), 1, 0))
     exchange = server.Exchange("pick", None, "GET", b"data", at[0])
@@ -104,6 +109,11 @@
     assert sorted_cut([0.03, 0.033, 0.9], 0.05) == [0, 1]
 
 
+def test_level_of_many_fronts():
+    levels = decide.level_each(1, 1), decide.level_each(130, 1), decide.level_each(470, 24)
+    assert levels[0] == 0.05 and abs(levels[1] - 0.00038) < 5e-6 and abs(levels[2] - 0.035) < 5e-4
+
+
 def test_z_test():
     # (0.5 - 0.1 - 0.1) / sqrt(0.25/50 + 0.09/100) = 3.906, whose upper tail is 4.7e-5.
     assert abs(trails(25, 50, 10, 100, 0.1) - 4.7e-5) < 2e-6
@@ -157,3 +167,61 @@
     knock = pack(codec.KNOCK, 8, 0, 0, 0, 5_000_000, 0, 0)
     read = codec.read_frame(io.BytesIO(frame(*HELLO, knock, tail=SETTINGS + ENTRY)))
     assert b"ZeroDivisionError" in adapter.Process().answer(*read).frame()
+
+
+def test_an_overloaded_front_refuses_new_clients_unread():
+    """It costs no thread, and tells when to come back; one that has come before is not concerned."""
+    front, told = gateway.Gateway.__new__(gateway.Gateway), []
+    front.closed_until, front.log = gateway.clock.now() + 1000, types.SimpleNamespace(
+        warning=lambda event, **said: told.append(said["code"]))
+    theirs, ours = socket.socketpair()
+    front.accept(ours, "peer", lambda: told.append("begun"))
+    assert told == ["begun", "overloaded"] and ours.fileno() < 0
+    assert theirs.recv(999).startswith(b"HTTP/1.1 503 ") and theirs.recv(9) == b""
+
+
+def test_what_is_not_read_is_written_apart_and_bounded():
+    """A write never waits: the rest goes out as the peer reads, in order; who reads nothing is closed."""
+    told, (ours, theirs) = [], socket.socketpair()
+    owner = types.SimpleNamespace(ended=lambda one: told.append(one.code), received=None)
+    made = connection.Connection(owner, LentMailbox("x", 9, None), Descriptors(1), "peer")
+    made.sock = ours
+    ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    pieces = [bytes([n]) * 300_000 for n in range(3)]
+    assert all(made.write(piece) for piece in pieces) and made.flushing
+    made.finish("done")
+    got = b""
+    while some := theirs.recv(1 << 20):
+        got += some
+    assert got == b"".join(pieces)
+    until = time.monotonic() + 15
+    while made.flushing and time.monotonic() < until:
+        time.sleep(0.01)
+    made.finishing = False
+    made.code, (made.sock, theirs) = None, socket.socketpair()
+    while made.write(pieces[0]):
+        pass
+    theirs.close()
+    while made.descriptors.free < 2 and time.monotonic() < until:
+        time.sleep(0.01)
+    assert told == ["reads_nothing"] and made.descriptors.free == 2 and made.sock.fileno() < 0
+    assert not made.unsent and not made.buffer.data
+
+
+def test_few_accepted_connections_start_at_once():
+    """Each that is accepted gets a thread; more come only as those before them run."""
+    begun = []
+    listening = listener.Listener(("127.0.0.1", 0), lambda sock, peer, run: begun.append((sock, run)), None)
+    listening.start()
+    clients = [socket.create_connection(listening.sock.getsockname()) for _ in range(listener.STARTING + 2)]
+    while len(begun) < listener.STARTING:
+        time.sleep(0.01)
+    time.sleep(0.2)
+    assert len(begun) == listener.STARTING
+    for count in (1, 2):
+        begun[0][1]()
+        while len(begun) < listener.STARTING + count:
+            time.sleep(0.01)
+    listening.close()
+    for sock in (*clients, *(sock for sock, _ in begun)):
+        sock.close()
