--- a/honeywood/routing/module.py
+++ b/honeywood/routing/module.py
@@ -88,12 +88,23 @@
             picks=[], deadline=call.deadline, done=False, host=call)
         self.front.take(now, rpc)
         self.gateway.closed_until = self.front.closed_until
+        self.let_go(rpc)
+
+    def let_go(self, rpc):
+        """Of an RPC whose last pick has ended nothing points back to it: it goes at once, with all it holds,
+        and is not left to the collector."""
+        if rpc.done and all(pick.result is not None for pick in rpc.picks):
+            for pick in rpc.picks:
+                pick.host = None
+            rpc.picks, rpc.host = (), None
 
     def left(self, call):
         if call.rpc is None:       # it was refused
             return
+        rpc, call.rpc = call.rpc, None
         self.names.discard(call.name)
-        self.front.left(clock.now(), call.rpc)
+        self.front.left(clock.now(), rpc)
+        self.let_go(rpc)
 
     def ended(self, pick, result, load, answer=None):
         """Each pick ends once; the first ok is the client's answer and ends the RPC."""
@@ -104,6 +115,7 @@
         if result == OK and not rpc.done:
             self.answer(rpc, 200, answer.passed_on("x-server-load"), answer.body)
         self.front.back(now, pick, result, now - pick.sent, load, over)
+        self.let_go(rpc)
 
     def give_up(self, pick, result):
         if pick.result is None:
--- a/honeywood/transport/connection.py
+++ b/honeywood/transport/connection.py
@@ -97,7 +97,8 @@
         if not self.flushing:      # else flushed() does: what it writes must not meet another connection
             self.release()
         self.owner.ended(self)
-        self.buffer = Buffer()     # who still knows of the connection holds none of its bytes
+        # Who still knows of it holds none of its bytes; and it goes with the last of those, at once.
+        self.owner, self.buffer = None, Buffer()
         if self.turn.locked():
             self.turn.release()
 
--- a/tests/test_all.py
+++ b/tests/test_all.py
@@ -14,11 +14,12 @@
 from honeywood.benchlink import adapter, codec
 from honeywood.decide import sorted_cut, trails
 from honeywood.protocol import discovery, http, platform
-from honeywood.routing import gateway, server
+from honeywood.routing import gateway, module, server
 from honeywood.transport import connection, listener
 from honeywood.transport.buffer import Buffer
 from honeywood.transport.descriptors import Descriptors
 from honeywood.transport.mailbox import LentMailbox
+from honeywood.transport.timers import Timers
 from play import play, play_sockets
 
 HERE = pathlib.Path(__file__).parent
@@ -225,3 +226,36 @@
     listening.close()
     for sock in (*clients, *(sock for sock, _ in begun)):
         sock.close()
+
+
+def test_nothing_of_an_rpc_is_left_to_the_collector():
+    """Long days: what has ended goes at once, or memory grows until the collector finds it."""
+    settings = types.SimpleNamespace(report_fields=(), connect_within=2500)
+    made = module.Module.__new__(module.Module)
+    made.names, made.mailbox = set(), types.SimpleNamespace(timers=Timers())
+    made.gateway, made.settings = types.SimpleNamespace(), settings
+    peer = types.SimpleNamespace(name="a", send=None, mailbox=types.SimpleNamespace(post=lambda *_: None))
+    sent = face.Server(host=peer)
+
+    def take(now, rpc):
+        rpc.picks.append(face.Pick(rpc=rpc, server=sent, sent=now))
+        made.send(rpc.picks[0], now + 100)
+    made.front = types.SimpleNamespace(
+        take=take, closed_until=0, back=lambda now, pick, result, *_: [
+            setattr(pick, "result", result), setattr(pick.rpc, "done", True)])
+    client = types.SimpleNamespace(answer=None, mailbox=types.SimpleNamespace(post=lambda *_: None))
+    request = http.request_head(filled(b"GET /a HTTP/1.0\r\n\r\n"))
+    request.body = b""
+    call = types.SimpleNamespace(name="1", client=client, request=request, method=None, work=0, repeat=False,
+                                 arrived=1, deadline=9, rpc=None)
+    made.take(call)
+    pick = call.rpc.picks[0]
+    made.ended(pick, face.OK, (), types.SimpleNamespace(passed_on=lambda *_: [], body=b""))
+    assert pick.result == face.OK and pick.host is None and pick.rpc.host is None and not pick.rpc.picks
+    assert not made.names
+
+
+def filled(data):
+    buffer = Buffer()
+    buffer.add(data)
+    return buffer
