No client is kept after its answer while clients hold a quarter of the descriptors

Seen in the incident: three of four requests refused from 10 s to the end, though the servers answer in 0.1 s. Clients that ask once and stay hold the third of the descriptors that clients may. Lines: Client.write kept every connection; nothing looked at how many were kept.

--- a/honeywood/routing/client.py
+++ b/honeywood/routing/client.py
@@ -9,7 +9,8 @@
 
 HEALTH = "/_health"
 SLOW = 2 * SECOND              # a request must be whole after this, the first one counted from connecting
-IDLE, LINGER = 5 * SECOND, SECOND // 2           # kept open between requests; for the last answer to be read
+# Kept open between requests; longer, and clients that ask once and stay hold the places of all who would ask.
+IDLE, LINGER = 2 * SECOND, SECOND // 2           # the other: for the last answer to be read
 MOST_AHEAD = http.MOST_HEAD + 2 * http.MOST_BODY       # bytes a client may send ahead of its answers
 MOST_CALLS = 64
 RESERVE = 150  # a client's time ran from when it sent, and its answer has to reach it: so much less is used
@@ -157,12 +158,13 @@
         self.module.post(self.module.take, self.call)
 
     def write(self, request, status, fields, data):
-        keep = request.keep and not self.gateway.draining
+        keep = request.keep and not self.gateway.draining and not self.gateway.crowded()
         if self.connection.write(http.response(status, fields, data, keep, request)):
             self.active, self.served = clock.now(), True
             self.stand(self.gateway.idle)
             if not keep:
-                self.finish("draining" if request.keep else "close_asked")
+                code = "draining" if self.gateway.draining else "crowded"
+                self.finish(code if request.keep else "close_asked")
 
     def refuse(self, status, why, code="bad_request"):
         """The answer is the last thing said."""
--- a/honeywood/routing/gateway.py
+++ b/honeywood/routing/gateway.py
@@ -15,6 +15,7 @@
 
 OTHERS = 24                    # descriptors of files, the listener and the interpreter
 KEPT = 0.4                     # share of the descriptors that clients leave to servers, list and platform
+FEW = 0.25                     # share of them that clients may hold while they are kept between requests
 ENDING = 0.1                   # a share of them for clients that have come while others still make room
 LOOKED_AT = 4                  # clients that are looked at, of a kind, to find one that gives way
 BASE_MB, CLIENTS_A_MB = 32, 8  # memory of the program without clients; clients in one more, buffers full
@@ -32,6 +33,7 @@
         self.kept = int(config.sockets * KEPT)  # of those counted, so many are not for clients
         self.most_clients = max(CLIENTS_A_MB, (config.memory_mb - BASE_MB) * CLIENTS_A_MB)
         self.most_answer = max(http.MOST_BODY, config.memory_mb * ANSWER_A_MB)
+        self.few = int(config.sockets * FEW)
         self.reserve = int(config.sockets * ENDING)
         # Clients, and by age those that wait for no answer: their last one is written, none was asked for
         # yet, or they are between requests.
@@ -66,6 +68,11 @@
         if not roomy:
             client.mailbox.post(client.turn_away)
 
+    def crowded(self):
+        """Whether clients hold so much that none is kept after its answer: those who ask once and stay would
+        else hold every place that clients may have, and the others find none."""
+        return len(self.clients) > self.few
+
     def make_room(self):
         """Of the clients that wait for no answer one gives way, the one silent for longest; only a few are
         looked at, since in a crowd this is done for each that comes."""
--- a/tests/test_all.py
+++ b/tests/test_all.py
@@ -14,7 +14,7 @@
 from honeywood.benchlink import adapter, codec
 from honeywood.decide import sorted_cut, trails
 from honeywood.protocol import discovery, http, platform
-from honeywood.routing import gateway, module, server
+from honeywood.routing import client, gateway, module, server
 from honeywood.transport import connection, listener
 from honeywood.transport.buffer import Buffer
 from honeywood.transport.descriptors import Descriptors
@@ -243,10 +243,10 @@
     made.front = types.SimpleNamespace(
         take=take, closed_until=0, back=lambda now, pick, result, *_: [
             setattr(pick, "result", result), setattr(pick.rpc, "done", True)])
-    client = types.SimpleNamespace(answer=None, mailbox=types.SimpleNamespace(post=lambda *_: None))
+    asker = types.SimpleNamespace(answer=None, mailbox=types.SimpleNamespace(post=lambda *_: None))
     request = http.request_head(filled(b"GET /a HTTP/1.0\r\n\r\n"))
     request.body = b""
-    call = types.SimpleNamespace(name="1", client=client, request=request, method=None, work=0, repeat=False,
+    call = types.SimpleNamespace(name="1", client=asker, request=request, method=None, work=0, repeat=False,
                                  arrived=1, deadline=9, rpc=None)
     made.take(call)
     pick = call.rpc.picks[0]
@@ -259,3 +259,25 @@
     buffer = Buffer()
     buffer.add(data)
     return buffer
+
+
+@pytest.mark.parametrize("quiet, closed", [(19_000, []), (20_500, ["idle"])])
+def test_a_client_that_asked_once_leaves_its_place(quiet, closed):
+    """Clients that ask once and stay would hold all the connections there may be."""
+    one = client.Client(types.SimpleNamespace(
+        module=None, log=None, fail=None, descriptors=None, draining=False), "peer")
+    told = []
+    one.connection.close, one.served, one.active = told.append, True, client.clock.now() - quiet
+    one.look()
+    assert told == closed
+
+
+@pytest.mark.parametrize("crowded, kept", [(False, True), (True, False)])
+def test_no_client_is_kept_after_its_answer_while_there_are_many(crowded, kept):
+    one = client.Client(types.SimpleNamespace(
+        module=None, log=None, fail=None, descriptors=None, draining=False, crowded=lambda: crowded, idle={},
+        ending={}), "peer")
+    ours, theirs = socket.socketpair()
+    one.connection.sock = ours
+    one.write(http.request_head(filled(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")), 200, (), b"hi")
+    assert (b"connection: close" in theirs.recv(999)) != kept and (one.connection.code is None) == kept
