Read again: a waited RPC goes by do_rpc, signals are named once, dead code out

Play.state was a copy of Sockets.state that nothing called. - tests/test_all.py: the parsers' test filled a buffer as filled() does. - Client.drain took a code that only make_room gave, which has closed by itself since the actors lost their threads. - life.py: the set of signals was put together twice.

--- a/honeywood/program/life.py
+++ b/honeywood/program/life.py
@@ -12,7 +12,8 @@
 from honeywood.routing.gateway import Gateway
 from honeywood.settings import BadKey
 
-STOPS, AGAIN = {signal.SIGTERM, signal.SIGINT}, signal.SIGHUP
+AGAIN = signal.SIGHUP
+TAKEN = {signal.SIGTERM, signal.SIGINT, AGAIN}
 COMING, SPARE = 0.6, 2.0       # seconds: so long new connections may come; for the last answers to be read
 SWITCH = 0.05                  # seconds after which a thread that waits for the interpreter asks for it
 FLUSHED = 0.5                  # seconds in which the last lines of the log are written
@@ -27,7 +28,7 @@
 
 def main():
     # Before any thread: only the wait below takes them.
-    signal.pthread_sigmask(signal.SIG_BLOCK, {*STOPS, AGAIN})
+    signal.pthread_sigmask(signal.SIG_BLOCK, TAKEN)
     try:
         given = config.read(os.environ)
     except BadKey as bad:
@@ -43,7 +44,7 @@
     sys.setswitchinterval(SWITCH)
     gc.freeze()                # what is here now stays: the collector need not go through it
     logger.info("started", listen=log.name(given.listen))
-    while (stopped_by := signal.sigwait({*STOPS, AGAIN})) == AGAIN:
+    while (stopped_by := signal.sigwait(TAKEN)) == AGAIN:
         read_again(gateway, given, logger)
     logger.info("stopping", signal=signal.Signals(stopped_by).name)
     stop(gateway)
--- a/honeywood/routing/client.py
+++ b/honeywood/routing/client.py
@@ -70,10 +70,10 @@
         self.go_on()
 
     # What the gateway posts.
-    def drain(self, code="draining"):
+    def drain(self):
         """Ends it if it is between RPCs; else, while the front drains, its next answer does."""
         if not self.call and not self.head and not len(self.connection.buffer):
-            self.connection.close(code)
+            self.connection.close("draining")
 
     def make_room(self):
         """Its place is needed: one that waits for no answer gives it up, with a word if it is owed one."""
--- a/tests/play.py
+++ b/tests/play.py
@@ -171,22 +171,16 @@
         counts = int(failed), int(ended), int(mean) * MS
         self.front.tallied(self.now, int(build), self.methods[method], *counts, 1500 * MS)
 
-    def do_rpc(self, name, method, deadline=None, key=None, customer=0):
-        kind = self.methods[method]
+    def do_rpc(self, name, method, deadline=None, key=None, customer=0, waited=0):
+        kind, taken = self.methods[method], self.now - int(waited) * MS
         rpc = self.rpcs[name] = face.Rpc(
             method=kind, customer=customer, key=int(key or len(self.rpcs) + 1000), work=0, repeat=False,
-            taken=self.now, picks=[], done=False,
-            deadline=self.now + (int(deadline) * MS if deadline else kind.deadline))
+            taken=taken, picks=[], done=False,
+            deadline=taken + (int(deadline) * MS if deadline else kind.deadline))
         self.front.take(self.now, rpc)
 
     def do_waited(self, name, method, waited):
-        """An RPC that has waited for the front for so long."""
-        self.now, now = self.now - int(waited) * MS, self.now
-        kind = self.methods[method]
-        rpc = self.rpcs[name] = face.Rpc(method=kind, customer=0, key=1, work=0, repeat=False, taken=self.now,
-                                         picks=[], done=False, deadline=self.now + kind.deadline)
-        self.now = now
-        self.front.take(now, rpc)
+        self.do_rpc(name, method, waited=waited)
 
     def do_flow(self, until, every, method, customer=0):
         for at in range(self.now, int(until) * MS, int(every) * MS):
@@ -199,10 +193,6 @@
         self.rpcs, self.queue = {}, []
         self.start()
 
-    def state(self):
-        answers = {name: got and got[0] for name, got in self.answers.items()}
-        return f"answers {answers}, votes {self.platform.votes}, log {self.log()[-2000:]}"
-
     def do_expect(self, *words):
         names = dict(
             pushes=len(self.pushed), votes=self.votes, judge=self.front.judge, watches=self.watches,
--- a/tests/test_all.py
+++ b/tests/test_all.py
@@ -89,10 +89,8 @@
         for _ in range(turn % 4):
             at = chance.randrange(len(text) + 1)
             text[at:at + chance.randrange(3)] = chance.choice([*bits, bytes([chance.randrange(256)])])
-        buffer = Buffer()
-        buffer.add(text)
         try:
-            parse(buffer)
+            parse(filled(text))
         except error:
             pass
 
