The decisions tell a tap what barred each server, why an RPC was given up, what a vote saw

Need: a trace has to say why a server was chosen and why an RPC was given up; the gate said only yes or no. Change: Gate.may is Gate.bar and names the rule; Routing, Intake and Judge tell interface.Tap where a host has one. No tuned value and no I/O is added, and the random draws are the same.

--- a/honeywood/benchlink/adapter.py
+++ b/honeywood/benchlink/adapter.py
@@ -12,6 +12,8 @@
 class Instance:
     """One front's door: its ids, and the calls its decisions make (interface.Host)."""
 
+    tap = None
+
     def __init__(self, who, seed, text):
         self.who, self.reply = who, None
         self.rpcs, self.servers = {}, {}  # by id; each keeps its id in `host`
--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -11,8 +11,9 @@
 from statistics import NormalDist
 
 from honeywood.interface import (
-    CANCELLED, CONNECT_FAILED, ERROR, FULL, GO_BACK, GO_ON, GOING_BACK, GONE, HOLD, MOOT, NEVER_RAN, NO_VOTE,
-    NON_IDEMPOTENT, OK, ON_TRIAL, READY, RELEASED, RESET, SECOND, TIMEOUT, TOKENED, WITHDRAWN, Pick)
+    CANCELLED, CONNECT_FAILED, ERROR, FULL, GO_BACK, GO_ON, GOING_BACK, GONE, HOLD, LATE, MOOT,
+    NEVER_RAN, NO_SERVER, NO_VOTE, NON_IDEMPOTENT, OK, ON_TRIAL, OUT_OF_TIME, READY, RELEASED, RESET, SECOND,
+    SPENT, TIMEOUT, TOKENED, TOO_MANY_OPEN, WITHDRAWN, Bar, Pick)
 
 Q = 0.05                       # level of the sorted cut (the first five figures are the design page's)
 FAIL_MARGIN, SLOW_MARGIN = 0.02, 0.20  # the page starts at 0.02, 0.10; see docs/design.md on 0.20
@@ -290,6 +291,8 @@
             return
         # Chance spreads the votes of many fronts: they share what the platform takes in a second.
         self.asked, self.asked_at, self.spread = wanted, now, 0.8 + 0.4 * self.front.random.random()
+        if self.front.tap:
+            self.front.tap.tested(now, self.found)
         self.front.host.vote(*wanted)
 
 
@@ -354,20 +357,25 @@
         age, cold = max(0, now - server.booted), self.cold_time
         return 1.0 if age >= cold else self.cold_share + (1 - self.cold_share) * age / cold
 
-    def may(self, now, rpc, server):
-        if rpc.done or server.status != READY or len(rpc.picks) >= self.max_picks or now >= rpc.deadline:
-            return False
+    def bar(self, now, rpc, server):
+        """The rule that keeps the RPC from the server, Bar.NONE where it may be sent."""
+        if rpc.done or server.status != READY:
+            return Bar.DONE if rpc.done else Bar.NOT_READY
+        if len(rpc.picks) >= self.max_picks or now >= rpc.deadline:
+            return Bar.PICKS if now < rpc.deadline else Bar.DEADLINE
         risky = [p for p in rpc.picks if p.result not in NEVER_RAN]
         if (risky and rpc.method.kind == NON_IDEMPOTENT
                 or not self.duplicate and any(p.result is None for p in risky)):
-            return False
+            return Bar.MAY_HAVE_RUN
         if rpc.method.kind == TOKENED and not all(self.drops(now, p, server) for p in risky):
-            return False
+            return Bar.TOKEN
         judge = self.front.judge
         if self.one_way and judge.standing in (ON_TRIAL, RELEASED) and (
                 server.build < judge.build == self.keys.get(rpc.key)):
-            return False
-        return self.room(now, server.build, rpc.method) and self.cold_room(now, server)
+            return Bar.ONE_WAY
+        if not self.room(now, server.build, rpc.method):
+            return Bar.EXPOSURE
+        return Bar.NONE if self.cold_room(now, server) else Bar.COLD
 
     def drops(self, now, pick, server):
         group, method = pick.rpc.method.group, pick.rpc.method
@@ -379,7 +387,7 @@
         return repeats or all(p.result in NEVER_RAN for p in rpc.picks)
 
     def take(self, now, rpc, server):
-        if not self.may(now, rpc, server):
+        if self.bar(now, rpc, server):
             return False
         pick = Pick(rpc=rpc, server=server, number=len(rpc.picks), build=server.build, sent=now,
                     young=now - server.booted < YOUNG, timed=False)
@@ -434,15 +442,22 @@
         drawn = draw(list(fresh), min(2, len(fresh))) + draw(servers, min(DRAWN, len(servers)))
         for server in dict.fromkeys(drawn):
             silent = server.open and now - server.answered_at >= SILENT
-            if (chance() < self.below.warmth(now, server) and now >= server.shun_until and not silent
-                    and server not in had and self.below.may(now, rpc, server)):
+            bar = (Bar.WARMING if chance() >= self.below.warmth(now, server) else
+                   Bar.LEFT_ALONE if now < server.shun_until else Bar.SILENT if silent else
+                   Bar.TRIED if server in had else self.below.bar(now, rpc, server))
+            if self.front.tap:
+                self.front.tap.weighed(rpc, server, bar)
+            if not bar:
                 crossing = self.zone not in (None, server.zone)  # which costs: less busy by two then
                 best.append((self.held(now, server) * server.pace + 2 * crossing, len(best), server))
                 near += not crossing
             if near == 2:
                 break
         if not best:
-            best = [(self.held(now, s), at, s) for at, s in enumerate(servers) if self.below.may(now, rpc, s)]
+            bars = [self.below.bar(now, rpc, s) for s in servers]
+            best = [(self.held(now, s), at, s) for at, (s, bar) in enumerate(zip(servers, bars)) if not bar]
+            if self.front.tap:
+                self.front.tap.asked_all(rpc, servers, bars)
         return min(best)[2] if best else None
 
     def take(self, now, rpc, first, second):
@@ -517,8 +532,9 @@
         self.open.append(rpc)
         if late := now - rpc.taken > LAG * method.soft:  # and so would be those that wait behind it
             self.front.closed_until = now + LOOK
-        if late or self.full(now, rpc) or not self.below.take(now, rpc):
-            self.give_up(now, rpc)
+        why = LATE if late else TOO_MANY_OPEN if self.full(now, rpc) else NO_SERVER
+        if why != NO_SERVER or not self.below.take(now, rpc):
+            self.give_up(now, rpc, why)
 
     def end(self, now, rpc, badly):
         if not rpc.late:
@@ -529,8 +545,10 @@
             if pick.result is None:
                 self.front.host.cancel(pick)
 
-    def give_up(self, now, rpc):  # a pushback while the client may still gain by it, else an abort
+    def give_up(self, now, rpc, why):  # a pushback while the client may still gain by it, else an abort
         self.end(now, rpc, True)
+        if self.front.tap:
+            self.front.tap.given_up(rpc, why)
         if self.front.gate.may_push_back(rpc) and now < rpc.soft:
             soon = rpc.method.soft // 4 if now >= self.front.closed_until else self.max_wait
             self.front.host.push_back(rpc, min(self.max_wait, soon))
@@ -550,10 +568,11 @@
             return self.end(now, rpc, pick.result != OK)
         if not any(p.result is None for p in rpc.picks):
             free = pick.result in (CONNECT_FAILED, MOOT)  # but a full server's RPCs: a jam feeds itself
-            if now < rpc.soft and (free or self.spare >= 1) and self.below.take(now, rpc):
+            why = OUT_OF_TIME if now >= rpc.soft else NO_SERVER if free or self.spare >= 1 else SPENT
+            if why == NO_SERVER and self.below.take(now, rpc):
                 self.spare -= not free
             else:
-                self.give_up(now, rpc)
+                self.give_up(now, rpc, why)
 
     def full(self, now, rpc):
         """Whether more is open than can be answered in time (Little's law): against queues that jam."""
@@ -579,7 +598,7 @@
     """One front's decisions: the list, the chain and the judge, as interface.Decisions."""
 
     def __init__(self, settings, host):
-        self.host, self.random = host, Random(settings.seed)
+        self.host, self.random, self.tap = host, Random(settings.seed), host.tap
         self.log, self.servers, self.ready, self.new, self.old, self.mine = host.log, [], [], [], [], []
         self.judge, self.gate = Judge(self, settings), Gate(self, settings)
         self.routing = Routing(self, self.gate, settings)
--- a/honeywood/interface.py
+++ b/honeywood/interface.py
@@ -18,6 +18,17 @@
 # Where a build stands, and what a vote says of it.
 ON_TRIAL, GOING_BACK, RELEASED, WITHDRAWN = range(4)
 NO_VOTE, GO_ON, HOLD, GO_BACK = range(4)
+# Why an RPC was given up: it had waited for the front; too many are open; no server may be sent to; its soft
+# deadline has passed; no further pick is earned.
+LATE, TOO_MANY_OPEN, NO_SERVER, OUT_OF_TIME, SPENT = range(1, 6)
+
+
+class Bar:
+    """What kept a server from being sent to; NONE where nothing did. The figures stand in traces: they keep
+    their meaning for ever, and new ones go behind."""
+    # Plain figures, not an Enum's members: the decisions look them up for each server of each RPC.
+    NONE, DONE, NOT_READY, PICKS, DEADLINE, MAY_HAVE_RUN, TOKEN, ONE_WAY, EXPOSURE, COLD = range(10)
+    WARMING, LEFT_ALONE, SILENT, TRIED = range(10, 14)
 
 
 class Record:
@@ -64,8 +75,20 @@
         "vote_wait", "tally_period", "zones", "idle_close", "connect_within")
 
 
+class Tap(Protocol):
+    """What the decisions tell of their reasons, where somebody listens; nothing is asked of it, and nothing
+    is decided by it. `found` is Judge.tests() as it stood: (p, what, seen, of, expected) each."""
+
+    def weighed(self, rpc: Rpc, server: Server, bar: int) -> None: ...
+    def asked_all(self, rpc: Rpc, servers: list[Server], bars: list[int]) -> None: ...
+    def given_up(self, rpc: Rpc, why: int) -> None: ...
+    def tested(self, now: int, found: list[tuple]) -> None: ...
+
+
 class Host(Protocol):
-    """What the decisions ask of whoever hosts them."""
+    """What the decisions ask of whoever hosts them; `tap` is None where nobody listens to their reasons."""
+
+    tap: Tap | None
 
     def send(self, pick: Pick, until: int) -> None: ...
     def push_back(self, rpc: Rpc, wait: int) -> None: ...
--- a/honeywood/routing/module.py
+++ b/honeywood/routing/module.py
@@ -19,6 +19,7 @@
         self.mailbox = Mailbox("module", MOST_CALLS, gateway.fail)
         self.post = self.mailbox.post
         self.methods = gateway.methods
+        self.tap = None
         self.front = decide.Front(self.settings, self)
         self.names = set()         # ids of the RPCs that are open
 
--- a/tests/play.py
+++ b/tests/play.py
@@ -50,6 +50,7 @@
         self.queue, self.order, self.now = [], 0, 0
         self.sends, self.votes, self.pushed, self.aborted, self.watches = [], [], [], [], 0
         self.front, self.reply, self.lines, self.probes = None, "ok", [], 0
+        self.tap, self.bars, self.reasons, self.found = self, {}, {}, []
 
     # What the front asks of its host.
     def send(self, pick, until):
@@ -94,6 +95,20 @@
     def log(self, text):
         self.lines.append(text)
 
+    # What the decisions tell of their reasons (interface.Tap).
+    def weighed(self, rpc, server, bar):
+        self.bars.setdefault(id(rpc), []).append((self.name(server), bar))
+
+    def asked_all(self, rpc, servers, bars):
+        for server, bar in zip(servers, bars):
+            self.weighed(rpc, server, bar)
+
+    def given_up(self, rpc, why):
+        self.reasons[id(rpc)] = why
+
+    def tested(self, now, found):
+        self.found = found
+
     # The script's side.
     def at(self, after, call, *values):
         self.order += 1
@@ -200,6 +215,8 @@
             on=lambda n: [self.name(p.server) for p in self.rpcs[n].picks],
             closed=lambda: self.front.closed_until > self.now,
             pushed=lambda n: self.rpcs[n] in self.pushed, aborted=lambda n: self.rpcs[n] in self.aborted,
+            bars=lambda n: dict(self.bars.get(id(self.rpcs[n]), ())), Bar=face.Bar, face=face,
+            why=lambda n: self.reasons.get(id(self.rpcs[n])), found=self.found,
             ended=lambda n: self.rpcs[n].done, sent=self.sent, most=self.most,
             unended=[n for n, r in self.rpcs.items() if not r.done])
         text = " ".join(words)
