--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -41,13 +41,15 @@
 
 def settings():
     methods = [face.Method(kind=kind, soft=2500, soft_stretch=0, deadline=10000, utility=1, late_utility=0,
-                           group="all", window=80000, place=place, name=kind) for place, kind in enumerate(KINDS)]
+                           group="all", window=80000, place=place, name=kind)
+               for place, kind in enumerate(KINDS)]
     return face.Settings(
         seed=7, tick=10, zone=0, fronts=3, methods=methods, max_picks=4, may_duplicate=True, may_cancel=True,
         may_probe=False, max_wait=10000, must_ask=False, ask_within=100000, cold_share=0.4, cold_time=40000,
         tip_multiple=2.5, tip_time=20000, report_fields=("active",), cross_price=0.0, caps=[0.1, 0.5, 1.0],
         waves=[0.1, 0.4, 1.0], free_picks=2, exposure_window=30000, per_method=True, guarded_steps=0,
-        one_way=False, vote_rule="any", back_votes=1, go_votes=1, vote_life=60000, vote_wait=12000, tally_period=0)
+        one_way=False, vote_rule="any", back_votes=1, go_votes=1, vote_life=60000, vote_wait=12000,
+        tally_period=0)
 
 
 def run(rpcs, tape):
