--- a/honeywood/cli/trace.py
+++ b/honeywood/cli/trace.py
@@ -79,7 +79,9 @@
 
 def writing(path, about):
     """A Writer; a file that is there already is never written over."""
-    return Writer(sys.stdout.buffer.raw, about) if path == "-" else create(path, about)
+    if path != "-":
+        return create(path, about)
+    return Writer(open(sys.stdout.fileno(), "wb", buffering=0, closefd=False), about)
 
 
 @contextmanager
--- a/honeywood/trace/merging.py
+++ b/honeywood/trace/merging.py
@@ -32,6 +32,11 @@
                     if record.source == number:
                         yield record
 
+    def mended(self):
+        """(time on the first run's clock, record) of its records."""
+        for record in self.records():
+            yield self.skew.mended(record.time), record
+
     def events(self):
         found = Events()
         for record in self.records(SHARED):
@@ -90,9 +95,7 @@
         return {"sources": [{**run.about, "shift": run.skew.plain()} for run in self.runs.values()]}
 
     def records(self):
-        streams = [((run.skew.mended(record.time), record) for record in run.records())
-                   for run in self.runs.values()]
-        for time, place, record in merged(streams):
+        for time, place, record in merged([run.mended() for run in self.runs.values()]):
             yield Record(time, place, record.kind, record.values)
 
     def write(self, writer, progress):
--- a/honeywood/trace/rules/skew.py
+++ b/honeywood/trace/rules/skew.py
@@ -1,6 +1,7 @@
 """How far two fronts' clocks differ, out of what both were told: news, list changes and tallies come to all
 fronts of a platform at nearly the same moment. Where that can't be known it is said, never guessed.
 """
+from bisect import bisect_left
 from collections import defaultdict
 from itertools import product
 from statistics import median
@@ -9,7 +10,7 @@
 
 MOST_DRIFT = 500e-6            # of a clock that works at all: 200 ppm is a poor crystal
 TOLD_APART = 1000              # tenths of a ms within which one event reaches two fronts
-MOST_OF_A_KEY = 12             # events that look alike are paired with each other up to so many a side
+MOST_PAIRS = 40_000            # of events that look alike
 MOST_EVENTS = 20_000           # that are kept of a source
 MANY = 400                     # pairs between which slopes are taken
 ENOUGH = 3                     # pairs that must agree before a drift is told; two may by chance
@@ -51,9 +52,9 @@
     that may be off, over the time in which both saw events; `pairs` they rest on, `of` those that both
     saw."""
 
-    def __init__(self, offset=0.0, rate=0.0, at=0, unsure=0.0, pairs=0, of=0, reach=0):
+    def __init__(self, offset=0.0, rate=0.0, at=0, unsure=0.0, pairs=0, of=0):
         self.offset, self.rate, self.at, self.unsure = offset, rate, at, unsure
-        self.pairs, self.of, self.reach = pairs, of, reach
+        self.pairs, self.of = pairs, of
 
     def mended(self, time):
         """A time of this clock on the other's. Times keep their order: rate is small against 1."""
@@ -75,32 +76,57 @@
     return best
 
 
-def estimate(reference, other):
-    """Skew of `other` against `reference` (Events), or None where it can't be known."""
+def candidates(reference, other):
+    """([(time on the other's clock, difference)], how many events they can be at the most): all ways to pair
+    events that look alike, those that occur once first, and others only as far as those are too few."""
+    keys = sorted((len(reference.times[key]) * len(other.times[key]), key)
+                  for key in reference.times.keys() & other.times.keys())
     pairs, shared = [], 0
-    for key, ours in reference.times.items():
-        theirs = other.times.get(key, ())
+    for product_, key in keys:
+        if product_ > 1 and (shared >= ENOUGH or len(pairs) + product_ > MOST_PAIRS):
+            break
+        ours, theirs = reference.times[key], other.times[key]
+        pairs += [(b, a - b) for a, b in product(ours, theirs)]
         shared += min(len(ours), len(theirs))
-        pairs += [(b, a - b) for a, b in product(ours[:MOST_OF_A_KEY], theirs[:MOST_OF_A_KEY])]
+    return pairs, shared
+
+
+def estimate(reference, other):
+    """Skew of `other` against `reference` (Events), or None where it can't be known."""
+    pairs, shared = candidates(reference, other)
     if not pairs:
         return None
-    times = [b for b, _ in pairs]
-    length = max(times) - min(times)
+    length = max(b for b, _ in pairs) - min(b for b, _ in pairs)
     differences = sorted(d for _, d in pairs)
     first, last = densest(differences, TOLD_APART + MOST_DRIFT * length)
     low, high = differences[first], differences[last]
-    near = sorted((b, d) for b, d in pairs if low <= d <= high)
+    found = fitted(sorted((b, d) for b, d in pairs if low <= d <= high), shared)
+    if found.pairs < max(min(ENOUGH, shared), AGREE * shared):
+        return None
+    return fitted(sorted(nearest(reference, other, found)), shared)
+
+
+def nearest(reference, other, rough):
+    """Pairs of all events, each of the other's with the one that a rough answer puts it next to."""
+    for key, theirs in other.times.items():
+        ours = reference.times.get(key, ())
+        for b in theirs:
+            at = bisect_left(ours, rough.mended(b))
+            near = min(ours[max(0, at - 1):at + 1], key=lambda a, b=b: abs(a - rough.mended(b)), default=None)
+            if near is not None and abs(near - rough.mended(b)) <= TOLD_APART:
+                yield b, near - b
+
+
+def fitted(near, shared):
+    """The Skew that most of these pairs agree on."""
     at = near[len(near) // 2][0]
     rate = slope(near)
     rest = [d - rate * (b - at) for b, d in near]
     middle = median(rest)
     spread = median(abs(r - middle) for r in rest)
     kept = [(b, r) for (b, _), r in zip(near, rest) if abs(r - middle) <= max(6 * spread, FINEST)]
-    of = min(shared, MOST_OF_A_KEY * len(reference.times))
-    if len(kept) < max(min(ENOUGH, shared), AGREE * of):
-        return None
     offset = sum(r for _, r in kept) / len(kept)
-    return Skew(offset, rate, at, unsure(kept, offset, at, rate), len(kept), shared, length)
+    return Skew(offset, rate, at, unsure(kept, offset, at, rate), len(kept), shared)
 
 
 def slope(pairs):
