--- a/honeywood/cli/lab.py
+++ b/honeywood/cli/lab.py
@@ -23,8 +23,13 @@
     from honeywood.lab.demo import demo as played
     folder = folder or tempfile.mkdtemp(prefix="honeywood-")
     paths, _ = played(folder, seconds, failing, click.echo)
+    key, middle = f"{folder}/key", f"{folder}/middle.trace"
     for words in (["verify", *paths], ["summary", paths[0]], ["show", "--rpc", "c1-9", *paths],
-                  ["replay", *paths], ["plot", "-o", f"{folder}/demo.png", paths[0]]):
+                  ["replay", *paths], ["cut", "--from", "+2", "--to", "+6", "-o", middle, paths[0]],
+                  ["merge", "-o", f"{folder}/merged.trace", middle, *paths], ["index", middle],
+                  ["anonymise", "--key", key, "--make-key", "--customer", "carrier-1", "-o",
+                   f"{folder}/carrier-1.trace", paths[0]],
+                  ["plot", "-o", f"{folder}/demo.png", paths[0]]):
         click.echo(f"\n$ honeywood trace {' '.join(words)}")
         try:
             trace.main(words, prog_name="honeywood trace", standalone_mode=False)
