What of a damaged trace is data stands in rules/recovery.py; blocks are not taken twice

Cause: recovery was decided in the reader, between its reads, and a block that stood in a file twice was taken twice; lives of one run in files named in another order were told as wrong. Change: recovery.Walk and lives.Following, free of I/O; operator/rules.py by the house's layout; show orders a life by time.

--- a/honeywood/cli/trace.py
+++ b/honeywood/cli/trace.py
@@ -276,6 +276,7 @@
             for record in found:
                 show_record(record, plain)
             return
+        found = sorted(found, key=lambda record: record.time)  # files may be named in any order
         said = [line for life in lives(found).values() for line in (*told(life, clock), "")]
         click.echo("\n".join(said[:-1]) if said else "no such RPC")
 
--- a/honeywood/operator/read.py
+++ b/honeywood/operator/read.py
@@ -1,7 +1,7 @@
 """Reads an operator file: HCL, or what `honeywood check --compile` made of it, which needs no HCL library."""
 import json
 
-from honeywood.operator.blocks import BadFile, Operator, checked, compiled, from_compiled
+from honeywood.operator.rules import BadFile, Operator, checked, compiled, from_compiled
 
 MOST = 1 << 20                 # bytes of an operator file
 
--- a/honeywood/program/switches.py
+++ b/honeywood/program/switches.py
@@ -15,7 +15,7 @@
     path = environ.get("ROUTER_OPERATOR")
     if not path:
         return None
-    from honeywood.operator.blocks import BadFile
+    from honeywood.operator.rules import BadFile
     from honeywood.operator.read import read as read_file
     try:
         return read_file(path)
--- a/honeywood/trace/reader.py
+++ b/honeywood/trace/reader.py
@@ -3,6 +3,7 @@
 
 from honeywood.trace import format
 from honeywood.trace.format import CHUNK, START, TRAILER
+from honeywood.trace.rules.recovery import Walk
 from honeywood.trace.rules.selection import Entry, Wanted, may_speak, may_take
 from honeywood.trace.schema import KINDS, MAJOR, TAKEN, Unreadable
 
@@ -19,7 +20,7 @@
 
     def __init__(self, path, skip=False, kinds=KINDS, speaks=MAJOR):
         self.path, self.skip, self.kinds = path, skip, kinds
-        self.passed, self.torn, self.damage, self.scanned = 0, 0, [], False
+        self.passed, self.torn, self.damage = 0, 0, []
         self.file = open(path, "rb")
         try:
             self.size = os.fstat(self.file.fileno()).st_size
@@ -85,24 +86,19 @@
     def scan(self):
         """Goes through the file without its index: every sum is looked at, also of bodies, since the tail may
         have holes after a crash of the machine."""
-        self.scanned, at, number = True, self.begins, 0
-        while at < self.size and not self.ends(at):
+        walk = Walk(self.begins, self.size)
+        while not walk.over and not self.ends(walk.at):
+            at = walk.at
             try:
                 found, size = self.look(at)
-            except Unreadable as wrong:
-                behind = self.next_block(at + 1)
-                if behind is None:
-                    self.torn = self.size - at
-                    return
-                self.damaged(f"{wrong} at byte {at}")
-                at = behind
-                continue
-            if found:
-                if found.number != number:
-                    self.damaged(f"block {found.number} at byte {at} where {number} belongs")
-                number = found.number + 1
+                data, wrong = walk.whole(found, size)
+            except Unreadable as broken:
+                data, wrong = False, walk.broken(broken, self.next_block(at + 1))
+            if wrong:
+                self.damaged(wrong)
+            if data:
                 yield at, size, found
-            at += size
+        self.torn = walk.torn
 
     def ends(self, at):
         return self.size - at == TRAILER.size and format.read_trailer(self.seed, self.at(at, TRAILER.size))
--- a/honeywood/trace/rules/lives.py
+++ b/honeywood/trace/rules/lives.py
@@ -4,6 +4,7 @@
 from honeywood.trace.schema import (
     ABORTED, ANSWER, ANSWERED_OK, KINDS, LEFT, PICK, PUSHED_BACK, RESULT, TAKEN)
 
+MOST_OPEN = 100_000            # RPCs that may be open at once, to be followed
 RESULTS = ("error", "ok", "full", "timeout", "connect failed", "reset", "cancelled", "moot")
 OUTCOMES = {ANSWERED_OK: "ok", PUSHED_BACK: "pushed back", ABORTED: "aborted"}
 WHY = {0: "", 1: "it had waited too long for the front", 2: "too many RPCs were open",
@@ -58,6 +59,29 @@
         return found
 
 
+class Following:
+    """Keeps the lives of RPCs while they are open, MOST_OPEN at the most, and says what was wrong with those
+    that ended."""
+
+    def __init__(self):
+        self.open = {}
+
+    def add(self, record):
+        """What is wrong, in words, with the life that this record ended; [] otherwise."""
+        number = KINDS[record.kind].value(record.values, "rpc")
+        if number is None:
+            return []
+        key = record.source, number
+        life = self.open.setdefault(key, Life())
+        life.add(record)
+        if len(self.open) > MOST_OPEN:
+            del self.open[next(iter(self.open))]  # the oldest, whose end was not recorded
+        if not life.whole() or any(None in pick for pick in life.picks.values()):
+            return []
+        self.open.pop(key, None)
+        return [f"RPC {number}: {fault}" for fault in life.faults()]
+
+
 def lives(records):
     """{(source, rpc): Life} of records of RPCs."""
     found = {}
--- a/tests/operator/test_operator.py
+++ b/tests/operator/test_operator.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from honeywood.operator.blocks import BadFile
+from honeywood.operator.rules import BadFile
 from honeywood.operator.read import read, write_compiled
 
 GOOD = 'trace {\n  folder = "/var/trace"\n  block_age = "250ms"\n  most_bytes = "1.5GB"\n}\n'
--- a/tests/trace/test_rules.py
+++ b/tests/trace/test_rules.py
@@ -1,12 +1,14 @@
 """What the trace decides, without a file or a clock."""
 import random
+import types
 
 import pytest
 
 from honeywood.interface import Bar
 from honeywood.trace.rules import anonymity, keeping
-from honeywood.trace.rules.lives import BARS, lives
+from honeywood.trace.rules.lives import BARS, Following, lives
 from honeywood.trace.rules.ordering import Union, merged
+from honeywood.trace.rules.recovery import Walk
 from honeywood.trace.rules.skew import Events, estimate
 from honeywood.trace.schema import (
     ANSWER, KINDS, LIST, LOOK, NEWS, PICK, PROBE, RESULT, TAKEN, TALLY, VOTE, Record)
@@ -173,6 +175,20 @@
             assert rules.treated(Record(1, 0, kind.number, kind.empty)) is None
 
 
+def test_what_of_a_damaged_file_is_data():
+    """A torn tail is no damage; a hole is, and so is a block that stands there twice or not at all."""
+    def block(number):
+        return types.SimpleNamespace(number=number)
+    walk = Walk(10, 100)
+    assert walk.whole(block(0), 20) == (True, None) and walk.at == 30
+    assert walk.broken("damaged", 50) == "damaged at byte 30" and walk.at == 50
+    assert walk.whole(block(2), 10) == (True, "block 2 at byte 50 where 1 belongs")
+    assert walk.whole(block(2), 10) == (False, "block 2 at byte 60 where 3 belongs: not taken twice")
+    assert walk.whole(None, 10) == (False, None) and not walk.over
+    assert walk.broken("cut short", None) is None and walk.over and walk.torn == 20
+    assert Walk(10, 10).over
+
+
 def test_lives_tell_what_must_not_be():
     records = [Record(1, 0, TAKEN.number, (1, "x", "m", "", "", "", 0, 9, 0, 0)),
                Record(2, 0, PICK.number, (1, 0, "s", 1, "m", 9, (), (), 0)),
@@ -181,4 +197,10 @@
     assert life.whole() and not life.faults()
     assert lives([*records, records[-1]])[0, 1].faults() == ["more than one final answer"]
     assert lives(records[1:])[0, 1].whole() is False
+    following = Following()
+    assert sum((following.add(record) for record in records), []) == [] and len(following.open) == 1
+    result = Record(4, 0, RESULT.number, (1, 0, "s", 1, "m", 1, 2, 1, ()))
+    assert following.add(result) == [] and not following.open
+    late = [following.add(record) for record in (records[1], result, records[0], records[2])]
+    assert late == [[], [], [], ["RPC 1: something came before it was taken"]]
     assert set(BARS) == {value for name, value in vars(Bar).items() if name.isupper()}
