--- a/honeywood/trace/rules/skew.py
+++ b/honeywood/trace/rules/skew.py
@@ -120,34 +120,35 @@
 def fitted(near, shared):
     """The Skew that most of these pairs agree on."""
     at = near[len(near) // 2][0]
-    rate = slope(near)
+    seen = slope(near)
+    rate = seen or 0.0
     rest = [d - rate * (b - at) for b, d in near]
     middle = median(rest)
     spread = median(abs(r - middle) for r in rest)
     kept = [(b, r) for (b, _), r in zip(near, rest) if abs(r - middle) <= max(6 * spread, FINEST)]
     offset = sum(r for _, r in kept) / len(kept)
-    return Skew(offset, rate, at, unsure(kept, offset, at, rate), len(kept), shared)
+    return Skew(offset, rate, at, unsure(kept, offset, at, seen), len(kept), shared)
 
 
 def slope(pairs):
-    """Theil and Sen's: the median of slopes between pairs far enough apart, 0 where there are too few."""
+    """Theil and Sen's: the median of slopes between pairs far enough apart; None where no drift can be seen."""
     chosen = pairs[::max(1, len(pairs) // MANY)]
     half = (chosen[-1][0] - chosen[0][0]) / 3
     slopes = [(d1 - d0) / (b1 - b0) for at, (b0, d0) in enumerate(chosen) for b1, d1 in chosen[at + 1:]
               if b1 - b0 > max(half, 1)]
     if len(chosen) < ENOUGH or not slopes:
-        return 0.0
+        return None
     found = median(slopes)
-    return found if abs(found) <= MOST_DRIFT else 0.0
+    return found if abs(found) <= MOST_DRIFT else None
 
 
-def unsure(kept, offset, at, rate):
+def unsure(kept, offset, at, seen):
     """How far the answer may be off within the time in which both saw events: the spread of what it rests on,
     or, where no drift could be seen, the most that a clock may drift meanwhile."""
     count = len(kept)
     spread = (sum((r - offset) ** 2 for _, r in kept) / max(1, count - 1)) ** 0.5 if count > 1 else TOLD_APART
     error = WIDE * max(spread, FINEST / 2) / count ** 0.5
-    if not rate:
+    if seen is None:
         return error + MOST_DRIFT * max(abs(b - at) for b, _ in kept)
     square = sum((b - at) ** 2 for b, _ in kept) ** 0.5
     return error + WIDE * spread * max(abs(b - at) for b, _ in kept) / max(1.0, square)
--- a/tests/trace/test_rules.py
+++ b/tests/trace/test_rules.py
@@ -89,6 +89,8 @@
     assert estimate(ours, theirs) is None
     one = Events()
     one.add(news(5 * SECOND, 5))
+    same = estimate(ours, ours)
+    assert (same.offset, same.rate) == (0, 0) and same.unsure < 20  # no drift was seen, and that is known
     assert estimate(ours, one).unsure >= 500  # by one event, and it says how little that is
 
 
