make demo runs from the project's folder; operator files under deploy are read by a test

Cause: the installed command does not see the stand-ins, which are no part of the package; an operator file that no longer starts would be found by an operator.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	PYTHONDONTWRITEBYTECODE=1 $(VENV)/bin/python -m pytest
 
 demo: $(VENV)/made
-	$(VENV)/bin/honeywood lab demo
+	$(VENV)/bin/python -m honeywood lab demo
 
 $(VENV)/made: pyproject.toml
 	python3 -m venv $(VENV)
--- a/tests/operator/test_operator.py
+++ b/tests/operator/test_operator.py
@@ -65,6 +65,11 @@
                           env={**os.environ, **environ}, timeout=60)
 
 
+def test_operator_files_under_deploy_start_as_they_stand(pytestconfig):
+    for path in (pytestconfig.rootpath / "deploy").glob("*.hcl"):
+        assert read(path).values, path
+
+
 def test_check_and_version(tmp_path):
     done = run("check", "--operator", given(tmp_path, GOOD), "--compile", str(tmp_path / "c"))
     assert done.returncode == 0 and (tmp_path / "c").exists()
