--- a/honeywood/trace/rules/skew.py
+++ b/honeywood/trace/rules/skew.py
@@ -131,7 +131,8 @@
 
 
 def slope(pairs):
-    """Theil and Sen's: the median of slopes between pairs far enough apart; None where no drift can be seen."""
+    """Theil and Sen's: the median of slopes between pairs far enough apart; None where no drift can be
+    seen."""
     chosen = pairs[::max(1, len(pairs) // MANY)]
     half = (chosen[-1][0] - chosen[0][0]) / 3
     slopes = [(d1 - d0) / (b1 - b0) for at, (b0, d0) in enumerate(chosen) for b1, d1 in chosen[at + 1:]
