--- a/honeywood/cli/lab.py
+++ b/honeywood/cli/lab.py
@@ -49,3 +49,18 @@
     with tempfile.TemporaryDirectory(prefix="honeywood-") as folder:
         rows = pairs(folder, rate, seconds, count)
     click.echo(json.dumps(rows) if plain else told(rows))
+
+
+@command.command()
+@click.option("--rate", "rates", type=float, multiple=True, default=(100, 300), show_default=True)
+@click.option("--slow", "counts", type=int, multiple=True, default=(0, 50, 200, 500), show_default=True)
+@click.option("--seconds", type=float, default=12, show_default=True)
+@click.option("--turns", type=int, default=1, show_default=True)
+@click.option("--record", is_flag=True, help="Record a trace, and tell why RPCs were given up.")
+@click.option("--json", "plain", is_flag=True)
+def slow(rates, counts, seconds, turns, record, plain):
+    """Healthy clients beside slow ones and beside answers that trickle."""
+    from honeywood.lab.slow import rows, told
+    with tempfile.TemporaryDirectory(prefix="honeywood-") as folder:
+        found = list(rows(folder, rates, counts, seconds, turns, record))
+    click.echo(json.dumps(found, indent=1) if plain else told(found))
--- a/honeywood/lab/world.py
+++ b/honeywood/lab/world.py
@@ -96,6 +96,10 @@
         self.discovery.members([worker.entry() for worker in self.workers])
         self.platform.change(build, 0, "canary")
 
+    def held(self):
+        """(descriptors, threads) of the front now."""
+        return tuple(len(os.listdir(f"/proc/{self.front.pid}/{what}")) for what in ("fd", "task"))
+
     def spent(self):
         """(CPU seconds, MB of memory at the most) of the front so far."""
         fields = Path(f"/proc/{self.front.pid}/stat").read_text().rpartition(")")[2].split()
--- a/standins/release.py
+++ b/standins/release.py
@@ -66,11 +66,21 @@
                 time.sleep(self.chance.expovariate(1 / self.work) if self.work else 0)
                 self.active, self.ran = self.active - 1, self.ran + 1
                 status = "500 Oh" if self.chance.random() < self.failing else "200 OK"
+                size, _, rate = got[1].get("x-answer", "2/0").partition("/")
                 answer = (f"HTTP/1.1 {status}\r\nX-Server-Load: active={max(0, self.active)}\r\n"
-                          "Content-Length: 2\r\n\r\nhi").encode()
+                          f"Content-Length: {size}\r\n\r\n{'x' * int(size)}").encode()
+                if int(rate):
+                    answer = self.trickle(sock, answer, int(rate))
             sock.sendall(answer)
             got, rest = message(sock, rest)
 
+    def trickle(self, sock, answer, rate):
+        """Writes an answer at so many bytes a second, as long as somebody reads it; what is left is b""."""
+        for at in range(0, len(answer), max(1, rate // 5)):
+            sock.sendall(answer[at:at + max(1, rate // 5)])
+            time.sleep(0.2)
+        return b""
+
     def entry(self, phase="up"):
         return {"id": self.name, "host_port": self.address, "locality": "a", "cell": 1, "phase": phase,
                 "size": 1.0, "up_since_ms": self.booted, "release": self.build}
