Answers that have begun do not count against the bound on open RPCs

Cause, by the trace: beside 200 slow peers 1,082 of 1,136 RPCs were given up since too many were open. Trickling answers fill the bound, the rate of answers falls, and with it the bound. Change: a server's actor tells the first bytes of an answer that is not whole; up to four times the bound of such RPCs are left out of the count; the trace records it (kind coming, format 1.1) and replays it.

--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -35,6 +35,7 @@
 SOON = 0.4                     # RPCs may be open that the rate answers in this share of the soft deadline,
 LAG = 0.25                     # and none is begun that waited for this front for this share of it;
 HELD = 3                       # or so many a server by all fronts together, if that is more
+COMING = 4                     # and so many times more whose answers have begun: these hold no core
 FAILED_FADES, PACE_FADES = 7 * SECOND // 10, 7 * SECOND  # half is forgotten after this
 REPEATS, DRAWN = 0.1, 6        # further picks earned by an RPC; servers drawn at most to find two fit ones
 VOTE_AGAIN, ASK_EVERY = SECOND // 2, 3 * SECOND
@@ -521,7 +522,7 @@
         self.max_wait, self.cancels = given.max_wait, given.may_cancel
         most = max(m.utility for m in given.methods) or 1
         self.rank = [0.75 + 0.25 * m.utility / most for m in given.methods]
-        self.open = []             # RPCs that wait for an answer, or for a server to go to
+        self.open, self.coming = [], 0  # RPCs that wait for an answer or a server; whose answer has begun
         self.answers, self.spare, self.quick, self.fronts = deque(), 1.0, 1.0, max(1, given.fronts)
 
     def take(self, now, rpc):
@@ -541,6 +542,7 @@
             self.front.judge.fared(now, badly or now > rpc.taken + rpc.method.soft // 2)
         rpc.done = True
         self.open = [other for other in self.open if other is not rpc]
+        self.coming -= bool(rpc.begun)
         for pick in rpc.picks if self.cancels else ():
             if pick.result is None:
                 self.front.host.cancel(pick)
@@ -578,7 +580,7 @@
         """Whether more is open than can be answered in time (Little's law): against queues that jam."""
         soon = len(trimmed(self.answers, now - RATE_OVER)) * rpc.method.soft * SOON / RATE_OVER
         least = max(1 + 9 * self.quick, HELD * len(self.front.ready) / self.fronts, soon + 2 * sqrt(soon))
-        return len(self.open) > least * self.rank[rpc.method.place]
+        return len(self.open) - min(self.coming, COMING * least) > least * self.rank[rpc.method.place]
 
     def look(self, now):
         for rpc in list(self.open):
@@ -644,9 +646,15 @@
         pick.result, pick.latency = result, latency
         self.intake.back(now, pick, load, ended)
 
+    def begun(self, now, pick):
+        """The first of an answer has come, and not yet the last."""
+        if not pick.rpc.done and not pick.rpc.begun:
+            pick.rpc.begun, self.intake.coming = True, self.intake.coming + 1
+
     def started(self, now, pick):
         pick.rpc.done = True  # a stream is its client's from here on: no answer is owed
         self.intake.open = [rpc for rpc in self.intake.open if rpc is not pick.rpc]
+        self.intake.coming -= bool(pick.rpc.begun)
 
     def left(self, now, rpc):
         if not rpc.done:
--- a/honeywood/lab/slow.py
+++ b/honeywood/lab/slow.py
@@ -69,7 +69,7 @@
 
 
 def one(folder, rate, slow, seconds, record=False):
-    """A row: healthy RPCs at `rate` a second beside `slow` peers; with a trace also why RPCs were given up."""
+    """A row: healthy RPCs at `rate` a second beside `slow` peers; with a trace why some were given up."""
     with World(folder, SERVERS, work=WORK) as world:
         world.start(TRACE.format(folder=world.folder / "trace") if record else None)
         with SlowPeers(world.listen, slow) as peers:
--- a/honeywood/routing/module.py
+++ b/honeywood/routing/module.py
@@ -141,6 +141,14 @@
         self.front.back(now, pick, result, now - pick.sent, load, over)
         self.let_go(rpc)
 
+    def begun(self, pick):
+        """The first of an answer has come, and not yet all of it."""
+        if pick.result is None:
+            now = clock.now()
+            if self.tape:
+                self.tape.begun(now, pick)
+            self.front.begun(now, pick)
+
     def give_up(self, pick, result):
         if pick.result is None:
             peer = pick.server.host
--- a/honeywood/routing/server.py
+++ b/honeywood/routing/server.py
@@ -17,12 +17,12 @@
 class Exchange:
     """One request to a server and its answer: a pick's, or a probe's of `server` where `pick` is None."""
     __slots__ = ("pick", "server", "method", "data", "sent", "serial", "connection", "written", "head",
-                 "ended")
+                 "ended", "begun")
 
     def __init__(self, pick, server, method, data, sent):
         self.pick, self.server, self.method, self.data, self.sent = pick, server, method, data, sent
         self.serial = self.connection = self.head = None
-        self.written = self.ended = False
+        self.written = self.ended = self.begun = False
 
     def finish(self):
         self.ended, self.data, self.head = True, None, None  # timers still hold the exchange for a while
@@ -102,6 +102,9 @@
             connection.close(f"unreadable_{str(bad).replace(' ', '_')}")
             return self.end(exchange, ERROR)
         if exchange.head is None or data is None:
+            if exchange.pick and not exchange.begun:
+                exchange.begun = True
+                self.module.post(self.module.begun, exchange.pick)
             return
         exchange.head.body = data
         if exchange.head.keep and not len(connection.buffer):
--- a/honeywood/trace/rules/keeping.py
+++ b/honeywood/trace/rules/keeping.py
@@ -2,7 +2,7 @@
 full, and what becomes of a recorder that cannot write."""
 from collections import Counter
 
-from honeywood.trace.schema import ANSWER, LEFT, LOOK, PICK, PROBE, RESULT, TAKEN
+from honeywood.trace.schema import LOOK, PROBE, TAKEN
 
 BLOCK_RECORDS = 8192           # of a block at the most: more pack little better and are read in vain more
 # Shares of the queue from which on records are shed: what tells least first. Once an RPC is taken in, the
@@ -10,7 +10,6 @@
 # records.
 SHED_ASIDES, SHED_NEW = 0.5, 0.75
 ASIDES = {PROBE.number, LOOK.number}
-OF_RPCS = {PICK.number, RESULT.number, ANSWER.number, LEFT.number}
 AGAIN = 60 * 10_000            # so long after a failed write the next is tried, and so often it is said
 FULL = "queue"
 
@@ -19,6 +18,7 @@
     """Whether a record is taken into a queue of so many places, of which some are taken; counts what is
     not, until it is asked for by `dropped()`.
 
+    >>> from honeywood.trace.schema import ANSWER
     >>> intake = Intake(100)
     >>> [intake.takes(kind.number, 80, True) for kind in (TAKEN, ANSWER)], intake.dropped()
     ([False, True], (1, 1))
--- a/honeywood/trace/rules/lives.py
+++ b/honeywood/trace/rules/lives.py
@@ -2,7 +2,7 @@
 words."""
 from honeywood.interface import Bar
 from honeywood.trace.schema import (
-    ABORTED, ANSWER, ANSWERED_OK, KINDS, LEFT, PICK, PUSHED_BACK, RESULT, TAKEN)
+    ABORTED, ANSWER, ANSWERED_OK, COMING, KINDS, LEFT, PICK, PUSHED_BACK, RESULT, TAKEN)
 
 MOST_OPEN = 100_000            # RPCs that may be open at once, to be followed
 RESULTS = ("error", "ok", "full", "timeout", "connect failed", "reset", "cancelled", "moot")
@@ -121,6 +121,8 @@
             load = f", load {got['load']}" if got["load"] else ""
             lines.append(f"{at}  pick {got['number']} ended: {RESULTS[got['result']]} by {got['server']} "
                          f"after {seconds(got['latency'])}{load}")
+        elif kind is COMING:
+            lines.append(f"{at}  pick {got['number']}: the first of its answer came from {got['server']}")
         elif kind is ANSWER:
             why = WHY.get(got["why"], f"reason {got['why']}")
             lines.append(f"{at}  answered: {OUTCOMES.get(got['outcome'], got['outcome'])}"
--- a/honeywood/trace/rules/replaying.py
+++ b/honeywood/trace/rules/replaying.py
@@ -7,8 +7,8 @@
 from honeywood.interface import CANCELLED, GONE, OK, Pick, Rpc, Server
 from honeywood.trace.rules.lives import OUTCOMES
 from honeywood.trace.schema import (
-    ABORTED, ANSWER, ANSWERED_OK, BEGAN, DROPPED, KINDS, LEFT, LIST, LIST_FAILED, LOOK, NEWS, PICK, PROBE,
-    PUSHED_BACK, RESULT, TAKEN, TALLY, VOTE, WRONG)
+    ABORTED, ANSWER, ANSWERED_OK, BEGAN, COMING, DROPPED, KINDS, LEFT, LIST, LIST_FAILED, LOOK, NEWS, PICK,
+    PROBE, PUSHED_BACK, RESULT, TAKEN, TALLY, VOTE, WRONG)
 
 MOST_TOLD = 20                 # differences that are told one by one
 
@@ -33,7 +33,7 @@
             LIST.number: self.list,
             VOTE.number: self.voted, TALLY.number: self.tally, WRONG.number: self.wrong,
             PROBE.number: self.probed, LOOK.number: self.look, LIST_FAILED.number: self.list_failed,
-            DROPPED.number: self.lost, BEGAN.number: self.start}
+            COMING.number: self.coming, DROPPED.number: self.lost, BEGAN.number: self.start}
 
     # What the decisions ask.
     def send(self, pick: Pick, until):
@@ -92,6 +92,11 @@
             self.front.back(self.now, pick, got.result, got.latency, got.load, got.result == OK or rpc.done)
         self.let_go(rpc)
 
+    def coming(self, got):
+        rpc = self.rpcs.get(got.rpc)
+        if rpc and got.number < len(rpc.picks) and rpc.picks[got.number].result is None:
+            self.front.begun(self.now, rpc.picks[got.number])
+
     def answer(self, got):
         rpc = self.rpcs.get(got.rpc)
         if rpc is None:
--- a/honeywood/trace/schema.py
+++ b/honeywood/trace/schema.py
@@ -6,7 +6,7 @@
 """
 from collections import namedtuple
 
-MAJOR, MINOR = 1, 0
+MAJOR, MINOR = 1, 1
 # Types of fields: whole number, 64-bit float, one of few texts, a text of its own; and lists of the first
 # three.
 INT, NUMBER, WORD, ID, INTS, NUMBERS, WORDS = range(1, 8)
@@ -56,10 +56,11 @@
 SAID = Kind(14, "said", False, "text:id")
 DROPPED = Kind(15, "dropped", False, "records:int", "rpcs:int", "why:word")
 BEGAN = Kind(16, "began", True)
+COMING = Kind(17, "coming", True, "rpc:int", "number:int", "server:word", "method:word")  # since 1.1
 
 KINDS = {kind.number: kind for kind in (
     TAKEN, PICK, RESULT, ANSWER, LEFT, NEWS, LIST, VOTE, TALLY, WRONG, PROBE, LOOK, LIST_FAILED, SAID,
-    DROPPED, BEGAN)}
+    DROPPED, BEGAN, COMING)}
 # Final answers, in ANSWER.outcome.
 ANSWERED_OK, PUSHED_BACK, ABORTED = range(3)
 MOST_TEXT = 4096               # characters of a text; a longer one is refused, not cut: it would match others
--- a/honeywood/trace/tape.py
+++ b/honeywood/trace/tape.py
@@ -7,8 +7,8 @@
 
 from honeywood.trace.rules.keeping import Intake
 from honeywood.trace.schema import (
-    ABORTED, ANSWER, ANSWERED_OK, BEGAN, DROPPED, LEFT, LIST, LIST_FAILED, LOOK, MOST_TEXT, NEWS, PICK, PROBE,
-    PUSHED_BACK, RESULT, SAID, TAKEN, TALLY, VOTE, WRONG)
+    ABORTED, ANSWER, ANSWERED_OK, BEGAN, COMING, DROPPED, LEFT, LIST, LIST_FAILED, LOOK, MOST_TEXT, NEWS,
+    PICK, PROBE, PUSHED_BACK, RESULT, SAID, TAKEN, TALLY, VOTE, WRONG)
 
 MOST_DRAWN = 16                # servers that a pick names; of a fleet all of which was asked only the first
 
@@ -92,6 +92,10 @@
         if over and not pick.rpc.done:
             self.answered(now, pick.rpc, ANSWERED_OK, 0)
 
+    def begun(self, now, pick):
+        serial = pick.rpc.host.serial
+        self.put(now, COMING, (serial, pick.number, pick.server.host.name, pick.rpc.method.name), serial)
+
     def left(self, now, rpc):
         serial = rpc.host.serial
         self.put(now, LEFT, (serial, rpc.method.name), serial)
