--- a/tests/trace/test_tools.py
+++ b/tests/trace/test_tools.py
@@ -191,6 +191,10 @@
     assert "others may read it" in trace(*words, code=2)[1]
 
 
+def test_a_sample_is_not_replayed_as_if_a_front_had_decided(hour):
+    assert "can't be replayed" in trace("replay", hour, code=2)[1]
+
+
 def test_plot_draws(hour, tmp_path):
     trace("plot", "-o", tmp_path / "hour.png", hour)
     assert (tmp_path / "hour.png").read_bytes().startswith(b"\x89PNG")
