A record that no trace may hold costs no other its place

Cause: one record with a text over 4,096 characters (a server's name is discovery's to choose) lost the whole block and stopped the recorder for a minute. Change: the block is halved until the one record is left out; it is counted in the trace. Measured: of 50 records with one unfit, 49 are written and one is counted; before, none.

--- a/honeywood/trace/recorder.py
+++ b/honeywood/trace/recorder.py
@@ -51,17 +51,30 @@
                 self.close()
             if not self.writer:
                 self.open(now)
-            self.writer.block((*self.tape.drop_note(now, "queue or disk"), *waiting), GiveWay())
+            self.pack([*self.tape.drop_note(now, "queue, disk or unfit"), *waiting])
             if self.given.sync == "block":
                 self.writer.sync()
             if self.recording.wrote():
                 self.log.info("trace_goes_on", file=self.file.name)
-        except (OSError, Unfit) as wrong:
+        except OSError as wrong:
             self.tape.intake.lost += len(waiting)
             self.give_up()
             if self.recording.failed(now):
                 self.log.error("trace_stopped", what=str(wrong), lost=self.tape.intake.lost)
 
+    def pack(self, waiting):
+        """Writes a block; a record that no trace may hold (a server's name of a megabyte) is left out and
+        counted, and costs no other its place."""
+        try:
+            self.writer.block(waiting, GiveWay())
+        except Unfit:
+            half = len(waiting) // 2
+            if not half:
+                self.tape.intake.lost += 1
+                return
+            self.pack(waiting[:half])
+            self.pack(waiting[half:])
+
     def open(self, now):
         self.sequence += 1
         os.makedirs(self.given.folder, exist_ok=True)
--- a/honeywood/trace/rules/keeping.py
+++ b/honeywood/trace/rules/keeping.py
@@ -1,7 +1,5 @@
 """What a recorder keeps: which records are shed when its queue fills, when a block, a file and a folder are
 full, and what becomes of a recorder that cannot write."""
-from collections import Counter
-
 from honeywood.trace.schema import LOOK, PROBE, TAKEN
 
 BLOCK_RECORDS = 8192           # of a block at the most: more pack little better and are read in vain more
@@ -53,7 +51,6 @@
     def __init__(self, block_age, file_bytes, file_age):
         self.block_age, self.file_bytes, self.file_age = block_age, file_bytes, file_age
         self.failed_at = self.said_at = None
-        self.lost_while_stopped = Counter()
 
     def block_due(self, waiting, oldest, now):
         """Whether `waiting` records, the oldest in the queue since then, are to be written now."""
--- a/honeywood/trace/schema.py
+++ b/honeywood/trace/schema.py
@@ -17,7 +17,7 @@
 
 class Kind:
     """A kind of record. `input` tells the decisions something (replay plays it); the others are what they
-    did. `of` says in which field, if any, a record names its RPC, method, server and build."""
+    did. `at` is the place of each field in a record's values."""
 
     def __init__(self, number, name, input, *fields):
         self.number, self.name, self.input = number, name, input
--- a/tests/trace/test_tools.py
+++ b/tests/trace/test_tools.py
@@ -279,6 +279,22 @@
     assert kept[0][2] == DROPPED.number and kept[0][3][0] == 129 * 5 and len(kept) == 6
 
 
+def test_a_record_that_no_trace_may_hold_costs_no_other_its_place(tmp_path):
+    """Discovery may name a server by a megabyte of text."""
+    log = []
+    made = recorder(tmp_path / "t", log)
+    for number in range(50):
+        made.tape.put(0, PICK, (number, 0, "s" * (5000 if number == 17 else 1), 1, "m", 0, (), (), 0))
+    made.go_on(10)
+    made.tape.looked(20)
+    made.go_on(30)
+    made.stop()
+    path, = (tmp_path / "t").iterdir()
+    got = records(path)
+    assert [r[3][0] for r in got if r[2] == PICK.number] == [n for n in range(50) if n != 17] and not log
+    assert [r[3][0] for r in got if r[2] == DROPPED.number] == [1]
+
+
 def test_two_fronts_never_write_one_file_and_old_ones_go(tmp_path):
     log = []
     one, two = (recorder(tmp_path, log, file_bytes=1, most_bytes=3000, longest_age=10**12) for _ in range(2))
