Traces are readable by their owner alone; a file deleted by another front stops nothing

Cause: identifiers stand in a trace in clear, and its files were made readable by all; two fronts of one name that clear a folder at once could meet a file that had just gone, which stopped the recorder for a minute. Change: files are created with mode 600; what has gone meanwhile is passed over.

--- a/honeywood/trace/recorder.py
+++ b/honeywood/trace/recorder.py
@@ -97,12 +97,12 @@
         for name in to_delete(files, time.time_ns() // 100_000, self.given.most_bytes, self.given.longest_age,
                               self.given.file_bytes):
             path = os.path.join(self.given.folder, name)
-            with open(path, "rb") as file:
-                try:
+            try:
+                with open(path, "rb") as file:
                     fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
-                except BlockingIOError:
-                    continue       # another process writes it
-                os.remove(path)
+                    os.remove(path)
+            except (BlockingIOError, FileNotFoundError):
+                pass               # another process writes it, or has just deleted it
 
     def close(self):
         self.writer.close()
--- a/honeywood/trace/writer.py
+++ b/honeywood/trace/writer.py
@@ -55,9 +55,14 @@
         self.put(format.trailer(self.seed, begins, chunks, self.records))
 
 
+def private(path, flags):
+    return os.open(path, flags, 0o600)
+
+
 def create(path, about):
-    """Writer of a new file; one that is there already is never written to (FileExistsError)."""
-    file = open(path, "xb", buffering=0)
+    """Writer of a new file; one that is there already is never written to (FileExistsError). Only its owner
+    may read it: identifiers stand in it in clear."""
+    file = open(path, "xb", buffering=0, opener=private)
     try:
         return Writer(file, about)
     except BaseException:
--- a/tests/trace/test_tools.py
+++ b/tests/trace/test_tools.py
@@ -312,6 +312,18 @@
     one.stop()
     two.stop()
     assert all(len(records(path)) == 100 for path in tmp_path.iterdir())
+    assert all(path.stat().st_mode & 0o077 == 0 for path in tmp_path.iterdir())  # identifiers stand in them
+
+
+def test_a_file_that_another_front_deletes_meanwhile_stops_nothing(tmp_path, monkeypatch):
+    log = []
+    made = recorder(tmp_path, log)
+    monkeypatch.setattr("honeywood.trace.recorder.to_delete", lambda *_: ["f-gone.trace"])
+    made.tape.looked(0)
+    made.go_on(10)
+    made.stop()
+    path, = tmp_path.iterdir()
+    assert len(records(path)) == 1 and not log
 
 
 def test_wanted_blocks_alone_are_read(hour):
