--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -522,7 +522,7 @@
         self.max_wait, self.cancels = given.max_wait, given.may_cancel
         most = max(m.utility for m in given.methods) or 1
         self.rank = [0.75 + 0.25 * m.utility / most for m in given.methods]
-        self.open, self.coming = [], 0  # RPCs that wait for an answer or a server; whose answer has begun
+        self.open, self.coming = [], 0  # RPCs that wait for an answer or a server; whose answer trickles
         self.answers, self.spare, self.quick, self.fronts = deque(), 1.0, 1.0, max(1, given.fronts)
 
     def take(self, now, rpc):
@@ -542,7 +542,6 @@
             self.front.judge.fared(now, badly or now > rpc.taken + rpc.method.soft // 2)
         rpc.done = True
         self.open = [other for other in self.open if other is not rpc]
-        self.coming -= bool(rpc.begun)
         for pick in rpc.picks if self.cancels else ():
             if pick.result is None:
                 self.front.host.cancel(pick)
@@ -583,6 +582,8 @@
         return len(self.open) - min(self.coming, COMING * least) > least * self.rank[rpc.method.place]
 
     def look(self, now):
+        # Heads that come just before their bodies tell nothing: their server may still be at work.
+        self.coming = sum(rpc.begun is not None and now - rpc.begun >= LOOK for rpc in self.open)
         for rpc in list(self.open):
             out = [p for p in rpc.picks if p.result is None]
             late = [p for p in out if now - p.sent >= SOON * rpc.method.soft]
@@ -648,13 +649,11 @@
 
     def begun(self, now, pick):
         """The first of an answer has come, and not yet the last."""
-        if not pick.rpc.done and not pick.rpc.begun:
-            pick.rpc.begun, self.intake.coming = True, self.intake.coming + 1
+        pick.rpc.begun = pick.rpc.begun or now
 
     def started(self, now, pick):
         pick.rpc.done = True  # a stream is its client's from here on: no answer is owed
         self.intake.open = [rpc for rpc in self.intake.open if rpc is not pick.rpc]
-        self.intake.coming -= bool(pick.rpc.begun)
 
     def left(self, now, rpc):
         if not rpc.done:
