--- a/tests/test_all.py
+++ b/tests/test_all.py
@@ -64,6 +64,24 @@
     assert not peer.idle
 
 
+def test_an_answer_that_has_begun_is_told_once(monkeypatch):
+    """The decisions must know a trickling answer from a server that is at work."""
+    told = []
+    monkeypatch.setattr(server, "LentMailbox", lambda *_: None)
+    module = types.SimpleNamespace(begun="begun", ended="ended", post=lambda call, *_: told.append(call))
+    peer = server.ServerPeer("a", types.SimpleNamespace(
+        module=module, log=None, fail=None, descriptors=None, most_answer=999,
+        settings=types.SimpleNamespace(idle_close=1, connect_within=2500, report_fields=())))
+    exchange = server.Exchange("pick", None, "GET", b"", 0)
+    exchange.written, buffer = True, Buffer()
+    one = types.SimpleNamespace(exchange=exchange, buffer=buffer, code=None, process=None,
+                                close=lambda *_: None)
+    for part in (b"HTTP/1.1 200 OK\r\n", b"Content-Length: 2\r\n\r\n", b"h", b"i"):
+        buffer.add(part)
+        peer.received(one)
+    assert told == ["begun", "ended"]
+
+
 SAMPLES = [
     (http.Malformed, lambda b: (m := http.request_head(b)) and http.body(b, m), [
         b"GET /a HTTP/1.1\r\nHost: x\r\nX-Timeout: 0.4\r\n\r\n",
