One way to end a trace and to write all of a block, for the writer and the index command

Cause: on reading the change again, verifying.rebuild repeated the writer's loop for short writes and the making of index and trailer. Change: writer.write_whole and format.ending serve both; a count of records that could be derived is gone. Behaviour is as before.

--- a/honeywood/trace/format.py
+++ b/honeywood/trace/format.py
@@ -208,6 +208,12 @@
         yield chunk(INDEX, seed, {"first": at, "count": len(part)}, raw)
 
 
+def ending(seed, begins, entries):
+    """What ends a file whose blocks go up to `begins`: the chunks of its index, and the trailer."""
+    chunks = list(index(seed, entries))
+    return [*chunks, trailer(seed, begins, len(chunks), sum(entry.count for _, _, entry in entries))]
+
+
 def read_index(raw):
     try:
         return [(offset, size, Entry.unpacked(entry)) for offset, size, entry in msgpack.unpackb(raw)]
--- a/honeywood/trace/verifying.py
+++ b/honeywood/trace/verifying.py
@@ -6,6 +6,7 @@
 from honeywood.trace.reader import Reader
 from honeywood.trace.rules.lives import Following
 from honeywood.trace.schema import Unreadable
+from honeywood.trace.writer import write_whole
 
 MOST_TOLD = 20
 
@@ -52,12 +53,8 @@
         end = entries[-1][0] + entries[-1][1] if entries else reader.begins
         os.ftruncate(file.fileno(), end)
         file.seek(end)
-        data = list(format.index(reader.seed, entries))
-        data.append(format.trailer(reader.seed, end, len(data), sum(entry.count for _, _, entry in entries)))
-        for part in data:
-            rest = memoryview(part)
-            while rest:
-                rest = rest[file.write(rest):]
+        for part in format.ending(reader.seed, end, entries):
+            write_whole(file, part)
         os.fsync(file.fileno())
     torn = f", {reader.torn} bytes of a torn tail cut off" if reader.torn else ""
     return f"index of {len(entries)} blocks written{torn}"
--- a/honeywood/trace/writer.py
+++ b/honeywood/trace/writer.py
@@ -7,6 +7,13 @@
 from honeywood.trace.schema import KINDS, MAJOR, MINOR
 
 
+def write_whole(file, data):
+    """Writes all of it to an unbuffered file: the kernel may take less at a time."""
+    rest = memoryview(data)
+    while rest:
+        rest = rest[file.write(rest):]
+
+
 class Writer:
     """Appends to `file`, unbuffered and opened by the caller for writing alone; the first bytes are written
     at once. After an exception (OSError of a write) nothing more may be written: what is there ends with the
@@ -15,14 +22,11 @@
     def __init__(self, file, about, kinds=KINDS, version=(MAJOR, MINOR)):
         self.file, self.kinds, self.entries = file, kinds, []
         self.seed = secrets.randbits(64)
-        self.size = self.records = 0
+        self.size = 0
         self.put(format.header({**about, "seed": self.seed}, *version))
 
     def put(self, data):
-        """A whole write: the kernel may take less of it at a time."""
-        rest = memoryview(data)
-        while rest:
-            rest = rest[self.file.write(rest):]
+        write_whole(self.file, data)
         self.size += len(data)
 
     def block(self, records, between=None):
@@ -41,18 +45,14 @@
         at = self.size
         self.put(data)
         self.entries.append((at, len(data), entry))
-        self.records += entry.count
 
     def sync(self):
         os.fsync(self.file.fileno())
 
     def close(self):
         """Ends the file with its index. Without it a reader goes through the whole file once."""
-        begins, chunks = self.size, 0
-        for data in format.index(self.seed, self.entries):
+        for data in format.ending(self.seed, self.size, self.entries):
             self.put(data)
-            chunks += 1
-        self.put(format.trailer(self.seed, begins, chunks, self.records))
 
 
 def private(path, flags):
