--- a/honeywood/decide.py
+++ b/honeywood/decide.py
@@ -6,7 +6,7 @@
 """
 from bisect import bisect_left
 from collections import defaultdict, deque
-from math import comb, erfc, inf, isfinite, sqrt
+from math import erfc, inf, isfinite, sqrt
 from random import Random
 from statistics import NormalDist
 
@@ -14,16 +14,13 @@
     CANCELLED, CONNECT_FAILED, ERROR, FULL, GO_BACK, GO_ON, GOING_BACK, GONE, HOLD, LATE, MOOT,
     NEVER_RAN, NO_SERVER, NO_VOTE, NON_IDEMPOTENT, OK, ON_TRIAL, OUT_OF_TIME, READY, RELEASED, RESET, SECOND,
     SPENT, TIMEOUT, TOKENED, TOO_MANY_OPEN, WITHDRAWN, Bar, Pick)
+from honeywood.judge.counts import EDGES, Counts, summed
+from honeywood.judge.cut import FAIL_MARGIN, FEW, LEAST, Q, sorted_cut, trails
 
-Q = 0.05                       # level of the sorted cut (the first five figures are the design page's)
-FAIL_MARGIN, SLOW_MARGIN = 0.02, 0.20  # the page starts at 0.02, 0.10; see docs/design.md on 0.20
-LEAST = 20                     # outcomes a method needs before it is tested
+SLOW_MARGIN = 0.20             # the page starts at 0.10; see docs/design.md
 YOUNG = 3 * SECOND             # servers under this age are no evidence; also the wait with short samples
 CONFIRM = 1 * SECOND           # a rejection must still stand after this
-FEW = 5                        # with fewer failures allowed than this, the exact tail is taken
 LOOK = SECOND // 10            # how often the front looks around by itself
-SLOW_SHARE = 0.25              # the earlier build's share that counts as slow
-EDGES = [n / 16 for n in (1, 2, 3, 4, 6, 8, 12, 16)]  # bins of answer times, in soft deadlines
 HALVE, MOST = SECOND, 512      # the earlier build's counts are halved so often, the trial's at so many
 TIME_MARGIN = 1.0              # mean times that the platform tells may be longer by so much of the earlier's
 ALONE_MARGIN = 0.10            # failure share allowed where there is no earlier build to compare with
@@ -47,24 +44,6 @@
 VOTE_AGAIN, ASK_EVERY = SECOND // 2, 3 * SECOND
 
 
-def sorted_cut(ps, q):
-    """Procedure (1): the indexes of the rejected p-values."""
-    order = sorted(range(len(ps)), key=lambda i: ps[i])
-    k = max((i for i, at in enumerate(order, 1) if ps[at] <= i / len(ps) * q), default=0)
-    return sorted(order[:k])
-
-
-def trails(k1, n1, k0, n0, margin):
-    """The p-value of 'k1/n1 leads k0/n0 by no more than margin': a one-sided two-proportion z-test, or where
-    fewer than FEW are allowed, and the normal curve is poor, the exact tail of the binomial at that share."""
-    a, b = min(1.0, k1 / n1), k0 / n0
-    if n1 * (b + margin) < FEW:
-        n, k, share = round(n1), round(k1), min(1.0, b + margin)
-        return sum(comb(n, i) * share ** i * (1 - share) ** (n - i) for i in range(k, n + 1))
-    spread, ahead = sqrt(a * (1 - a) / n1 + b * (1 - b) / n0), a - b - margin
-    return 0.5 * erfc(ahead / spread / sqrt(2)) if spread else float(ahead <= 0)
-
-
 def trimmed(times, since):
     """A deque of times without those before `since`."""
     while times and times[0] < since:
@@ -79,34 +58,6 @@
     return max(Q, mean) / fronts
 
 
-def summed(rows):
-    return [sum(column) for column in zip(*rows)]
-
-
-class Counts:
-    """How RPCs ended of late: failures, and answer times in bins."""
-    __slots__ = ("failed", "ended", "bins", "total")
-
-    def __init__(self, parts=()):
-        self.failed, self.ended = sum(c.failed for c in parts), sum(c.ended for c in parts)
-        self.total = sum(c.total for c in parts)
-        self.bins = summed(c.bins for c in parts) or [0.0] * (len(EDGES) + 1)
-
-    def add(self, ended, failed, timed, bin):
-        self.total, self.ended, self.failed = self.total + ended, self.ended + ended, self.failed + failed
-        self.bins[bin] += timed
-
-    def halve(self):  # but not below what can be compared with: small fronts remember for longer
-        if self.ended >= LEAST:
-            self.failed, self.ended, self.bins = self.failed / 2, self.ended / 2, [n / 2 for n in self.bins]
-
-    def slow_from(self):
-        """The bin from which answers count as slow beside these (SLOW_SHARE at most do), and their share."""
-        shares = [(sum(self.bins[at:]) + 1) / (sum(self.bins) + 2) for at in range(len(self.bins))]
-        edge = next((at for at, share in enumerate(shares) if share <= SLOW_SHARE), len(EDGES))
-        return edge, shares[edge]
-
-
 class Judge:
     """Counts outcomes per build and method, applies the sorted cut and votes."""
 
--- /dev/null
+++ b/honeywood/system/bourse/app.py
@@ -0,0 +1,86 @@
+"""The bourse's ASGI application: one dispatch of machines', operators' and our own calls."""
+import json
+from urllib.parse import parse_qs
+
+from honeywood.system.bourse import machines, register
+from honeywood.system.cart.ask import answer, body_of
+from honeywood.system.crier import mouth
+from honeywood.system.terms import config
+from honeywood.system.terms.check import need, read_json
+from honeywood.system.terms.outcome import Wrong
+
+MOST = 8 << 20  # bytes of a call's body
+JSON = [(b"content-type", b"application/json")]
+
+
+class App:
+    def __init__(self, bourse):
+        self.bourse = bourse
+        self.calls = {
+            ("POST", "v1", "rpc", "instances.heartbeat"): self.heartbeat,
+            ("POST", "v1", "rpc", "instances.leave"): self.leave,
+            ("POST", "v1", "rpc", "config.replace"): self.replace,
+            ("POST", "v1", "rpc", "config.read"): self.read,
+            ("POST", "v1", "rpc", "rollouts.start"): self.start,
+            ("POST", "v1", "rpc", "rollouts.read"): self.rollout,
+        }
+        self.ours = {("POST", "news"): self.news, ("POST", "register"): self.register}
+
+    async def __call__(self, scope, receive, send):
+        peer = scope["client"][0]
+        asked = parse_qs(scope["query_string"].decode("latin-1"))
+        named, of = (asked.get(key, [""])[0] for key in ("call", "of"))
+        place = (scope["method"], *scope["path"].strip("/").split("/"))
+        inside = scope["server"][1] == self.bourse.settings.bourse_port
+        call = self.ours.get(place) if inside else self.calls.get((*place, named))
+        try:
+            if call is None:
+                raise Wrong("dispatch", f"no such call: {scope['method']} {scope['path']} {named}", peer, 404)
+            body = await body_of(receive, MOST)
+            if body is None:
+                raise Wrong(named, "the body is too long or broken off", peer, 413)
+            found = await call(of, body, peer)
+        except Wrong as wrong:
+            failed = wrong.failed
+            self.bourse.say("refused", 1.0, step=failed.step, peer=peer, why=failed.why, status=failed.status)
+            found = json.dumps({"step": failed.step, "peer": peer, "why": failed.why}).encode()
+            return await answer(send, failed.status, JSON, found)
+        if not isinstance(found, bytes):
+            found = json.dumps(found, separators=(",", ":")).encode()
+        await answer(send, 200, JSON, found)
+
+    # machines
+    async def heartbeat(self, of, body, peer):
+        stamp, value = machines.beat(of, read_json(body, machines.STEP, peer), peer)
+        await self.bourse.beat(of, stamp, value)
+        return {}
+
+    async def leave(self, of, body, peer):
+        await self.bourse.leave(of)
+        return {}
+
+    # operators
+    async def replace(self, of, body, peer):
+        sent = config.read(body, peer)
+        await self.bourse.replace(sent.version, body.decode(), peer)
+        return {}
+
+    async def read(self, of, body, peer):
+        return (await self.bourse.configuration(peer)).encode()
+
+    async def start(self, of, body, peer):
+        order = read_json(body, "rollouts.start", peer)
+        svc, to_ver = (need(order, key, str, "rollouts.start") for key in ("svc", "to_ver"))
+        await self.bourse.order(svc, to_ver, need(order, "over_s", float, "rollouts.start", least=0.001), peer)
+        return {}
+
+    async def rollout(self, of, body, peer):
+        record = await self.bourse.rollout(of, peer)
+        return {"state": record["state"], "to_ver": record["to_ver"]}
+
+    # our own
+    async def news(self, of, body, peer):
+        return await self.bourse.mouth.serve(read_json(body, mouth.PATH, peer), peer)
+
+    async def register(self, of, body, peer):
+        return await self.bourse.register.serve(read_json(body, register.PATH, peer), peer)
--- /dev/null
+++ b/honeywood/system/bourse/machines.py
@@ -0,0 +1,58 @@
+"""What machines tell of themselves, as notes. Pure."""
+from honeywood.system.porter.roster import DRAINING, GONE, LOST, READY
+from honeywood.system.terms.check import address, need
+from honeywood.system.terms.outcome import Wrong
+
+STEP = "instances.heartbeat"
+LAST = 1 << 53       # a stamp above all beats': a life that has left doesn't come back
+MISSED = 3.4         # beats' times after which a silent machine is taken for lost
+
+
+def beat(id, body, peer):
+    """(stamp, value) out of a beat's body; raises outcome.Wrong naming the key."""
+    if not id:
+        raise Wrong(STEP, "of is missing", peer)
+    state = need(body, "state", str, STEP)
+    if state not in (READY, DRAINING):
+        raise Wrong(STEP, f"state {state!r} is not known", peer)
+    ip, port = address(need(body, "addr", str, STEP), f"{STEP}: addr")
+    return [need(body, "seq", int, STEP, least=0, most=LAST - 1), 0], {
+        "svc": need(body, "svc", str, STEP), "ip": ip, "port": port, "zone": need(body, "zone", str, STEP, ""),
+        "ver": need(body, "ver", str, STEP, ""), "slots": need(body, "slots", int, STEP, 1, least=1),
+        "state": state, "cold": max(0.0, need(body, "cold_left_s", float, STEP, 0.0))}
+
+
+class Machines:
+    """Machines at one bourse: notes go to the board only where something has changed, the rest as signs of life."""
+
+    def __init__(self, board, beat_s):
+        self.board, self.silence, self.heard = board, MISSED * beat_s, {}
+
+    def beat(self, now, id, stamp, value):
+        """Takes a beat; whether it tells that the machine leaves service."""
+        self.alive(now, id, stamp)
+        self.board.put(f"beat/{id}", stamp, None)
+        held = self.board.get(f"machine/{id}")
+        if held is None or any(held[key] != value[key] for key in value if key != "cold"):
+            self.board.put(f"machine/{id}", stamp, value)
+        return value["state"] == DRAINING
+
+    def alive(self, now, id, stamp):
+        self.heard[id] = now, stamp
+
+    def leave(self, id):
+        held = self.board.get(f"machine/{id}")
+        if held is not None:
+            self.board.put(f"machine/{id}", [LAST, 0], {**held, "state": GONE})
+            self.board.drop(f"beat/{id}")
+        self.heard.pop(id, None)
+
+    def look(self, now):
+        """Takes for lost whoever has been silent for long; its next beat brings it back."""
+        for key, value in self.board.under("machine/"):
+            id = key.partition("/")[2]
+            at, stamp = self.heard.setdefault(id, (now, None))
+            if value["state"] in (READY, DRAINING) and now - at > self.silence:
+                last = self.board.notes.get(f"beat/{id}")
+                held = self.board.notes[key][0]
+                self.board.put(key, [max(held[0], last[0][0] if last else 0), 1], {**value, "state": LOST})
--- /dev/null
+++ b/honeywood/system/bourse/program.py
@@ -0,0 +1,225 @@
+"""The bourse's program: what it tells and keeps, and the loops that bring it there."""
+import asyncio
+import time
+from random import Random
+
+from honeywood.system.bourse.app import App
+from honeywood.system.bourse.machines import Machines
+from honeywood.system.bourse.register import Register
+from honeywood.system.cart.call import Caller
+from honeywood.system.cart.door import Doors
+from honeywood.system.crier.mouth import HOLD, Ear, Mouth
+from honeywood.system.crier.ring import order
+from honeywood.system.program import Program
+from honeywood.system.scales import record as rollouts
+from honeywood.system.scales.verdict import Verdict
+from honeywood.system.terms import config
+from honeywood.system.terms.outcome import Wrong
+
+LOOK = 0.1        # seconds between looks at rollouts
+SURVEY = 1.0      # seconds between looks at the register
+HEARD = 1.6       # seconds for which an ask is a sign of life (asks are held 1 s)
+FRONT_LOST = 3.0  # seconds after which a front that asks no more shares nothing
+SPREAD = 0.15     # seconds by which bourses act after each other
+TELL = 0.8        # seconds in which enough others must know of a leaving before it is acknowledged
+IDLE = 15.0       # seconds an idle caller keeps its connection
+CONFIG, ROLLOUT = "config", "rollout/"
+
+
+class Bourse(Program):
+    def __init__(self):
+        super().__init__()
+        s, self.clock, self.random = self.settings, time.monotonic, Random()
+        self.caller, self.mouth = Caller(), Mouth(self.life, self.hear, self.met)
+        self.board = self.mouth.board
+        self.register = Register(s, self.caller, self.random, self.say)
+        self.machines = Machines(self.board, s.beat_s)
+        self.ear = Ear(self.mouth, self.caller, self.who)
+        self.fronts, self.others, self.verdicts, self.told = {}, {}, {}, 0
+        self.bourses, self.waits = [ip for ip, _ in s.seeds], []
+        self.asking = set()
+
+    def who(self):
+        return {"ip": self.settings.ip, "node": self.settings.node, "private": True}
+
+    def met(self, who, rev):
+        """Somebody asked for news who has all up to `rev`: a sign of its life."""
+        now = self.clock()
+        if who.get("front"):
+            self.fronts[who.get("node")] = now
+        elif who.get("private"):
+            self.others[who.get("ip")] = now, rev
+            for wait in self.waits:
+                wait.set()
+
+    def hear(self, key, value):
+        kind, _, name = key.partition("/")
+        if kind == "bourse" and name not in self.bourses:
+            self.bourses.append(name)
+        elif kind == "beat":
+            self.machines.alive(self.clock(), name, None)
+
+    @property
+    def joined(self):
+        """Whether enough other bourses hear this one that nothing told here is lost with it."""
+        now = self.clock()
+        return sum(now - at < HEARD for at, _ in self.others.values()) >= self.settings.bear
+
+    # machines
+    async def beat(self, id, stamp, value):
+        if not self.joined:
+            raise Wrong("instances.heartbeat", "cut off from the other bourses", "", 503)
+        if self.machines.beat(self.clock(), id, stamp, value):
+            await self._known()
+
+    async def leave(self, id):
+        if not self.joined:
+            raise Wrong("instances.leave", "cut off from the other bourses", "", 503)
+        self.machines.leave(id)
+        await self._known()
+
+    async def _known(self):
+        """Waits until enough other bourses have what the board says now."""
+        rev, until, wait = self.board.rev, self.clock() + TELL, asyncio.Event()
+        self.waits.append(wait)
+        try:
+            while sum(at >= rev for _, at in self.others.values()) < self.settings.bear:
+                wait.clear()
+                async with asyncio.timeout(until - self.clock()):
+                    await wait.wait()
+        except TimeoutError:
+            raise Wrong("instances", "too few other bourses heard it in time", "", 503) from None
+        finally:
+            self.waits.remove(wait)
+
+    # operators
+    async def replace(self, version, text, peer):
+        held = self.board.notes.get(CONFIG)
+        if held is not None and held[0][0] >= version:
+            return
+        found = await self.register.change(
+            CONFIG, lambda now: {"ver": version, "text": text} if now is None or now["ver"] < version else now)
+        if not found.ok:
+            raise Wrong("config.replace", found.why, peer, 503)
+        self.publish(CONFIG, found.value)
+
+    async def configuration(self, peer):
+        found = await self.register.survey()
+        if not found.ok or not found.value.get(CONFIG):
+            raise Wrong("config.read", "none yet" if found.ok else found.why, peer, 404 if found.ok else 503)
+        self.publish(CONFIG, found.value[CONFIG])
+        return found.value[CONFIG]["text"]
+
+    async def order(self, svc, to_ver, over_s, peer):
+        known = self.board.get(CONFIG)
+        if known is not None and svc not in config.read(known.encode()).services:
+            raise Wrong("rollouts.start", f"svc {svc!r} is not known", peer)
+        found = await self.register.change(
+            ROLLOUT + svc, lambda held: rollouts.start(held, svc, to_ver, over_s, time.time()))
+        if not found.ok:
+            raise Wrong("rollouts.start", found.why, peer, 503)
+        self.publish(ROLLOUT + svc, found.value)
+        self.say("rollout ordered", svc=svc, to_ver=to_ver, over_s=over_s)
+
+    async def rollout(self, svc, peer):
+        value = self.board.get(ROLLOUT + svc)
+        if value is None:
+            found = await self.register.survey()
+            if not found.ok:
+                raise Wrong("rollouts.read", found.why, peer, 503)
+            value = found.value.get(ROLLOUT + svc)
+            if value is None:
+                raise Wrong("rollouts.read", f"no rollout of {svc!r}", peer, 404)
+            self.publish(ROLLOUT + svc, value)
+        return value
+
+    def publish(self, key, value):
+        """Tells of what a majority's disks hold."""
+        if key == CONFIG and value is not None:
+            self.board.put(CONFIG, [value["ver"]], value["text"])
+        elif value is not None:
+            self.board.put(key, [value["n"]], value)
+
+    # loops
+    async def listen(self, ip):
+        await self.ear.ask(ip, self.settings.bourse_port, HOLD)
+
+    def meet(self):
+        """A loop for each other bourse that is known."""
+        for ip in self.bourses:
+            if ip != self.settings.ip and ip not in self.asking:
+                self.asking.add(ip)
+                self.loop(lambda ip=ip: self.listen(ip), 0.05)
+
+    async def keep(self):
+        """Takes part in the register, and tells what it has come to hold."""
+        self.meet()
+        if not self.register.sound:
+            return await self.register.rebuild(self.bourses)
+        await self.register.found(self.bourses)
+        found = await self.register.survey()
+        if found.ok:
+            for key, value in found.value.items():
+                self.publish(key, value)
+
+    async def watch(self):
+        """Looks at machines and fronts."""
+        now = self.clock()
+        if self.joined:
+            self.machines.look(now)
+        alive = sorted(node for node, at in self.fronts.items() if now - at < FRONT_LOST)
+        key = f"fleet/{self.settings.ip}"
+        if alive != self.board.get(key):
+            self.told += 1
+            self.board.put(key, [int(self.life, 16), self.told], alive)
+
+    async def steer(self):
+        """Brings rollouts on or back."""
+        for key, record in self.board.under(ROLLOUT):
+            if record["state"] != rollouts.ACTIVE:
+                self.verdicts.pop(record["svc"], None)
+                continue
+            verdict = self.verdicts.get(record["svc"])
+            if verdict is None or verdict.n != record["n"]:
+                verdict = self.verdicts[record["svc"]] = Verdict(record["n"])
+            notes = self.board.under("count/")
+            rows = [row for _, note in notes for row in note["rows"]]
+            changes = verdict.look(self.clock(), time.time() - record["began"], record, rows, self.left(record, notes))
+            if changes is None:
+                continue
+            rank = order(self.register.members, record["svc"]).index(self.settings.ip)
+            await asyncio.sleep(rank * SPREAD)
+            if self.board.get(key) != record:
+                continue
+            found = await self.register.change(
+                key, lambda held, record=record, changes=changes: rollouts.advance(
+                    held, record["to_ver"], record["n"], **changes))
+            if found.ok:
+                self.publish(key, found.value)
+                self.say("rollout", svc=record["svc"], to_ver=record["to_ver"], why=verdict.why, **changes)
+
+    def left(self, record, notes):
+        """Whether every front that shares in the traffic follows this stage and has nothing out at the others."""
+        alive = {node for _, nodes in self.board.under("fleet/") for node in nodes}
+        last = {}
+        for key, note in notes:
+            node = key.split("/")[1]
+            if node not in last or note["life"] > last[node]["life"]:
+                last[node] = note
+        return bool(alive) and all(
+            node in last and last[node]["left"].get(record["svc"]) == [record["n"], 0] for node in alive)
+
+    async def run(self):
+        s = self.settings
+        await self.register.open()
+        doors = Doors(App(self), IDLE)
+        await doors.open([s.listen["ctl"], (s.ip, s.bourse_port)])
+        self.say("started", role=s.role)
+        self.board.put(f"bourse/{s.ip}", [int(self.life, 16)], s.node)
+        self.meet()
+        self.loop(self.keep, SURVEY)
+        self.loop(self.watch, 0.5)
+        self.loop(self.steer, LOOK)
+        await self.until_stopped()
+        await doors.close(s.bounds["grace_s"] - 1.0)
+        self.say("stopped")
--- /dev/null
+++ b/honeywood/system/bourse/register.py
@@ -0,0 +1,162 @@
+"""The register over the bourses' disks: changes and reads with a majority. What decides is in ledger/."""
+import asyncio
+from concurrent.futures import ThreadPoolExecutor
+
+from honeywood.system.ledger import acceptor
+from honeywood.system.ledger.disk import Disk
+from honeywood.system.ledger.round import Round, agreed
+from honeywood.system.terms.check import need
+from honeywood.system.terms.outcome import Done, Failed, Wrong
+
+PATH = "/register"
+BORN, MEMBERS = "born", "members"   # rows beside the registers: this disk has taken part; whose disks count
+WITHIN = 0.8                        # seconds a peer has for one step
+PAUSE = 0.02                        # seconds, by chance up to twice, after a ballot that lost
+TURNS = 8                           # ballots before a change gives up
+
+
+class Register:
+    """This program's disk and its way to the others'. `bear` disks may be lost at once; so 2 bear + 1 count."""
+
+    def __init__(self, settings, caller, random, say):
+        self.settings, self.caller, self.random, self.say = settings, caller, random, say
+        self.rows, self.disk, self.sound, self.members = {}, None, False, []
+        self.thread, self.lock, self.count = ThreadPoolExecutor(1), asyncio.Lock(), 0
+
+    @property
+    def majority(self):
+        return self.settings.bear + 1
+
+    @property
+    def size(self):
+        return 2 * self.settings.bear + 1
+
+    async def _on_disk(self, work, *given):
+        return await asyncio.get_running_loop().run_in_executor(self.thread, work, *given)
+
+    async def _keep(self, rows):
+        await self._on_disk(self.disk.put, rows)
+        self.rows.update(rows)
+
+    # starting
+    async def open(self):
+        """Opens the disk. It is sound if it has taken part before, or if all begins anew; else it was lost."""
+        self.disk = await self._on_disk(Disk, self.settings.datadir)
+        self.rows = await self._on_disk(self.disk.rows)
+        if BORN in self.rows:
+            self.sound, self.members = True, self.rows.get(MEMBERS, [])
+        elif self.settings.fresh:
+            await self._keep({BORN: True})
+            self.sound = True
+        self.say("register", sound=self.sound, rows=len(self.rows))
+
+    async def found(self, known):
+        """Fixes whose disks count once enough are known: the same everywhere, and for good."""
+        if self.sound and not self.members and len(known) >= self.size:
+            members = sorted(known)[:self.size]
+            await self._keep({MEMBERS: members})
+            self.members = members
+
+    async def rebuild(self, known):
+        """A lost disk: neither votes nor counts until a majority of those that lost nothing has told all."""
+        pulls = []
+        for reply in await asyncio.gather(*[self._call(ip, {"op": "pull"}) for ip in known if ip != self.settings.ip]):
+            if reply.ok:
+                pulls.append(reply.value["rows"])
+        if len(pulls) < self.majority:
+            return
+        members = next((pull[MEMBERS] for pull in pulls if MEMBERS in pull), None)
+        rows = acceptor.rebuilt([{k: row for k, row in pull.items() if k not in (BORN, MEMBERS)} for pull in pulls])
+        await self._keep({**rows, **({MEMBERS: members} if members else {}), BORN: True})
+        self.sound, self.members = True, members or []
+        self.say("rebuilt", rows=len(rows), told_by=len(pulls))
+
+    # one disk's side
+    async def serve(self, ask, peer):
+        """The answer to another's step."""
+        op = need(ask, "op", str, PATH)
+        if not self.sound:
+            raise Wrong(PATH, "this disk was lost and is not rebuilt", peer, 503)
+        if op == "pull":
+            return {"rows": self.rows}
+        if op == "survey":
+            known = need(ask, "known", dict, PATH)
+            return {"rows": {key: {"accepted": row[1], "value": None if known.get(key) == row[1] else row[2]}
+                             for key, row in self.rows.items() if key not in (BORN, MEMBERS)}}
+        key, ballot = need(ask, "key", str, PATH), need(ask, "ballot", list, PATH)
+        async with self.lock:
+            row = self.rows.get(key)
+            if op == "prepare":
+                row, reply = acceptor.prepare(row, ballot)
+            elif op == "accept":
+                row, reply = acceptor.accept(row, ballot, ask.get("value"))
+            else:
+                raise Wrong(PATH, f"op {op!r} is not known", peer)
+            if row is not None:
+                await self._keep({key: row})
+        return reply
+
+    async def _call(self, ip, body):
+        if ip == self.settings.ip:
+            try:
+                return Done(await self.serve(body, ip))
+            except Wrong as wrong:
+                return wrong.failed
+        return await self.caller.call(ip, self.settings.bourse_port, PATH, body, WITHIN)
+
+    # all disks
+    async def _ask_all(self, body, take):
+        """Asks all members at once until `take` says that it is enough; whether it did."""
+        tasks = {asyncio.ensure_future(self._call(ip, body)) for ip in self.members}
+        while tasks:
+            done, tasks = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                reply = task.result()
+                if reply.ok and take(reply.value):
+                    return True
+        return False
+
+    async def change(self, key, change):
+        """Done with the value that a majority's disks hold after `change`, or Failed."""
+        if not (self.sound and self.members):
+            return Failed("register", "this disk takes no part yet", "", 503)
+        for _ in range(TURNS):
+            self.count = max(self.count, (self.rows.get(key) or [acceptor.NEVER])[0][0]) + 1
+            turn = Round([self.count, self.settings.ip], self.majority, change)
+            if await self._ask_all({"op": "prepare", "key": key, "ballot": turn.ballot}, turn.promised):
+                body = {"op": "accept", "key": key, "ballot": turn.ballot, "value": turn.value}
+                if await self._ask_all(body, turn.accepted):
+                    return Done(turn.value)
+            self.count = max(self.count, turn.refused[0])
+            if turn.refused == acceptor.NEVER:
+                return Failed("register", "no majority answers", "", 503)
+            await asyncio.sleep(PAUSE * (1 + self.random.random()))
+        return Failed("register", "other changes came first", "", 503)
+
+    async def survey(self):
+        """Done with all values that a majority agrees on, by key; those in doubt are settled by a round."""
+        if not (self.sound and self.members):
+            return Failed("register", "this disk takes no part yet", "", 503)
+        known = {key: row[1] for key, row in self.rows.items() if key not in (BORN, MEMBERS)}
+        replies = []
+
+        def take(reply):
+            replies.append(reply["rows"])
+            return len(replies) == self.majority
+
+        if not await self._ask_all({"op": "survey", "known": known}, take):
+            return Failed("register", "no majority answers", "", 503)
+        found = {}
+        for key in {key for rows in replies for key in rows}:
+            told = [rows.get(key, {"accepted": acceptor.NEVER, "value": None}) for rows in replies]
+            sure, value = agreed(told, self.majority)
+            if sure and value is None and key in known:
+                value = self.rows[key][2] if self.rows[key][1] == known[key] else None
+                sure = value is not None
+            if not sure:
+                settled = await self.change(key, lambda held: held)
+                if not settled.ok:
+                    return settled
+                value = settled.value
+            found[key] = value
+        return Done(found)
--- /dev/null
+++ b/honeywood/system/cart/__init__.py
@@ -0,0 +1,4 @@
+"""What carries bytes for both programs: connections by httpcore, listeners by uvicorn, calls between programs.
+
+Start reading at stream.py (one connection), link.py (one exchange on it), door.py (listening) and call.py.
+"""
--- /dev/null
+++ b/honeywood/system/cart/link.py
@@ -0,0 +1,118 @@
+"""One exchange after the other on one connection to a peer, by httpcore."""
+import asyncio
+from dataclasses import dataclass, field
+from typing import Any
+
+import httpcore
+
+from honeywood.system.cart.stream import dial
+
+HOLD = 1 << 18  # bytes of an answer that are held until it is whole; longer ones are passed on as they come
+HOPS = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
+                  b"upgrade", b"proxy-authenticate", b"proxy-authorization"))
+
+
+def end_to_end(headers):
+    """Headers, names in lower case, without those that concern a single connection, named ones included."""
+    named = {token.strip().lower() for name, value in headers if name == b"connection" for token in value.split(b",")}
+    return [(name, value) for name, value in headers if name not in HOPS and name not in named]
+
+
+@dataclass(slots=True)
+class Reply:
+    """A whole answer, or with `rest` the start of a long one. `headers` are in lower case, as they came."""
+    status: int
+    headers: list
+    body: bytes
+    rest: Any = None
+    fields: dict = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Broken:
+    """No whole answer: `sent` tells whether any byte of the request may have left, `late` that time was up."""
+    why: str
+    sent: bool
+    late: bool = False
+
+
+class Link:
+    """A connection to a peer; `idle_at` is when its last exchange ended, `keep` how long the peer keeps it."""
+
+    def __init__(self, stream, ip, port):
+        self.stream, self.origin = stream, httpcore.Origin(b"http", ip.encode(), port)
+        self.line = httpcore.AsyncHTTP11Connection(self.origin, stream)
+        self.host, self.idle_at, self.keep, self.used = f"{ip}:{port}".encode(), 0.0, None, 0
+
+    @classmethod
+    async def to(cls, ip, port, within):
+        return cls(await dial(ip, port, within), ip, port)
+
+    async def exchange(self, method, target, headers, body, until):
+        """Reply or Broken, by `until` on the loop's clock; then the link is `fit` for another, or ended."""
+        loop, stream = asyncio.get_running_loop(), self.stream
+        if not stream.fit:
+            return Broken("the connection had ended", False)
+        stream.begin()
+        self.used += 1
+        timer = loop.call_at(until, stream.give_up)
+        try:
+            url = httpcore.URL(scheme=b"http", host=self.origin.host, port=self.origin.port, target=target)
+            reply = await self.line.handle_async_request(httpcore.Request(method, url, headers=headers, content=body))
+            fields = {name.lower(): value for name, value in reply.headers}
+            found = Reply(reply.status, [(name.lower(), value) for name, value in reply.headers], b"", None, fields)
+            chunks, size, parts = aiter(reply.stream), 0, []
+            async for chunk in chunks:
+                parts.append(chunk)
+                size += len(chunk)
+                if size > HOLD:
+                    found.body, found.rest = b"".join(parts), self._rest(reply, chunks, fields, size, timer)
+                    timer = None
+                    return found
+            found.body = b"".join(parts)
+            await self._over(reply, fields, size)
+            return found
+        except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError, OSError) as wrong:
+            late = isinstance(wrong, httpcore.TimeoutException)
+            self.close()
+            return Broken(f"{type(wrong).__name__}: {wrong}", stream.flushed, late)
+        finally:
+            if timer is not None:
+                timer.cancel()
+
+    async def _over(self, reply, fields, size):
+        await reply.aclose()
+        told = fields.get(b"content-length")
+        clean = self.stream.done(size) if told is not None and told.isdigit() and int(told) == size else False
+        self.keep = kept(fields)
+        if not clean or not self.line.is_idle():
+            self.close()
+        self.idle_at = asyncio.get_running_loop().time()
+
+    async def _rest(self, reply, chunks, fields, size, timer):
+        try:
+            async for chunk in chunks:
+                size += len(chunk)
+                yield chunk
+            await self._over(reply, fields, size)
+        except BaseException:
+            self.close()
+            raise
+        finally:
+            timer.cancel()
+
+    @property
+    def fit(self):
+        return self.stream.fit and self.line.is_idle()
+
+    def close(self):
+        self.stream.give_up("closed")
+
+
+def kept(fields):
+    """For how many seconds the peer keeps an idle connection, None where it doesn't say."""
+    for part in fields.get(b"keep-alive", b"").split(b","):
+        name, _, value = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and value.strip().isdigit():
+            return int(value)
+    return None
--- /dev/null
+++ b/honeywood/system/cart/stream.py
@@ -0,0 +1,146 @@
+"""One TCP connection under httpcore: what it reads and writes, and what it tells of it.
+
+What is written waits until something is read, so that a request leaves in one piece; `flushed` tells whether
+any byte may have left. Bytes that come while no exchange is out make the connection `stained`.
+"""
+import asyncio
+import socket
+
+import httpcore
+
+FULL = 1 << 18          # bytes held unread before the peer is held up
+SILENT_MS = 2500        # unacknowledged for so long, a connection is dead: a machine without power says nothing
+LONGEST_HEAD = 1 << 17  # bytes of an answer's head
+
+
+class Stream(asyncio.Protocol, httpcore.AsyncNetworkStream):
+    """httpcore's stream over an asyncio transport."""
+
+    def __init__(self):
+        self.transport = self.waiter = self.clear = self.lost = None
+        self.buffer, self.held, self.eof, self.paused = bytearray(), [], False, False
+        self.flushed = self.out = self.stained = False
+        self.head, self.given = bytearray(), 0
+
+    # asyncio's side
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        self.stained = self.stained or not self.out
+        self.buffer += data
+        if len(self.buffer) > FULL and not self.paused:
+            self.paused = True
+            self.transport.pause_reading()
+        self._wake()
+
+    def eof_received(self):
+        self.eof = True
+        self._wake()
+
+    def connection_lost(self, exc):
+        self.eof = True
+        if exc is not None and self.lost is None:
+            self.lost = httpcore.ReadError(str(exc))
+        self._wake()
+
+    def pause_writing(self):
+        self.clear = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self):
+        if self.clear is not None and not self.clear.done():
+            self.clear.set_result(None)
+        self.clear = None
+
+    def _wake(self):
+        for waiter in (self.waiter, self.clear if self.eof else None):
+            if waiter is not None and not waiter.done():
+                waiter.set_result(None)
+
+    # httpcore's side
+    async def read(self, max_bytes, timeout=None):
+        self._flush()
+        while not self.buffer:
+            if self.lost is not None:
+                raise self.lost
+            if self.eof:
+                return b""
+            self.waiter = asyncio.get_running_loop().create_future()
+            await self.waiter
+        data = bytes(self.buffer[:max_bytes])
+        del self.buffer[:max_bytes]
+        if self.paused and len(self.buffer) < FULL // 2:
+            self.paused = False
+            self.transport.resume_reading()
+        if self.given == len(self.head) < LONGEST_HEAD and b"\r\n\r\n" not in self.head:
+            self.head += data
+        self.given += len(data)
+        return data
+
+    async def write(self, buffer, timeout=None):
+        if self.lost is not None or self.eof and self.transport.is_closing():
+            raise httpcore.WriteError("the connection has ended")
+        self.held.append(buffer)
+        if len(buffer) > FULL // 4:
+            self._flush()
+            if self.clear is not None:
+                await self.clear
+
+    def _flush(self):
+        if self.held:
+            self.flushed = True
+            self.transport.write(b"".join(self.held))
+            self.held = []
+
+    async def aclose(self):
+        if self.transport is not None:
+            self.transport.abort()
+
+    def get_extra_info(self, info):
+        if info == "is_readable":
+            return bool(self.eof or self.buffer)
+        return self.transport.get_extra_info(info) if self.transport else None
+
+    # ours
+    def begin(self):
+        """A new exchange: nothing of it has left or come."""
+        self.flushed, self.out, self.given = False, True, 0
+        self.head.clear()
+
+    def done(self, length):
+        """The exchange's answer of `length` body bytes is whole; whether nothing else came with it."""
+        self.out = False
+        end = self.head.find(b"\r\n\r\n")
+        clean = end >= 0 and self.given == end + 4 + length and not self.buffer and not self.eof
+        self.stained = self.stained or not clean
+        return clean
+
+    def give_up(self, why="time is up"):
+        """Ends what is out, and the connection with it."""
+        if self.lost is None:
+            self.lost = httpcore.ReadTimeout(why)
+        self.eof = True
+        if self.transport is not None:
+            self.transport.abort()
+        self._wake()
+
+    @property
+    def fit(self):
+        """Whether an exchange may begin on it."""
+        return not (self.eof or self.stained or self.buffer or self.lost)
+
+
+async def dial(ip, port, within):
+    """A Stream to a peer, or httpcore.ConnectError or ConnectTimeout after `within` seconds."""
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(within):
+            transport, stream = await loop.create_connection(Stream, ip, port)
+    except TimeoutError:
+        raise httpcore.ConnectTimeout(f"no answer within {within:.3f} s") from None
+    except OSError as wrong:
+        raise httpcore.ConnectError(str(wrong)) from None
+    sock = transport.get_extra_info("socket")
+    if sock is not None and hasattr(socket, "TCP_USER_TIMEOUT"):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_MS)
+    return stream
--- /dev/null
+++ b/honeywood/system/ledger/acceptor.py
@@ -0,0 +1,34 @@
+"""One disk's side of the register. Per key it keeps a row [promised, accepted, value]; ballots are
+[count, name], the higher wins.
+
+What must hold: a ballot below the promised one is refused; a row is on disk before it is told of.
+"""
+NEVER = [0, ""]
+
+
+def prepare(row, ballot):
+    """The row after a promise and the reply; the row is None where nothing changed."""
+    promised, accepted, value = row or (NEVER, NEVER, None)
+    if ballot <= promised:
+        return None, {"ok": False, "promised": promised}
+    return [ballot, accepted, value], {"ok": True, "accepted": accepted, "value": value}
+
+
+def accept(row, ballot, value):
+    promised, _, _ = row or (NEVER, NEVER, None)
+    if ballot < promised:
+        return None, {"ok": False, "promised": promised}
+    return [ballot, ballot, value], {"ok": True}
+
+
+def rebuilt(pulls):
+    """The rows of a disk that was lost, out of those of enough others: per key the highest promise and the
+    highest accepted value."""
+    rows = {}
+    for pull in pulls:
+        for key, (promised, accepted, value) in pull.items():
+            held = rows.get(key, [NEVER, NEVER, None])
+            if accepted > held[1]:
+                held = [held[0], accepted, value]
+            rows[key] = [max(held[0], promised), held[1], held[2]]
+    return rows
--- /dev/null
+++ b/honeywood/system/porter/gate.py
@@ -0,0 +1,71 @@
+"""The one place that every send to a machine passes."""
+from dataclasses import dataclass, field
+
+from honeywood.system.porter.answers import GOOD, NOT_RUN
+from honeywood.system.porter.roster import READY
+
+LEAST_LEFT = 0.004  # seconds: with less left nothing is begun
+
+
+@dataclass(slots=True, eq=False)
+class Ask:
+    """A request on its way. `until` is when its client or route gives up; `sends` are (machine, meaning),
+    meaning None while the machine has it."""
+    route: object
+    service: str
+    try_id: bytes
+    taken: float
+    until: float
+    sends: list = field(default_factory=list)
+    done: bool = False
+
+    @property
+    def had(self):
+        return [send[0] for send in self.sends]
+
+    @property
+    def may_have_run(self):
+        return any(meaning != NOT_RUN for _, meaning in self.sends)
+
+    @property
+    def arrivals(self):
+        return len(self.sends)
+
+
+class Gate:
+    """Says what keeps an ask from a machine; None where nothing does."""
+
+    def __init__(self, budget_of, fronts, stage):
+        """`budget_of` gives a service's Budget, `fronts` how many share it, `stage` what versions may get."""
+        self.budget_of, self.fronts, self.stage = budget_of, fronts, stage
+
+    def bar(self, now, ask, machine):
+        if ask.done or any(meaning == GOOD for _, meaning in ask.sends):
+            return "done"
+        if machine.state != READY or machine.svc != ask.service:
+            return "state"
+        if now > ask.until - LEAST_LEFT:
+            return "deadline"
+        if not ask.route.safe and ask.may_have_run:
+            return "may have run"
+        if ask.sends:
+            if len({m.id for m in ask.had} | {machine.id}) > ask.route.tries or len(ask.sends) >= 2 * ask.route.tries:
+                return "tries"
+            if not self.budget_of(ask.service).allows(now, self.fronts()):
+                return "budget"
+        if not self.stage.allows(now, ask, machine):
+            return "stage"
+        return None
+
+    def pass_on(self, now, ask, machine):
+        """Notes a send that nothing bars; its record, whose second item the answer's meaning is put in."""
+        if ask.sends:
+            self.budget_of(ask.service).spend(now)
+        self.stage.sent(now, ask, machine)
+        record = [machine, None]
+        ask.sends.append(record)
+        return record
+
+    def unsend(self, ask, record):
+        """Nothing of it left after all: the connection never came up."""
+        ask.sends.remove(record)
--- /dev/null
+++ b/honeywood/system/program.py
@@ -0,0 +1,66 @@
+"""What both programs share: settings, log, signals, and loops that end with the program."""
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+import time
+
+import structlog
+
+from honeywood.system.terms.outcome import Wrong
+from honeywood.system.terms.settings import read
+
+FILE = "HONEYWOOD_NODE_FILE"
+COLLECT = 20_000  # objects after which the youngest are collected: little here is circular
+
+
+class Program:
+    """A process of the system: `life` tells its lives apart, the later the higher."""
+
+    def __init__(self):
+        self.settings, self.life = self.load(), f"{time.time_ns() // 1_000_000:013x}"
+        self.loops, self.stopping, self.said = set(), asyncio.Event(), {}
+        structlog.configure(processors=[structlog.processors.TimeStamper(fmt="iso", utc=True),
+                                        structlog.processors.JSONRenderer()],
+                            logger_factory=structlog.PrintLoggerFactory(sys.stdout))
+        logging.basicConfig(level=logging.ERROR, stream=sys.stdout, format='{"event":"library","why":"%(message)s"}')
+        self.log = structlog.get_logger().bind(node=self.settings.node, life=self.life)
+        gc.set_threshold(COLLECT, 50, 100)
+
+    @staticmethod
+    def load():
+        """The settings; ends the program with status 2 where they can't be used."""
+        path = os.environ.get(FILE, "/etc/honeywood/boot.toml")
+        try:
+            with open(path, encoding="utf-8") as file:
+                return read(file.read())
+        except (OSError, UnicodeDecodeError, Wrong) as wrong:
+            print(f'{{"event":"settings","why":"{path}: {wrong}"}}', flush=True)
+            raise SystemExit(2) from None
+
+    def say(self, event, every=0.0, **more):
+        """A line in the log, of one event at most once in `every` seconds."""
+        now = time.monotonic()
+        if now - self.said.get(event, -every) >= every:
+            self.said[event] = now
+            self.log.info(event, **more)
+
+    def loop(self, step, every):
+        """Runs `step` again and again, `every` seconds after it ended; what it raises is logged."""
+        async def run():
+            while True:
+                try:
+                    await step()
+                except Exception as wrong:  # one turn's trouble must not end a loop that others rely on
+                    self.say("loop failed", 1.0, step=step.__qualname__, why=repr(wrong))
+                await asyncio.sleep(every)
+        task = asyncio.get_running_loop().create_task(run())
+        self.loops.add(task)
+
+    async def until_stopped(self):
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        await self.stopping.wait()
--- /dev/null
+++ b/honeywood/system/scales/stage.py
@@ -0,0 +1,96 @@
+"""What each version of a service may get at one front."""
+from bisect import bisect_left
+from collections import Counter
+
+from honeywood.judge.counts import EDGES, Counts
+from honeywood.system.porter.answers import GOOD, NOT_RUN
+from honeywood.system.scales.record import ACTIVE, DONE, FULL, REVERTED
+
+SAFETY = 0.8         # of the share and slack that are told: requests end up elsewhere than they began
+YOUNG = 3.0          # seconds: machines that started since say nothing of their version (the design's)
+LEASE = 3.0          # seconds a stage holds at a front that hears no bourse; then the earlier version alone
+ESTABLISHED, ON_TRIAL, CLOSED = "established", "trial", "closed"
+
+
+class Stage:
+    """One front's view of all services' versions."""
+
+    def __init__(self, roster, share, slack, fronts):
+        self.roster, self.share, self.slack, self.fronts = roster, share * SAFETY, slack * SAFETY, fronts
+        self.records, self.taken, self.tried, self.counts, self.heard_at = {}, Counter(), Counter(), {}, 0.0
+
+    def hear(self, record):
+        if record["svc"] not in self.records or record["n"] > self.records[record["svc"]]["n"]:
+            held = self.records.get(record["svc"])
+            if held is None or held["to_ver"] != record["to_ver"]:  # a version's trial begins with its order
+                for counter in (self.taken, self.tried):
+                    for key in [key for key in counter if key[0] == record["svc"]]:
+                        del counter[key]
+                self.counts = {key: count for key, count in self.counts.items() if key[0] != record["svc"]}
+            self.records[record["svc"]] = record
+
+    def standing(self, svc, ver):
+        """What `ver` of `svc` is just now."""
+        record = self.records.get(svc)
+        if record is None:
+            vers = Counter(m.ver for m in self.roster.services.get(svc, ()))
+            most = max(vers.values(), default=0)
+            first = min((v for v, n in vers.items() if n == most), default=ver)
+            return ESTABLISHED if ver == first else ON_TRIAL
+        named = ver == record["to_ver"]
+        if record["state"] == REVERTED:
+            return CLOSED if named else ESTABLISHED
+        if record["state"] == DONE or record["stage"] == FULL:
+            return ESTABLISHED if named else CLOSED
+        return ON_TRIAL if named else ESTABLISHED
+
+    def behind(self, svc):
+        """Requests still out at machines whose version gets nothing any more."""
+        return sum(m.open for m in self.roster.services.get(svc, ()) if self.standing(svc, m.ver) == CLOSED)
+
+    def room(self, now, ask):
+        """Whether one more request of the class fits under its cap; only safe classes are tried."""
+        if not ask.route.safe or now - self.heard_at > LEASE:
+            return False
+        place = ask.service, ask.route.name
+        free = self.slack / max(1, self.fronts()) / max(1, len(self.classes(ask.service)))
+        return self.tried[place] + 1 <= free + self.share * self.taken[place]
+
+    def classes(self, svc):
+        return {name for service, name in self.taken if service == svc}
+
+    def taking(self, ask):
+        self.taken[ask.service, ask.route.name] += 1
+
+    def allows(self, now, ask, machine):
+        standing = self.standing(ask.service, machine.ver)
+        return standing == ESTABLISHED or standing == ON_TRIAL and self.room(now, ask)
+
+    def sent(self, now, ask, machine):
+        if self.standing(ask.service, machine.ver) == ON_TRIAL:
+            self.tried[ask.service, ask.route.name] += 1
+
+    def groups(self, now, ask, machines):
+        """The machines in groups, the one to ask first in front: on trial while there is room, then the rest."""
+        by = {ESTABLISHED: [], ON_TRIAL: [], CLOSED: []}
+        standing = {ver: self.standing(ask.service, ver) for ver in {m.ver for m in machines}}
+        for machine in machines:
+            by[standing[machine.ver]].append(machine)
+        if by[ON_TRIAL] and not ask.sends and self.room(now, ask):
+            return [by[ON_TRIAL], by[ESTABLISHED]]
+        return [by[ESTABLISHED], by[ON_TRIAL]]
+
+    def ended(self, now, ask, machine, meaning, took):
+        """Counts how a send ended: failures and answer times by class and version, while a version is on trial."""
+        record = self.records.get(ask.service)
+        if record is None or record["state"] != ACTIVE or meaning == NOT_RUN or now < machine.warm_at:
+            return
+        if now - machine.seen_at < YOUNG and machine.ver == record["to_ver"]:
+            return
+        place = ask.service, ask.route.name, machine.ver
+        counts = self.counts.setdefault(place, Counts())
+        counts.add(1, meaning != GOOD, 1, bisect_left(EDGES, took / ask.route.timeout))
+
+    def told(self):
+        """The counts as rows for the bourses: [svc, class, version, failed, ended, bins]."""
+        return [[*place, c.failed, c.ended, c.bins] for place, c in self.counts.items()]
--- /dev/null
+++ b/honeywood/system/stall/__main__.py
@@ -0,0 +1,5 @@
+import asyncio
+
+from honeywood.system.stall.program import Stall
+
+asyncio.run(Stall().run())
--- /dev/null
+++ b/honeywood/system/stall/app.py
@@ -0,0 +1,78 @@
+"""The stall's ASGI application: clients, the platform's readiness calls, and news."""
+import json
+
+from honeywood.system.cart.ask import answer, body_of
+from honeywood.system.crier.mouth import PATH
+from honeywood.system.stall.carry import ours
+from honeywood.system.terms.check import read_json
+from honeywood.system.terms.outcome import Wrong
+
+NEWS_MOST = 8 << 20  # bytes of one ask or answer of news
+
+
+class App:
+    def __init__(self, stall):
+        self.stall = stall
+        self.ready_port = stall.settings.listen["ready"][1]
+        self.news_port = stall.settings.stall_port
+
+    async def __call__(self, scope, receive, send):
+        port = scope["server"][1]
+        if port == self.ready_port:
+            return await answer(send, 200 if self.stall.ready else 503)
+        if port == self.news_port:
+            return await self.news(scope, receive, send)
+        early = scope.get("early")
+        found = await (early if early is not None else self.client(scope, receive))
+        headers = found.headers
+        if self.stall.stopping.is_set():
+            headers = [*headers, (b"connection", b"close")]
+        if found.rest is None:
+            return await answer(send, found.status, headers, found.body)
+        await send({"type": "http.response.start", "status": found.status, "headers": headers})
+        await send({"type": "http.response.body", "body": found.body, "more_body": True})
+        async for chunk in found.rest:
+            await send({"type": "http.response.body", "body": chunk, "more_body": True})
+        await send({"type": "http.response.body", "body": b""})
+
+    def early(self, scope):
+        """Begins with a request that stands behind another, where it may be repeated and has no body."""
+        fields = dict(scope["headers"])
+        if scope["server"][1] in (self.ready_port, self.news_port) or fields.get(b"content-length", b"0") != b"0":
+            return None
+        table = self.stall.table
+        route = table.find(fields.get(b"host", b""), scope["raw_path"]) if table else None
+        if route is None or not route.safe or b"transfer-encoding" in fields:
+            return None
+        return self.stall.start(self.carry(scope, route, fields, b""))
+
+    async def client(self, scope, receive):
+        stall, fields = self.stall, dict(scope["headers"])
+        if stall.table is None:
+            return ours(503, "no configuration yet", 0.5)
+        route = stall.table.find(fields.get(b"host", b""), scope["raw_path"])
+        if route is None:
+            return ours(404, "no route")
+        body = await body_of(receive, stall.limits.body_bytes)
+        if body is None:
+            return ours(413, "the body is too long")
+        return await self.carry(scope, route, fields, body)
+
+    async def carry(self, scope, route, fields, body):
+        query = scope["query_string"]
+        target = scope["raw_path"] + (b"?" + query if query else b"")
+        return await self.stall.carrier.carry(route, scope["method"].encode(), target, scope["headers"], fields, body)
+
+    async def news(self, scope, receive, send):
+        peer = scope["client"][0]
+        try:
+            if scope["path"] != PATH or scope["method"] != "POST":
+                return await answer(send, 404)
+            raw = await body_of(receive, NEWS_MOST)
+            if raw is None:
+                return await answer(send, 413)
+            found = await self.stall.mouth.serve(read_json(raw, PATH, peer), peer)
+        except Wrong as wrong:
+            return await answer(send, 400, (), str(wrong).encode())
+        await answer(send, 200, [(b"content-type", b"application/json")],
+                     json.dumps(found, separators=(",", ":")).encode())
--- /dev/null
+++ b/honeywood/system/stall/carry.py
@@ -0,0 +1,168 @@
+"""A request's way: to a machine, to another where that may be, and back as one answer."""
+import asyncio
+from dataclasses import dataclass
+from typing import Any
+
+from honeywood.system.cart.link import Broken, end_to_end
+from honeywood.system.porter.answers import FAILED, GOOD, NOT_RUN, SILENT, SPOILT, may_pass, meaning
+from honeywood.system.porter.choose import choose
+from honeywood.system.porter.gate import Ask
+from honeywood.system.porter.routes import share_out
+
+HEDGE = 4.0          # usual answer times after which a repeatable request goes to a second machine as well
+HEDGE_LEAST = 0.05   # seconds
+AGAIN_S = 0.1        # seconds after which a refused client may come again
+SPARE = 0.004        # seconds before its client gives up that a request is answered by us
+AFTER = 0.05         # seconds after that in which a machine's own late answer still frees its connection
+
+
+@dataclass(slots=True)
+class Answer:
+    """What a client gets; `rest` is what follows a long body's start."""
+    status: int
+    headers: list
+    body: bytes = b""
+    rest: Any = None
+
+
+def ours(status, why, again=None):
+    """An answer of our own."""
+    headers = [(b"x-gateway", why.encode())]
+    if again is not None:
+        headers.append((b"retry-after", b"%.3f" % again))
+    return Answer(status, headers)
+
+
+class Carrier:
+    """Carries requests. Its parts are handed in: the program's state, its gate and its links."""
+
+    def __init__(self, clock, random, zone, roster, gate, stage, links, budget_of):
+        self.clock, self.random, self.zone, self.roster = clock, random, zone, roster
+        self.gate, self.stage, self.links, self.budget_of = gate, stage, links, budget_of
+        self.ends = {}
+
+    async def carry(self, route, method, target, headers, fields, body):
+        """The Answer to a whole request: `target` with its raw escapes, `fields` the first value of each header."""
+        now = self.clock()
+        try:
+            wait = min(route.timeout, int(fields.get(b"x-deadline-ms", b"86400000")) / 1000)
+        except ValueError:
+            return ours(400, "x-deadline-ms is no number")
+        ask = Ask(route, share_out(route.split, self.random.random()), fields.get(b"x-try-id", b""), now, now + wait)
+        self.budget_of(ask.service).request(now)
+        self.stage.taking(ask)
+        passed = [(name, value) for name, value in end_to_end(headers) if name not in (
+            b"x-deadline-ms", b"x-want-instance", b"content-length", b"expect")]
+        passed.append((b"content-length", str(len(body)).encode()) if body or method not in (b"GET", b"HEAD")
+                      else (b"accept-encoding", b"identity"))
+        answer = await self._tries(ask, method, target, passed, body)
+        ask.done = True
+        return answer
+
+    async def _tries(self, ask, method, target, headers, body):
+        best = None
+        tasks, loop = set(), asyncio.get_running_loop()
+        while True:
+            machine = self._choose(ask)
+            if machine is not None:
+                tasks.add(loop.create_task(self._send(ask, machine, method, target, headers, body)))
+            if not tasks:
+                return self._given_up(ask, best)
+            until = ask.until - SPARE
+            hedge = self.clock() + max(HEDGE_LEAST, HEDGE * self.roster.usual.get(ask.service, 1.0))
+            second = ask.route.safe and len(tasks) == 1 and hedge < until and ask.route.tries > 1
+            done, tasks = await asyncio.wait(tasks, timeout=max(0, (hedge if second else until) - self.clock()),
+                                             return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                found, reply = task.result()
+                if found == GOOD or found == FAILED and not ask.route.safe:
+                    return self._pass(reply)
+                if found == FAILED:
+                    best = reply
+            if not done and self.clock() >= until:
+                ask.done = True
+                return ours(504, "time is up")
+            if not done and not second:
+                ask.done = True
+                return ours(504, "time is up")
+
+    def _choose(self, ask):
+        now = self.clock()
+        usual = self.roster.usual.get(ask.service, 1.0)
+        for group in self.stage.groups(now, ask, self.roster.services.get(ask.service, ())):
+            fit = [m for m in group if self.gate.bar(now, ask, m) is None]
+            machine = choose(now, fit, self.zone, ask.had, usual, self.random)
+            if machine is not None:
+                return machine
+        return None
+
+    async def _send(self, ask, machine, method, target, headers, body):
+        """(meaning, reply) of one machine's try."""
+        clock, link, record = self.clock, None, None
+        machine.began(clock())
+        found, reply = NOT_RUN, None
+        try:
+            link = self.links.idle(machine)
+            if link is None:
+                link = await self.links.dial(machine, ask.until)
+                if link is None:
+                    machine.trouble(clock())
+                    return found, reply
+            now = clock()
+            if self.gate.bar(now, ask, machine) is not None:  # what changed while the connection came up counts
+                return found, reply
+            record = self.gate.pass_on(now, ask, machine)
+            left = max(1, int((ask.until - now) * 1000))
+            told = [*headers, (b"x-deadline-ms", str(left).encode()), (b"x-want-instance", machine.id.encode())]
+            reply = await link.exchange(method, target, told, body, ask.until + AFTER)
+            found = self._found(ask, machine, reply, clock() - now)
+            record[1] = found
+            return found, reply
+        finally:
+            if record is not None and record[1] is None:
+                record[1] = SILENT
+            machine.ended(clock(), reply is not None and not isinstance(reply, Broken))
+            if link is not None and (reply is None or isinstance(reply, Broken) or reply.rest is None):
+                self.links.back(machine, link)
+
+    def _found(self, ask, machine, reply, took):
+        now = self.clock()
+        if isinstance(reply, Broken):
+            found = SILENT if reply.sent else NOT_RUN
+            if not reply.late:
+                machine.trouble(now)
+        else:
+            found = meaning(reply.status, reply.fields, ask.try_id)
+            self._load(now, machine, reply.fields.get(b"x-load"))
+            if found in (GOOD, FAILED):
+                self.roster.answered(now, machine, took)
+            elif found == SPOILT or found == NOT_RUN:
+                machine.trouble(now)
+        self.stage.ended(now, ask, machine, found, took)
+        return found
+
+    def _load(self, now, machine, told):
+        try:
+            running, waiting, slots = (int(part) for part in told.split(b","))
+        except (AttributeError, ValueError):
+            return
+        machine.slots = max(1, slots)
+        machine.told(now, running - 1 if running else 0, waiting)
+
+    def _pass(self, reply):
+        if 300 > reply.status or may_pass(reply.status):
+            headers = [(name, value) for name, value in end_to_end(reply.headers) if name != b"content-length"]
+            if reply.rest is not None and b"content-length" in reply.fields:
+                headers.append((b"content-length", reply.fields[b"content-length"]))
+            return Answer(reply.status, headers, reply.body, reply.rest)
+        return ours(502, "the machine's answer makes no promise")
+
+    def _given_up(self, ask, best):
+        """The final answer where no machine may be asked any more."""
+        if best is not None:
+            return self._pass(best)
+        if self.clock() >= ask.until - SPARE:
+            return ours(504, "time is up")
+        if ask.may_have_run:
+            return ours(502, "no whole answer came")
+        return ours(503, "no machine free", AGAIN_S)
--- /dev/null
+++ b/honeywood/system/terms/check.py
@@ -0,0 +1,54 @@
+"""Hand-written checks of plain values. Each raises outcome.Wrong that names the key."""
+import json
+from math import inf, isfinite
+
+from honeywood.system.terms.outcome import Wrong
+
+MISSING = object()
+
+
+def need(table, key, kind, where, default=MISSING, least=None, most=None):
+    """The value under `key`, of `kind` (float takes whole numbers, never booleans) and within bounds."""
+    value = table.get(key, default)
+    if value is MISSING:
+        raise Wrong(where, f"{key} is missing")
+    if value is default:
+        return value
+    number = kind in (int, float)
+    if isinstance(value, bool) and kind is not bool or not isinstance(value, (int, float) if kind is float else kind):
+        raise Wrong(where, f"{key} must be {kind.__name__}, not {type(value).__name__}")
+    if number and not isfinite(value):
+        raise Wrong(where, f"{key} must be finite")
+    if number and not (-inf if least is None else least) <= value <= (inf if most is None else most):
+        raise Wrong(where, f"{key} is out of bounds: {value}")
+    return value
+
+
+def address(text, where):
+    """"ip:port" as (ip, port)."""
+    ip, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not (ip and colon and port.isdecimal() and 0 < int(port) < 65536):
+        raise Wrong(where, f"{text!r} is no address")
+    return ip, int(port)
+
+
+def _pairs(pairs):
+    table = dict(pairs)
+    if len(table) != len(pairs):
+        raise ValueError("a key stands twice")
+    return table
+
+
+def _number(text):
+    raise ValueError(f"{text} is no number")
+
+
+def read_json(raw, where, peer=""):
+    """A JSON object out of bytes: whole, no key twice, no NaN, no bottomless nesting."""
+    try:
+        value = json.loads(raw, object_pairs_hook=_pairs, parse_constant=_number)
+    except (ValueError, RecursionError) as wrong:
+        raise Wrong(where, f"no JSON: {wrong}", peer) from None
+    if not isinstance(value, dict):
+        raise Wrong(where, "must be an object", peer)
+    return value
--- /dev/null
+++ b/honeywood/system/terms/config.py
@@ -0,0 +1,144 @@
+"""A configuration as operators send it, checked whole before anything of it holds.
+
+The text is kept as it came and told back so; what is read here are its parts.
+"""
+from dataclasses import dataclass
+
+from honeywood.system.terms.check import need, read_json
+from honeywood.system.terms.outcome import Wrong
+
+STEP = "config.replace"
+SAFE, UNSAFE = "safe", "unsafe"
+KINDS = (SAFE, UNSAFE)
+FAR = 86400.0  # seconds; longer times in a route are taken for a slip
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where requests of a host and prefix go. Times are seconds; `split` is [(service, weight)]."""
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout: float
+    target: float
+    prio: int
+    tries: int
+    split: tuple
+
+    @property
+    def safe(self):
+        return self.kind == SAFE
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    name: str
+    health: str
+    max_conns: int
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What a client may send (bytes) and how long it may take or be idle (seconds)."""
+    header_bytes: int = 16384
+    body_bytes: int = 1 << 26
+    header_s: float = 10.0
+    idle_s: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    version: int
+    routes: tuple
+    services: dict
+    limits: Limits
+
+
+def version(text, peer=""):
+    """Eight hexadecimal digits as a number."""
+    if not (isinstance(text, str) and len(text) == 8 and all(c in "0123456789abcdef" for c in text.lower())):
+        raise Wrong(STEP, f"ver: {text!r} is not eight hexadecimal digits", peer)
+    return int(text, 16)
+
+
+def _split(spec, where):
+    if "split" not in spec:
+        return ((need(spec, "svc", str, where), 1.0),)
+    parts = need(spec, "split", list, where)
+    if not parts or not all(isinstance(part, dict) for part in parts) or "svc" in spec:
+        raise Wrong(where, "split must be a list of services and weights, with no svc beside it")
+    found = tuple((need(part, "svc", str, where), need(part, "wt", float, where, least=0)) for part in parts)
+    if len({svc for svc, _ in found}) != len(found):
+        raise Wrong(where, "split names a service twice")
+    if not sum(weight for _, weight in found) > 0:
+        raise Wrong(where, "split has no weight above 0")
+    return found
+
+
+def _route(name, spec, where):
+    kind, prefix = need(spec, "kind", str, where), need(spec, "pfx", str, where)
+    if kind not in KINDS:
+        raise Wrong(where, f"kind {kind!r} is not one of {', '.join(KINDS)}")
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        raise Wrong(where, f"pfx {prefix!r} must begin and end with a slash")
+    host = need(spec, "vhost", str, where)
+    if not host or host != host.strip():
+        raise Wrong(where, "vhost is empty or padded")
+    timeout = need(spec, "timeout_s", float, where, least=0, most=FAR)
+    if not timeout > 0:
+        raise Wrong(where, "timeout_s must be above 0")
+    return Route(name, host.lower(), prefix, kind, timeout,
+                 need(spec, "target_s", float, where, timeout, least=0, most=FAR),
+                 need(spec, "prio", int, where, 0, least=0), need(spec, "tries", int, where, 1, least=1),
+                 _split(spec, where))
+
+
+def _service(name, spec, where):
+    proto, tls = need(spec, "proto", str, where, "h1"), need(spec, "tls", bool, where, False)
+    if proto != "h1" or tls:
+        raise Wrong(where, "only proto h1 without tls is spoken")
+    return Service(name, need(spec, "hc_path", str, where, "/"), need(spec, "max_conns", int, where, least=1))
+
+
+def _limits(name, spec, where):
+    return Limits(need(spec, "hdr_bytes", int, where, 16384, least=256),
+                  need(spec, "body_bytes", int, where, 1 << 26, least=0),
+                  need(spec, "hdr_s", float, where, 10.0, least=0.001, most=FAR),
+                  need(spec, "idle_s", float, where, 15.0, least=0.001, most=FAR))
+
+
+READERS = {"routes": _route, "svcs": _service, "limits": _limits}
+
+
+def read(raw, peer=""):
+    """A Config out of the bytes of config.replace; raises outcome.Wrong naming entry and key."""
+    table = read_json(raw, STEP, peer)
+    number, found = version(table.get("ver"), peer), {kind: {} for kind in READERS}
+    for at, entry in enumerate(need(table, "res", list, STEP)):
+        where = f"{STEP}: res[{at}]"
+        if not isinstance(entry, dict):
+            raise Wrong(where, "must be an object", peer)
+        kind, header = need(entry, "type", str, where), need(entry, "hdr", dict, where)
+        if kind not in READERS:
+            raise Wrong(where, f"type {kind!r} is not known", peer)
+        name = need(header, "name", str, where, "" if kind == "limits" else None)
+        if name is None or name in found[kind]:
+            raise Wrong(where, f"name {name!r} is missing or stands twice", peer)
+        found[kind][name] = READERS[kind](name, need(entry, "spec", dict, where), f"{where} {name}")
+    return _whole(number, found, peer)
+
+
+def _whole(number, found, peer):
+    routes, services, places = found["routes"].values(), found["svcs"], set()
+    if len(found["limits"]) > 1:
+        raise Wrong(STEP, "limits stand twice", peer)
+    for route in routes:
+        unknown = [svc for svc, _ in route.split if svc not in services]
+        if unknown:
+            raise Wrong(STEP, f"route {route.name} names the unknown service {unknown[0]!r}", peer)
+        if (route.host, route.prefix) in places:
+            raise Wrong(STEP, f"route {route.name}: {route.host}{route.prefix} is taken by another", peer)
+        places.add((route.host, route.prefix))
+    limits = next(iter(found["limits"].values()), Limits())
+    return Config(number, tuple(routes), services, limits)
