--- a/honeywood/system/bourse/app.py
+++ b/honeywood/system/bourse/app.py
@@ -1,4 +1,5 @@
 """The bourse's ASGI application: one dispatch of machines', operators' and our own calls."""
+
 import json
 from urllib.parse import parse_qs
 
@@ -71,7 +72,9 @@
     async def start(self, of, body, peer):
         order = read_json(body, "rollouts.start", peer)
         svc, to_ver = (need(order, key, str, "rollouts.start") for key in ("svc", "to_ver"))
-        await self.bourse.order(svc, to_ver, need(order, "over_s", float, "rollouts.start", least=0.001), peer)
+        await self.bourse.order(
+            svc, to_ver, need(order, "over_s", float, "rollouts.start", least=0.001), peer
+        )
         return {}
 
     async def rollout(self, of, body, peer):
@@ -80,7 +83,8 @@
 
     # our own
     async def news(self, of, body, peer):
-        return await self.bourse.mouth.serve(read_json(body, mouth.PATH, peer), peer)
+        found = await self.bourse.mouth.serve(read_json(body, mouth.PATH, peer), peer)
+        return {**found, "joined": self.bourse.joined}
 
     async def register(self, of, body, peer):
         return await self.bourse.register.serve(read_json(body, register.PATH, peer), peer)
--- a/honeywood/system/bourse/machines.py
+++ b/honeywood/system/bourse/machines.py
@@ -1,11 +1,12 @@
 """What machines tell of themselves, as notes. Pure."""
+
 from honeywood.system.porter.roster import DRAINING, GONE, LOST, READY
 from honeywood.system.terms.check import address, need
 from honeywood.system.terms.outcome import Wrong
 
 STEP = "instances.heartbeat"
-LAST = 1 << 53       # a stamp above all beats': a life that has left doesn't come back
-MISSED = 3.4         # beats' times after which a silent machine is taken for lost
+LAST = 1 << 53  # a stamp above all beats': a life that has left doesn't come back
+MISSED = 3.4  # beats' times after which a silent machine is taken for lost
 
 
 def beat(id, body, peer):
@@ -17,13 +18,19 @@
         raise Wrong(STEP, f"state {state!r} is not known", peer)
     ip, port = address(need(body, "addr", str, STEP), f"{STEP}: addr")
     return [need(body, "seq", int, STEP, least=0, most=LAST - 1), 0], {
-        "svc": need(body, "svc", str, STEP), "ip": ip, "port": port, "zone": need(body, "zone", str, STEP, ""),
-        "ver": need(body, "ver", str, STEP, ""), "slots": need(body, "slots", int, STEP, 1, least=1),
-        "state": state, "cold": max(0.0, need(body, "cold_left_s", float, STEP, 0.0))}
+        "svc": need(body, "svc", str, STEP),
+        "ip": ip,
+        "port": port,
+        "zone": need(body, "zone", str, STEP, ""),
+        "ver": need(body, "ver", str, STEP, ""),
+        "slots": need(body, "slots", int, STEP, 1, least=1),
+        "state": state,
+        "cold": max(0.0, need(body, "cold_left_s", float, STEP, 0.0)),
+    }
 
 
 class Machines:
-    """Machines at one bourse: notes go to the board only where something has changed, the rest as signs of life."""
+    """Machines at one bourse: notes only of what has changed; the rest are signs of life."""
 
     def __init__(self, board, beat_s):
         self.board, self.silence, self.heard = board, MISSED * beat_s, {}
--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -1,4 +1,5 @@
 """The bourse's program: what it tells and keeps, and the loops that bring it there."""
+
 import asyncio
 import time
 from random import Random
@@ -16,13 +17,13 @@
 from honeywood.system.terms import config
 from honeywood.system.terms.outcome import Wrong
 
-LOOK = 0.1        # seconds between looks at rollouts
-SURVEY = 1.0      # seconds between looks at the register
-HEARD = 1.6       # seconds for which an ask is a sign of life (asks are held 1 s)
+LOOK = 0.1  # seconds between looks at rollouts
+SURVEY = 1.0  # seconds between looks at the register
+HEARD = 1.6  # seconds for which an ask is a sign of life (asks are held 1 s)
 FRONT_LOST = 3.0  # seconds after which a front that asks no more shares nothing
-SPREAD = 0.15     # seconds by which bourses act after each other
-TELL = 0.8        # seconds in which enough others must know of a leaving before it is acknowledged
-IDLE = 15.0       # seconds an idle caller keeps its connection
+SPREAD = 0.15  # seconds by which bourses act after each other
+TELL = 0.8  # seconds in which enough others must know of a leaving before it is acknowledged
+IDLE = 15.0  # seconds an idle caller keeps its connection
 CONFIG, ROLLOUT = "config", "rollout/"
 
 
@@ -35,7 +36,7 @@
         self.register = Register(s, self.caller, self.random, self.say)
         self.machines = Machines(self.board, s.beat_s)
         self.ear = Ear(self.mouth, self.caller, self.who)
-        self.fronts, self.others, self.verdicts, self.told = {}, {}, {}, 0
+        self.fronts, self.others, self.reached, self.verdicts, self.told = {}, {}, {}, {}, 0
         self.bourses, self.waits = [ip for ip, _ in s.seeds], []
         self.asking = set()
 
@@ -46,7 +47,7 @@
         """Somebody asked for news who has all up to `rev`: a sign of its life."""
         now = self.clock()
         if who.get("front"):
-            self.fronts[who.get("node")] = now
+            self.fronts[who.get("node")] = now, [who.get("zone"), who.get("ip")]
         elif who.get("private"):
             self.others[who.get("ip")] = now, rev
             for wait in self.waits:
@@ -61,9 +62,10 @@
 
     @property
     def joined(self):
-        """Whether enough other bourses hear this one that nothing told here is lost with it."""
+        """Whether enough other bourses answer this one, there and back, that nothing told here is lost with it:
+        one that is cut off in one direction still hears others ask."""
         now = self.clock()
-        return sum(now - at < HEARD for at, _ in self.others.values()) >= self.settings.bear
+        return sum(now - at < HEARD for at in self.reached.values()) >= self.settings.bear
 
     # machines
     async def beat(self, id, stamp, value):
@@ -98,7 +100,8 @@
         if held is not None and held[0][0] >= version:
             return
         found = await self.register.change(
-            CONFIG, lambda now: {"ver": version, "text": text} if now is None or now["ver"] < version else now)
+            CONFIG, lambda now: {"ver": version, "text": text} if now is None or now["ver"] < version else now
+        )
         if not found.ok:
             raise Wrong("config.replace", found.why, peer, 503)
         self.publish(CONFIG, found.value)
@@ -115,7 +118,8 @@
         if known is not None and svc not in config.read(known.encode()).services:
             raise Wrong("rollouts.start", f"svc {svc!r} is not known", peer)
         found = await self.register.change(
-            ROLLOUT + svc, lambda held: rollouts.start(held, svc, to_ver, over_s, time.time()))
+            ROLLOUT + svc, lambda held: rollouts.start(held, svc, to_ver, over_s, time.time())
+        )
         if not found.ok:
             raise Wrong("rollouts.start", found.why, peer, 503)
         self.publish(ROLLOUT + svc, found.value)
@@ -142,7 +146,8 @@
 
     # loops
     async def listen(self, ip):
-        await self.ear.ask(ip, self.settings.bourse_port, HOLD)
+        if (await self.ear.ask(ip, self.settings.bourse_port, HOLD)).ok:
+            self.reached[ip] = self.clock()
 
     def meet(self):
         """A loop for each other bourse that is known."""
@@ -167,7 +172,7 @@
         now = self.clock()
         if self.joined:
             self.machines.look(now)
-        alive = sorted(node for node, at in self.fronts.items() if now - at < FRONT_LOST)
+        alive = {node: place for node, (at, place) in sorted(self.fronts.items()) if now - at < FRONT_LOST}
         key = f"fleet/{self.settings.ip}"
         if alive != self.board.get(key):
             self.told += 1
@@ -182,9 +187,8 @@
             verdict = self.verdicts.get(record["svc"])
             if verdict is None or verdict.n != record["n"]:
                 verdict = self.verdicts[record["svc"]] = Verdict(record["n"])
-            notes = self.board.under("count/")
-            rows = [row for _, note in notes for row in note["rows"]]
-            changes = verdict.look(self.clock(), time.time() - record["began"], record, rows, self.left(record, notes))
+            rows, votes, left = self.counted(record)
+            changes = verdict.look(self.clock(), time.time() - record["began"], record, rows, votes, left)
             if changes is None:
                 continue
             rank = order(self.register.members, record["svc"]).index(self.settings.ip)
@@ -192,22 +196,31 @@
             if self.board.get(key) != record:
                 continue
             found = await self.register.change(
-                key, lambda held, record=record, changes=changes: rollouts.advance(
-                    held, record["to_ver"], record["n"], **changes))
+                key,
+                lambda held, record=record, changes=changes: rollouts.advance(
+                    held, record["to_ver"], record["n"], **changes
+                ),
+            )
             if found.ok:
                 self.publish(key, found.value)
                 self.say("rollout", svc=record["svc"], to_ver=record["to_ver"], why=verdict.why, **changes)
 
-    def left(self, record, notes):
-        """Whether every front that shares in the traffic follows this stage and has nothing out at the others."""
-        alive = {node for _, nodes in self.board.under("fleet/") for node in nodes}
-        last = {}
-        for key, note in notes:
+    def counted(self, record):
+        """All fronts' counts, those of fronts that have died too; of the fronts that share in the traffic
+        their votes on this stage, and whether all follow it and have nothing out where it leaves."""
+        notes, last = [note for _, note in self.board.under("count/")], {}
+        for key, note in self.board.under("count/"):
             node = key.split("/")[1]
             if node not in last or note["life"] > last[node]["life"]:
                 last[node] = note
-        return bool(alive) and all(
-            node in last and last[node]["left"].get(record["svc"]) == [record["n"], 0] for node in alive)
+        alive = {node for _, nodes in self.board.under("fleet/") for node in nodes}
+        votes = [last[node]["votes"].get(record["svc"]) if node in last else None for node in alive]
+        left = [last[node]["left"].get(record["svc"]) if node in last else None for node in alive]
+        return (
+            [row for note in notes for row in note["rows"]],
+            [vote[1] if vote and vote[0] == record["n"] else None for vote in votes],
+            bool(left) and all(one == [record["n"], 0] for one in left),
+        )
 
     async def run(self):
         s = self.settings
--- a/honeywood/system/bourse/register.py
+++ b/honeywood/system/bourse/register.py
@@ -1,4 +1,5 @@
 """The register over the bourses' disks: changes and reads with a majority. What decides is in ledger/."""
+
 import asyncio
 from concurrent.futures import ThreadPoolExecutor
 
@@ -9,14 +10,14 @@
 from honeywood.system.terms.outcome import Done, Failed, Wrong
 
 PATH = "/register"
-BORN, MEMBERS = "born", "members"   # rows beside the registers: this disk has taken part; whose disks count
-WITHIN = 0.8                        # seconds a peer has for one step
-PAUSE = 0.02                        # seconds, by chance up to twice, after a ballot that lost
-TURNS = 8                           # ballots before a change gives up
+BORN, MEMBERS = "born", "members"  # rows beside the registers: this disk has taken part; whose disks count
+WITHIN = 0.8  # seconds a peer has for one step
+PAUSE = 0.02  # seconds, by chance up to twice, after a ballot that lost
+TURNS = 8  # ballots before a change gives up
 
 
 class Register:
-    """This program's disk and its way to the others'. `bear` disks may be lost at once; so 2 bear + 1 count."""
+    """This disk and the way to the others. `bear` disks may be lost at once, so 2 bear + 1 count."""
 
     def __init__(self, settings, caller, random, say):
         self.settings, self.caller, self.random, self.say = settings, caller, random, say
@@ -40,7 +41,7 @@
 
     # starting
     async def open(self):
-        """Opens the disk. It is sound if it has taken part before, or if all begins anew; else it was lost."""
+        """Opens the disk: sound if it has taken part before or all begins anew; else it was lost."""
         self.disk = await self._on_disk(Disk, self.settings.datadir)
         self.rows = await self._on_disk(self.disk.rows)
         if BORN in self.rows:
@@ -53,20 +54,24 @@
     async def found(self, known):
         """Fixes whose disks count once enough are known: the same everywhere, and for good."""
         if self.sound and not self.members and len(known) >= self.size:
-            members = sorted(known)[:self.size]
+            members = sorted(known)[: self.size]
             await self._keep({MEMBERS: members})
             self.members = members
 
     async def rebuild(self, known):
         """A lost disk: neither votes nor counts until a majority of those that lost nothing has told all."""
         pulls = []
-        for reply in await asyncio.gather(*[self._call(ip, {"op": "pull"}) for ip in known if ip != self.settings.ip]):
+        for reply in await asyncio.gather(
+            *[self._call(ip, {"op": "pull"}) for ip in known if ip != self.settings.ip]
+        ):
             if reply.ok:
                 pulls.append(reply.value["rows"])
         if len(pulls) < self.majority:
             return
         members = next((pull[MEMBERS] for pull in pulls if MEMBERS in pull), None)
-        rows = acceptor.rebuilt([{k: row for k, row in pull.items() if k not in (BORN, MEMBERS)} for pull in pulls])
+        rows = acceptor.rebuilt(
+            [{k: row for k, row in pull.items() if k not in (BORN, MEMBERS)} for pull in pulls]
+        )
         await self._keep({**rows, **({MEMBERS: members} if members else {}), BORN: True})
         self.sound, self.members = True, members or []
         self.say("rebuilt", rows=len(rows), told_by=len(pulls))
@@ -81,8 +86,13 @@
             return {"rows": self.rows}
         if op == "survey":
             known = need(ask, "known", dict, PATH)
-            return {"rows": {key: {"accepted": row[1], "value": None if known.get(key) == row[1] else row[2]}
-                             for key, row in self.rows.items() if key not in (BORN, MEMBERS)}}
+            return {
+                "rows": {
+                    key: {"accepted": row[1], "value": None if known.get(key) == row[1] else row[2]}
+                    for key, row in self.rows.items()
+                    if key not in (BORN, MEMBERS)
+                }
+            }
         key, ballot = need(ask, "key", str, PATH), need(ask, "ballot", list, PATH)
         async with self.lock:
             row = self.rows.get(key)
--- a/honeywood/system/cart/ask.py
+++ b/honeywood/system/cart/ask.py
@@ -18,6 +18,11 @@
 
 async def answer(send, status, headers=(), body=b""):
     """A whole answer of ours."""
-    await send({"type": "http.response.start", "status": status,
-                "headers": [*headers, (b"content-length", str(len(body)).encode())]})
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [*headers, (b"content-length", str(len(body)).encode())],
+        }
+    )
     await send({"type": "http.response.body", "body": body})
--- a/honeywood/system/cart/call.py
+++ b/honeywood/system/cart/call.py
@@ -1,4 +1,5 @@
 """Calls between our programs: a JSON body to a path, a JSON body back."""
+
 import asyncio
 import json
 
@@ -9,7 +10,7 @@
 from honeywood.system.terms.outcome import Done, Failed, Wrong
 
 CONNECT = 0.3  # seconds for a connection to one of ours
-IDLE = 5.0     # seconds after which an idle connection isn't trusted
+IDLE = 5.0  # seconds after which an idle connection isn't trusted
 
 
 class Caller:
--- a/honeywood/system/cart/door.py
+++ b/honeywood/system/cart/door.py
@@ -1,4 +1,5 @@
 """Listening, by uvicorn: one server for all of a program's addresses."""
+
 import asyncio
 import socket
 
@@ -34,9 +35,20 @@
     """The listeners of a program."""
 
     def __init__(self, app, idle_s):
-        config = uvicorn.Config(app, http=Door, ws="none", lifespan="off", log_config=None, access_log=False,
-                                server_header=False, date_header=False, proxy_headers=False,
-                                timeout_keep_alive=idle_s, backlog=BACKLOG, loop="asyncio")
+        config = uvicorn.Config(
+            app,
+            http=Door,
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            proxy_headers=False,
+            timeout_keep_alive=idle_s,
+            backlog=BACKLOG,
+            loop="asyncio",
+        )
         self.server = uvicorn.Server(config)
 
     async def open(self, places):
--- a/honeywood/system/cart/link.py
+++ b/honeywood/system/cart/link.py
@@ -1,4 +1,5 @@
 """One exchange after the other on one connection to a peer, by httpcore."""
+
 import asyncio
 from dataclasses import dataclass, field
 from typing import Any
@@ -8,19 +9,36 @@
 from honeywood.system.cart.stream import dial
 
 HOLD = 1 << 18  # bytes of an answer that are held until it is whole; longer ones are passed on as they come
-HOPS = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
-                  b"upgrade", b"proxy-authenticate", b"proxy-authorization"))
+HOPS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+    )
+)
 
 
 def end_to_end(headers):
-    """Headers, names in lower case, without those that concern a single connection, named ones included."""
-    named = {token.strip().lower() for name, value in headers if name == b"connection" for token in value.split(b",")}
+    """Headers (names in lower case) without those that concern a single connection."""
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for token in value.split(b",")
+    }
     return [(name, value) for name, value in headers if name not in HOPS and name not in named]
 
 
 @dataclass(slots=True)
 class Reply:
     """A whole answer, or with `rest` the start of a long one. `headers` are in lower case, as they came."""
+
     status: int
     headers: list
     body: bytes
@@ -30,14 +48,15 @@
 
 @dataclass(slots=True)
 class Broken:
-    """No whole answer: `sent` tells whether any byte of the request may have left, `late` that time was up."""
+    """No whole answer: `sent` says that bytes of the request may have left, `late` that time was up."""
+
     why: str
     sent: bool
     late: bool = False
 
 
 class Link:
-    """A connection to a peer; `idle_at` is when its last exchange ended, `keep` how long the peer keeps it."""
+    """A connection to a peer; `idle_at` is when its last exchange ended, `keep` the peer's patience."""
 
     def __init__(self, stream, ip, port):
         self.stream, self.origin = stream, httpcore.Origin(b"http", ip.encode(), port)
@@ -58,9 +77,13 @@
         timer = loop.call_at(until, stream.give_up)
         try:
             url = httpcore.URL(scheme=b"http", host=self.origin.host, port=self.origin.port, target=target)
-            reply = await self.line.handle_async_request(httpcore.Request(method, url, headers=headers, content=body))
+            reply = await self.line.handle_async_request(
+                httpcore.Request(method, url, headers=headers, content=body)
+            )
             fields = {name.lower(): value for name, value in reply.headers}
-            found = Reply(reply.status, [(name.lower(), value) for name, value in reply.headers], b"", None, fields)
+            found = Reply(
+                reply.status, [(name.lower(), value) for name, value in reply.headers], b"", None, fields
+            )
             chunks, size, parts = aiter(reply.stream), 0, []
             async for chunk in chunks:
                 parts.append(chunk)
--- a/honeywood/system/cart/stream.py
+++ b/honeywood/system/cart/stream.py
@@ -3,13 +3,14 @@
 What is written waits until something is read, so that a request leaves in one piece; `flushed` tells whether
 any byte may have left. Bytes that come while no exchange is out make the connection `stained`.
 """
+
 import asyncio
 import socket
 
 import httpcore
 
-FULL = 1 << 18          # bytes held unread before the peer is held up
-SILENT_MS = 2500        # unacknowledged for so long, a connection is dead: a machine without power says nothing
+FULL = 1 << 18  # bytes held unread before the peer is held up
+SILENT_MS = 2500  # unacknowledged for so long, it is dead: a machine without power says nothing
 LONGEST_HEAD = 1 << 17  # bytes of an answer's head
 
 
--- a/honeywood/system/crier/board.py
+++ b/honeywood/system/crier/board.py
@@ -3,6 +3,7 @@
 
 Each board counts its own changes, so that whoever asks again is told only what is new since.
 """
+
 PRIVATE = ("beat/", "count/")  # for bourses only
 
 
@@ -39,8 +40,11 @@
         start = rev if life == self.life else 0
         if start >= self.rev:
             return []
-        found = sorted((at, key, stamp, value) for key, (stamp, value, at) in self.notes.items()
-                       if at > start and (private or not key.startswith(PRIVATE)))
+        found = sorted(
+            (at, key, stamp, value)
+            for key, (stamp, value, at) in self.notes.items()
+            if at > start and (private or not key.startswith(PRIVATE))
+        )
         return [(key, stamp, value) for _, key, stamp, value in found]
 
     def hear(self, notes):
--- a/honeywood/system/crier/mouth.py
+++ b/honeywood/system/crier/mouth.py
@@ -1,5 +1,6 @@
 """Telling and asking for news between programs. A program asks another and is answered once there is
 something new, or after a while; so news pass at once, and each answer is a sign of life."""
+
 import asyncio
 
 from honeywood.system.crier.board import Board
@@ -7,8 +8,8 @@
 from honeywood.system.terms.outcome import Wrong
 
 PATH = "/news"
-HOLD = 1.0      # seconds an ask is held while there is nothing new
-BUNDLE = 0.02   # seconds waited after a note for others that come with it
+HOLD = 1.0  # seconds an ask is held while there is nothing new
+BUNDLE = 0.02  # seconds waited after a note for others that come with it
 QUIET = ("beat/",)  # notes that wake nobody
 
 
--- a/honeywood/system/ledger/acceptor.py
+++ b/honeywood/system/ledger/acceptor.py
@@ -3,6 +3,7 @@
 
 What must hold: a ballot below the promised one is refused; a row is on disk before it is told of.
 """
+
 NEVER = [0, ""]
 
 
--- a/honeywood/system/ledger/round.py
+++ b/honeywood/system/ledger/round.py
@@ -1,4 +1,5 @@
 """A change of one key's value: prepare, then accept, each with a majority. Pure: replies are fed in."""
+
 from honeywood.system.ledger.acceptor import NEVER
 
 
--- a/honeywood/system/porter/__init__.py
+++ b/honeywood/system/porter/__init__.py
@@ -1,4 +1,4 @@
-"""Which machine a request goes to, whether it may go there, and what its answer means. Pure: no socket, no clock.
+"""Which machine a request goes to, whether it may go there, what its answer means. No socket, no clock.
 
-Start reading at carry.py (the life of a request), then gate.py (the one place every send passes).
+Start reading at gate.py (the one place every send passes), then choose.py and answers.py.
 """
--- a/honeywood/system/porter/answers.py
+++ b/honeywood/system/porter/answers.py
@@ -1,4 +1,5 @@
 """What came back from a machine means one of five things."""
+
 GOOD, FAILED, NOT_RUN, SPOILT, SILENT = "good", "failed", "not run", "spoilt", "silent"
 PROMISES = (408, 421, 429, 503)  # statuses that promise a client: not run, and never will be
 
--- a/honeywood/system/porter/budget.py
+++ b/honeywood/system/porter/budget.py
@@ -1,5 +1,6 @@
 """The budget for further arrivals, shared by all fronts without asking: each earns by its own requests, and
 the slack is divided by the number of fronts."""
+
 from collections import deque
 
 SAFETY = 0.75  # of the ratio and slack that are told; fronts' windows and numbers are never quite alike
--- a/honeywood/system/porter/choose.py
+++ b/honeywood/system/porter/choose.py
@@ -1,7 +1,8 @@
-"""Which of a service's machines is asked: the one that is least busy for its pace, those of the own zone first."""
-COLD = 2.0       # a machine that has just started counts as so much slower
-CROSSING = 0.5   # another zone's machine must be less busy by this part of its slots: bytes between zones cost
-DRAWN = 6        # machines compared, so that fronts that know the same don't all take the same
+"""Which of a service's machines is asked: the least busy for its pace, those of the own zone first."""
+
+COLD = 2.0  # a machine that has just started counts as so much slower
+CROSSING = 0.5  # another zone's machine must be less busy by this part of its slots: crossing costs
+DRAWN = 6  # machines compared, so that fronts that know the same don't all take the same
 
 
 def cost(now, machine, zone):
--- a/honeywood/system/porter/gate.py
+++ b/honeywood/system/porter/gate.py
@@ -1,4 +1,5 @@
 """The one place that every send to a machine passes."""
+
 from dataclasses import dataclass, field
 
 from honeywood.system.porter.answers import GOOD, NOT_RUN
@@ -11,6 +12,7 @@
 class Ask:
     """A request on its way. `until` is when its client or route gives up; `sends` are (machine, meaning),
     meaning None while the machine has it."""
+
     route: object
     service: str
     try_id: bytes
@@ -49,7 +51,10 @@
         if not ask.route.safe and ask.may_have_run:
             return "may have run"
         if ask.sends:
-            if len({m.id for m in ask.had} | {machine.id}) > ask.route.tries or len(ask.sends) >= 2 * ask.route.tries:
+            if (
+                len({m.id for m in ask.had} | {machine.id}) > ask.route.tries
+                or len(ask.sends) >= 2 * ask.route.tries
+            ):
                 return "tries"
             if not self.budget_of(ask.service).allows(now, self.fronts()):
                 return "budget"
--- a/honeywood/system/porter/roster.py
+++ b/honeywood/system/porter/roster.py
@@ -1,18 +1,39 @@
 """The machines that are known, as news tell them, and what a front has seen of each."""
+
 from math import inf
 
 READY, DRAINING, GONE, LOST = "ready", "draining", "gone", "silent"
-FADES = 0.4          # seconds in which half of what a machine told of others' load is forgotten
+FADES = 0.4  # seconds in which half of what a machine told of others' load is forgotten
 PACE_STEP, PACE_MOST = 0.1, 8.0
-LEFT_ALONE = 0.5     # seconds a machine is left alone after trouble; doubled each time up to
+LEFT_ALONE = 0.5  # seconds a machine is left alone after trouble; doubled each time up to
 LONGEST = 4.0
-SILENCE = 3.0        # times the usual answer time after which an unanswering machine is avoided
+SILENCE = 3.0  # times the usual answer time after which an unanswering machine is avoided
 
 
 class Machine:
-    """A life of a machine. Times are seconds on the caller's clock; `pace` is its answer time beside its kin's."""
-    __slots__ = ("id", "svc", "ip", "port", "zone", "ver", "slots", "state", "warm_at", "open", "others",
-                 "told_at", "pace", "alone_until", "troubles", "waits_since", "links", "dialling", "seen_at")
+    """A life of a machine. Times are seconds on the caller's clock; `pace` is its time beside its kin's."""
+
+    __slots__ = (
+        "id",
+        "svc",
+        "ip",
+        "port",
+        "zone",
+        "ver",
+        "slots",
+        "state",
+        "warm_at",
+        "open",
+        "others",
+        "told_at",
+        "pace",
+        "alone_until",
+        "troubles",
+        "waits_since",
+        "links",
+        "dialling",
+        "seen_at",
+    )
 
     def __init__(self, id, now):
         self.id, self.seen_at, self.open, self.others, self.told_at = id, now, 0, 0.0, -inf
--- a/honeywood/system/porter/routes.py
+++ b/honeywood/system/porter/routes.py
@@ -19,7 +19,7 @@
             return None
         end = path.rfind(b"/")
         while end >= 0:
-            route = routes.get(path[:end + 1])
+            route = routes.get(path[: end + 1])
             if route is not None:
                 return route
             end = path.rfind(b"/", 0, end)
--- a/honeywood/system/program.py
+++ b/honeywood/system/program.py
@@ -1,4 +1,5 @@
 """What both programs share: settings, log, signals, and loops that end with the program."""
+
 import asyncio
 import gc
 import logging
@@ -22,10 +23,16 @@
     def __init__(self):
         self.settings, self.life = self.load(), f"{time.time_ns() // 1_000_000:013x}"
         self.loops, self.stopping, self.said = set(), asyncio.Event(), {}
-        structlog.configure(processors=[structlog.processors.TimeStamper(fmt="iso", utc=True),
-                                        structlog.processors.JSONRenderer()],
-                            logger_factory=structlog.PrintLoggerFactory(sys.stdout))
-        logging.basicConfig(level=logging.ERROR, stream=sys.stdout, format='{"event":"library","why":"%(message)s"}')
+        structlog.configure(
+            processors=[
+                structlog.processors.TimeStamper(fmt="iso", utc=True),
+                structlog.processors.JSONRenderer(),
+            ],
+            logger_factory=structlog.PrintLoggerFactory(sys.stdout),
+        )
+        logging.basicConfig(
+            level=logging.ERROR, stream=sys.stdout, format='{"event":"library","why":"%(message)s"}'
+        )
         self.log = structlog.get_logger().bind(node=self.settings.node, life=self.life)
         gc.set_threshold(COLLECT, 50, 100)
 
@@ -49,6 +56,7 @@
 
     def loop(self, step, every):
         """Runs `step` again and again, `every` seconds after it ended; what it raises is logged."""
+
         async def run():
             while True:
                 try:
@@ -56,6 +64,7 @@
                 except Exception as wrong:  # one turn's trouble must not end a loop that others rely on
                     self.say("loop failed", 1.0, step=step.__qualname__, why=repr(wrong))
                 await asyncio.sleep(every)
+
         task = asyncio.get_running_loop().create_task(run())
         self.loops.add(task)
 
--- a/honeywood/system/scales/record.py
+++ b/honeywood/system/scales/record.py
@@ -1,8 +1,9 @@
 """A rollout as the register keeps it: a plain object, changed only from active to done or to reverted.
 
-{"svc", "to_ver", "over_s", "began", "state", "stage", "n"}: `began` is the time of day (seconds) of the order,
-`n` rises with each change, so that news of it win by it.
+{"svc", "to_ver", "over_s", "began", "state", "stage", "n"}: `began` is the time of day (seconds) of
+the order, `n` rises with each change, so that news of it win by it.
 """
+
 ACTIVE, DONE, REVERTED = "active", "done", "reverted"
 TRIAL, FULL = "trial", "full"
 
@@ -12,7 +13,15 @@
     if held is not None and held["to_ver"] == to_ver:
         return held
     n = 1 if held is None else held["n"] + 1
-    return {"svc": svc, "to_ver": to_ver, "over_s": over_s, "began": now, "state": ACTIVE, "stage": TRIAL, "n": n}
+    return {
+        "svc": svc,
+        "to_ver": to_ver,
+        "over_s": over_s,
+        "began": now,
+        "state": ACTIVE,
+        "stage": TRIAL,
+        "n": n,
+    }
 
 
 def advance(held, to_ver, n, **changes):
--- a/honeywood/system/scales/stage.py
+++ b/honeywood/system/scales/stage.py
@@ -1,14 +1,16 @@
 """What each version of a service may get at one front."""
+
 from bisect import bisect_left
 from collections import Counter
 
 from honeywood.judge.counts import EDGES, Counts
 from honeywood.system.porter.answers import GOOD, NOT_RUN
 from honeywood.system.scales.record import ACTIVE, DONE, FULL, REVERTED
+from honeywood.system.scales.verdict import Voter
 
-SAFETY = 0.8         # of the share and slack that are told: requests end up elsewhere than they began
-YOUNG = 3.0          # seconds: machines that started since say nothing of their version (the design's)
-LEASE = 3.0          # seconds a stage holds at a front that hears no bourse; then the earlier version alone
+SAFETY = 0.8  # of the share and slack that are told: requests end up elsewhere than they began
+YOUNG = 3.0  # seconds: machines that started since say nothing of their version (the design's)
+LEASE = 3.0  # seconds a stage holds at a front that hears no bourse; then the earlier version alone
 ESTABLISHED, ON_TRIAL, CLOSED = "established", "trial", "closed"
 
 
@@ -17,7 +19,8 @@
 
     def __init__(self, roster, share, slack, fronts):
         self.roster, self.share, self.slack, self.fronts = roster, share * SAFETY, slack * SAFETY, fronts
-        self.records, self.taken, self.tried, self.counts, self.heard_at = {}, Counter(), Counter(), {}, 0.0
+        self.records, self.taken, self.tried, self.counts = {}, Counter(), Counter(), {}
+        self.heard_at, self.voters = 0.0, {}
 
     def hear(self, record):
         if record["svc"] not in self.records or record["n"] > self.records[record["svc"]]["n"]:
@@ -71,7 +74,7 @@
             self.tried[ask.service, ask.route.name] += 1
 
     def groups(self, now, ask, machines):
-        """The machines in groups, the one to ask first in front: on trial while there is room, then the rest."""
+        """The machines in groups, the first to ask first: on trial while there is room, then the rest."""
         by = {ESTABLISHED: [], ON_TRIAL: [], CLOSED: []}
         standing = {ver: self.standing(ask.service, ver) for ver in {m.ver for m in machines}}
         for machine in machines:
@@ -81,7 +84,7 @@
         return [by[ESTABLISHED], by[ON_TRIAL]]
 
     def ended(self, now, ask, machine, meaning, took):
-        """Counts how a send ended: failures and answer times by class and version, while a version is on trial."""
+        """Counts how a send ended, by class and version, while a version is on trial."""
         record = self.records.get(ask.service)
         if record is None or record["state"] != ACTIVE or meaning == NOT_RUN or now < machine.warm_at:
             return
@@ -91,6 +94,20 @@
         counts = self.counts.setdefault(place, Counts())
         counts.add(1, meaning != GOOD, 1, bisect_left(EDGES, took / ask.route.timeout))
 
-    def told(self):
-        """The counts as rows for the bourses: [svc, class, version, failed, ended, bins]."""
-        return [[*place, c.failed, c.ended, c.bins] for place, c in self.counts.items()]
+    def told(self, now):
+        """What bourses are told: counts as rows [svc, class, version, failed, ended, bins], this front's
+        votes {svc: [n, vote]}, and {svc: [n, requests still out at machines that the stage leaves]}."""
+        rows = [[*place, c.failed, c.ended, c.bins] for place, c in self.counts.items()]
+        votes, left = {}, {}
+        for svc, record in self.records.items():
+            left[svc] = [record["n"], self.behind(svc)]
+            if record["state"] == ACTIVE:
+                if svc not in self.voters or self.voters[svc].n != record["n"]:
+                    self.voters[svc] = Voter(record["n"], now, self.fronts())
+                votes[svc] = [record["n"], self.voters[svc].vote(now, record, rows)]
+        return {"rows": rows, "votes": votes, "left": left}
+
+    @property
+    def active(self):
+        """Whether any rollout is under way."""
+        return any(record["state"] == ACTIVE for record in self.records.values())
--- a/honeywood/system/stall/app.py
+++ b/honeywood/system/stall/app.py
@@ -1,4 +1,5 @@
 """The stall's ASGI application: clients, the platform's readiness calls, and news."""
+
 import json
 
 from honeywood.system.cart.ask import answer, body_of
@@ -38,7 +39,10 @@
     def early(self, scope):
         """Begins with a request that stands behind another, where it may be repeated and has no body."""
         fields = dict(scope["headers"])
-        if scope["server"][1] in (self.ready_port, self.news_port) or fields.get(b"content-length", b"0") != b"0":
+        if (
+            scope["server"][1] in (self.ready_port, self.news_port)
+            or fields.get(b"content-length", b"0") != b"0"
+        ):
             return None
         table = self.stall.table
         route = table.find(fields.get(b"host", b""), scope["raw_path"]) if table else None
@@ -61,7 +65,9 @@
     async def carry(self, scope, route, fields, body):
         query = scope["query_string"]
         target = scope["raw_path"] + (b"?" + query if query else b"")
-        return await self.stall.carrier.carry(route, scope["method"].encode(), target, scope["headers"], fields, body)
+        return await self.stall.carrier.carry(
+            route, scope["method"].encode(), target, scope["headers"], fields, body
+        )
 
     async def news(self, scope, receive, send):
         peer = scope["client"][0]
@@ -74,5 +80,9 @@
             found = await self.stall.mouth.serve(read_json(raw, PATH, peer), peer)
         except Wrong as wrong:
             return await answer(send, 400, (), str(wrong).encode())
-        await answer(send, 200, [(b"content-type", b"application/json")],
-                     json.dumps(found, separators=(",", ":")).encode())
+        await answer(
+            send,
+            200,
+            [(b"content-type", b"application/json")],
+            json.dumps(found, separators=(",", ":")).encode(),
+        )
--- a/honeywood/system/stall/carry.py
+++ b/honeywood/system/stall/carry.py
@@ -1,4 +1,5 @@
 """A request's way: to a machine, to another where that may be, and back as one answer."""
+
 import asyncio
 from dataclasses import dataclass
 from typing import Any
@@ -9,16 +10,17 @@
 from honeywood.system.porter.gate import Ask
 from honeywood.system.porter.routes import share_out
 
-HEDGE = 4.0          # usual answer times after which a repeatable request goes to a second machine as well
-HEDGE_LEAST = 0.05   # seconds
-AGAIN_S = 0.1        # seconds after which a refused client may come again
-SPARE = 0.004        # seconds before its client gives up that a request is answered by us
-AFTER = 0.05         # seconds after that in which a machine's own late answer still frees its connection
+HEDGE = 4.0  # usual answer times after which a repeatable request goes to a second machine as well
+HEDGE_LEAST = 0.05  # seconds
+AGAIN_S = 0.1  # seconds after which a refused client may come again
+SPARE = 0.004  # seconds before its client gives up that a request is answered by us
+AFTER = 0.05  # seconds after that in which a machine's own late answer still frees its connection
 
 
 @dataclass(slots=True)
 class Answer:
     """What a client gets; `rest` is what follows a long body's start."""
+
     status: int
     headers: list
     body: bytes = b""
@@ -42,19 +44,27 @@
         self.ends = {}
 
     async def carry(self, route, method, target, headers, fields, body):
-        """The Answer to a whole request: `target` with its raw escapes, `fields` the first value of each header."""
+        """The Answer to a whole request: `target` with its raw escapes, `fields` a value of each header."""
         now = self.clock()
         try:
             wait = min(route.timeout, int(fields.get(b"x-deadline-ms", b"86400000")) / 1000)
         except ValueError:
             return ours(400, "x-deadline-ms is no number")
-        ask = Ask(route, share_out(route.split, self.random.random()), fields.get(b"x-try-id", b""), now, now + wait)
+        ask = Ask(
+            route, share_out(route.split, self.random.random()), fields.get(b"x-try-id", b""), now, now + wait
+        )
         self.budget_of(ask.service).request(now)
         self.stage.taking(ask)
-        passed = [(name, value) for name, value in end_to_end(headers) if name not in (
-            b"x-deadline-ms", b"x-want-instance", b"content-length", b"expect")]
-        passed.append((b"content-length", str(len(body)).encode()) if body or method not in (b"GET", b"HEAD")
-                      else (b"accept-encoding", b"identity"))
+        passed = [
+            (name, value)
+            for name, value in end_to_end(headers)
+            if name not in (b"x-deadline-ms", b"x-want-instance", b"content-length", b"expect")
+        ]
+        passed.append(
+            (b"content-length", str(len(body)).encode())
+            if body or method not in (b"GET", b"HEAD")
+            else (b"accept-encoding", b"identity")
+        )
         answer = await self._tries(ask, method, target, passed, body)
         ask.done = True
         return answer
@@ -71,8 +81,11 @@
             until = ask.until - SPARE
             hedge = self.clock() + max(HEDGE_LEAST, HEDGE * self.roster.usual.get(ask.service, 1.0))
             second = ask.route.safe and len(tasks) == 1 and hedge < until and ask.route.tries > 1
-            done, tasks = await asyncio.wait(tasks, timeout=max(0, (hedge if second else until) - self.clock()),
-                                             return_when=asyncio.FIRST_COMPLETED)
+            done, tasks = await asyncio.wait(
+                tasks,
+                timeout=max(0, (hedge if second else until) - self.clock()),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
             for task in done:
                 found, reply = task.result()
                 if found == GOOD or found == FAILED and not ask.route.safe:
@@ -109,13 +122,21 @@
                     machine.trouble(clock())
                     return found, reply
             now = clock()
-            if self.gate.bar(now, ask, machine) is not None:  # what changed while the connection came up counts
+            if (
+                self.gate.bar(now, ask, machine) is not None
+            ):  # what changed while the connection came up counts
                 return found, reply
             record = self.gate.pass_on(now, ask, machine)
             left = max(1, int((ask.until - now) * 1000))
-            told = [*headers, (b"x-deadline-ms", str(left).encode()), (b"x-want-instance", machine.id.encode())]
+            told = [
+                *headers,
+                (b"x-deadline-ms", str(left).encode()),
+                (b"x-want-instance", machine.id.encode()),
+            ]
             reply = await link.exchange(method, target, told, body, ask.until + AFTER)
             found = self._found(ask, machine, reply, clock() - now)
+            if found == SPOILT:  # what belongs to this request may still come, and must meet no other
+                link.close()
             record[1] = found
             return found, reply
         finally:
@@ -151,7 +172,9 @@
 
     def _pass(self, reply):
         if 300 > reply.status or may_pass(reply.status):
-            headers = [(name, value) for name, value in end_to_end(reply.headers) if name != b"content-length"]
+            headers = [
+                (name, value) for name, value in end_to_end(reply.headers) if name != b"content-length"
+            ]
             if reply.rest is not None and b"content-length" in reply.fields:
                 headers.append((b"content-length", reply.fields[b"content-length"]))
             return Answer(reply.status, headers, reply.body, reply.rest)
--- a/honeywood/system/stall/links.py
+++ b/honeywood/system/stall/links.py
@@ -1,13 +1,12 @@
 """Connections to machines: kept by life, never more than the front's part of what a machine takes."""
-import asyncio
 
 import httpcore
 
 from honeywood.system.cart.link import Link
 
-CONNECT = 0.25      # seconds for a connection to come up
-TRUST_S = 8.0       # seconds an idle connection is trusted where the machine doesn't say
-EARLY = 1.0         # seconds before its said end that it isn't used any more
+CONNECT = 0.25  # seconds for a connection to come up
+TRUST_S = 8.0  # seconds an idle connection is trusted where the machine doesn't say
+EARLY = 1.0  # seconds before its said end that it isn't used any more
 
 
 class Links:
@@ -51,7 +50,11 @@
         """Ends what is too old; called now and then."""
         now = self.clock()
         for machine in machines:
-            kept = [link for link in machine.links if link.fit and now - link.idle_at < (link.keep or TRUST_S) - EARLY]
+            kept = [
+                link
+                for link in machine.links
+                if link.fit and now - link.idle_at < (link.keep or TRUST_S) - EARLY
+            ]
             for link in machine.links:
                 if link not in kept:
                     link.close()
--- a/honeywood/system/stall/program.py
+++ b/honeywood/system/stall/program.py
@@ -1,4 +1,5 @@
 """The stall's program: what it wants to know, and the loops that bring it there."""
+
 import asyncio
 import time
 from random import Random
@@ -6,7 +7,7 @@
 from honeywood.system.cart.call import Caller
 from honeywood.system.cart.door import Doors
 from honeywood.system.crier.mouth import HOLD, Ear, Mouth
-from honeywood.system.crier.ring import order
+from honeywood.system.crier.ring import order, parents
 from honeywood.system.porter.budget import Budget
 from honeywood.system.porter.gate import Gate
 from honeywood.system.porter.roster import Roster
@@ -17,11 +18,12 @@
 from honeywood.system.stall.carry import Carrier
 from honeywood.system.stall.links import Links
 from honeywood.system.terms import config
-from honeywood.system.terms.outcome import Wrong
 
-TIDY = 0.5       # seconds between looks at idle connections
-TOLD_IN = 2.2    # seconds in which the platform has noticed a front that isn't ready (two misses of 1 s)
-SETTLE = 2.0     # seconds a front with a configuration waits for machines before it calls itself ready
+SURE, SURE_ROLLOUT = 0.4, 0.2  # seconds between asks that make sure of the news; while a version is on trial
+AGAIN = 0.1  # seconds after which bourses that didn't answer are asked again
+TIDY = 0.5  # seconds between looks at idle connections
+TOLD_IN = 2.2  # seconds in which the platform has noticed a front that isn't ready (two misses of 1 s)
+SETTLE = 2.0  # seconds a front with a configuration waits for machines before it calls itself ready
 
 
 class Stall(Program):
@@ -34,11 +36,13 @@
         self.budgets = {}
         self.links = Links(self.clock)
         self.gate = Gate(self.budget_of, self.fronts, self.stage)
-        self.carrier = Carrier(self.clock, self.random, s.zone, self.roster, self.gate, self.stage, self.links,
-                               self.budget_of)
+        self.carrier = Carrier(
+            self.clock, self.random, s.zone, self.roster, self.gate, self.stage, self.links, self.budget_of
+        )
         self.mouth, self.caller, self.tasks = Mouth(self.life, self.hear), Caller(), set()
-        self.ear = Ear(self.mouth, self.caller, self.who, self.own)
-        self.bourses, self.told = [ip for ip, _ in s.seeds], 0
+        self.ear = Ear(self.mouth, self.caller, self.who)
+        self.sure = Ear(self.mouth, self.caller, self.who, self.own)
+        self.bourses, self.told, self.turn = [ip for ip, _ in s.seeds], 0, 0
 
     def start(self, work):
         task = asyncio.get_running_loop().create_task(work)
@@ -58,14 +62,23 @@
 
     # news
     def who(self):
-        return {"node": self.settings.node, "ip": self.settings.ip, "zone": self.settings.zone, "life": self.life,
-                "front": True}
+        return {
+            "node": self.settings.node,
+            "ip": self.settings.ip,
+            "zone": self.settings.zone,
+            "life": self.life,
+            "front": True,
+        }
 
     def own(self):
         self.told += 1
-        left = {svc: [r["n"], self.stage.behind(svc)] for svc, r in self.stage.records.items()}
-        return [[f"count/{self.settings.node}/{self.life}", [self.told],
-                 {"rows": self.stage.told(), "left": left, "life": self.life}]]
+        return [
+            [
+                f"count/{self.settings.node}/{self.life}",
+                [self.told],
+                {"life": self.life, **self.stage.told(self.clock())},
+            ]
+        ]
 
     def hear(self, key, value):
         kind, _, name = key.partition("/")
@@ -82,15 +95,35 @@
         elif kind == "bourse" and name not in self.bourses:
             self.bourses.append(name)
 
+    def peers(self):
+        """The fronts that bourses have told of: {node: (zone, ip)}."""
+        return {
+            node: tuple(place)
+            for _, nodes in self.mouth.board.under("fleet/")
+            for node, place in nodes.items()
+        }
+
     async def listen(self):
-        """Asks a bourse for news, the one that falls to this front first."""
-        for ip in order(self.bourses, self.settings.node):
-            reply = await self.ear.ask(ip, self.settings.bourse_port, HOLD)
-            if reply.ok:
+        """Asks its relay for news, held until there are some; where that one is silent, the next above it."""
+        s = self.settings
+        found = parents(s.node, s.zone, self.peers())
+        for port, places in ((s.stall_port, found), (s.bourse_port, order(self.bourses, s.node))):
+            for ip in places:
+                if (await self.ear.ask(ip, port, HOLD)).ok:
+                    return
+        await asyncio.sleep(AGAIN)
+
+    async def make_sure(self):
+        """Asks one bourse after the other, of those that hear a majority, for what was missed, and tells it
+        this front's counts: whoever is cut off from the others is not the only one asked for long."""
+        self.turn += 1
+        ring = order(self.bourses, self.settings.node)
+        for ip in ring[self.turn % len(ring) :] + ring[: self.turn % len(ring)]:
+            reply = await self.sure.ask(ip, self.settings.bourse_port, 0.0)
+            if reply.ok and reply.value.get("joined"):
                 self.stage.heard_at = self.clock()
-                return
+                return await asyncio.sleep(SURE_ROLLOUT if self.stage.active else SURE)
         self.say("no bourse answers", 5.0)
-        await asyncio.sleep(0.1)
 
     @property
     def ready(self):
@@ -108,6 +141,7 @@
         await doors.open([s.listen["http"], s.listen["ready"], (s.ip, s.stall_port)])
         self.say("started", role=s.role)
         self.loop(self.listen, 0.01)
+        self.loop(self.make_sure, 0.05)
         self.loop(self.tidy, TIDY)
         await self.until_stopped()
         self.say("stopping")
--- a/honeywood/system/terms/check.py
+++ b/honeywood/system/terms/check.py
@@ -1,4 +1,5 @@
 """Hand-written checks of plain values. Each raises outcome.Wrong that names the key."""
+
 import json
 from math import inf, isfinite
 
@@ -15,7 +16,11 @@
     if value is default:
         return value
     number = kind in (int, float)
-    if isinstance(value, bool) and kind is not bool or not isinstance(value, (int, float) if kind is float else kind):
+    if (
+        isinstance(value, bool)
+        and kind is not bool
+        or not isinstance(value, (int, float) if kind is float else kind)
+    ):
         raise Wrong(where, f"{key} must be {kind.__name__}, not {type(value).__name__}")
     if number and not isfinite(value):
         raise Wrong(where, f"{key} must be finite")
@@ -25,7 +30,7 @@
 
 
 def address(text, where):
-    """"ip:port" as (ip, port)."""
+    """ "ip:port" as (ip, port)."""
     ip, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
     if not (ip and colon and port.isdecimal() and 0 < int(port) < 65536):
         raise Wrong(where, f"{text!r} is no address")
--- a/honeywood/system/terms/config.py
+++ b/honeywood/system/terms/config.py
@@ -2,6 +2,7 @@
 
 The text is kept as it came and told back so; what is read here are its parts.
 """
+
 from dataclasses import dataclass
 
 from honeywood.system.terms.check import need, read_json
@@ -16,6 +17,7 @@
 @dataclass(frozen=True, slots=True)
 class Route:
     """Where requests of a host and prefix go. Times are seconds; `split` is [(service, weight)]."""
+
     name: str
     host: str
     prefix: str
@@ -41,6 +43,7 @@
 @dataclass(frozen=True, slots=True)
 class Limits:
     """What a client may send (bytes) and how long it may take or be idle (seconds)."""
+
     header_bytes: int = 16384
     body_bytes: int = 1 << 26
     header_s: float = 10.0
@@ -88,10 +91,17 @@
     timeout = need(spec, "timeout_s", float, where, least=0, most=FAR)
     if not timeout > 0:
         raise Wrong(where, "timeout_s must be above 0")
-    return Route(name, host.lower(), prefix, kind, timeout,
-                 need(spec, "target_s", float, where, timeout, least=0, most=FAR),
-                 need(spec, "prio", int, where, 0, least=0), need(spec, "tries", int, where, 1, least=1),
-                 _split(spec, where))
+    return Route(
+        name,
+        host.lower(),
+        prefix,
+        kind,
+        timeout,
+        need(spec, "target_s", float, where, timeout, least=0, most=FAR),
+        need(spec, "prio", int, where, 0, least=0),
+        need(spec, "tries", int, where, 1, least=1),
+        _split(spec, where),
+    )
 
 
 def _service(name, spec, where):
@@ -102,10 +112,12 @@
 
 
 def _limits(name, spec, where):
-    return Limits(need(spec, "hdr_bytes", int, where, 16384, least=256),
-                  need(spec, "body_bytes", int, where, 1 << 26, least=0),
-                  need(spec, "hdr_s", float, where, 10.0, least=0.001, most=FAR),
-                  need(spec, "idle_s", float, where, 15.0, least=0.001, most=FAR))
+    return Limits(
+        need(spec, "hdr_bytes", int, where, 16384, least=256),
+        need(spec, "body_bytes", int, where, 1 << 26, least=0),
+        need(spec, "hdr_s", float, where, 10.0, least=0.001, most=FAR),
+        need(spec, "idle_s", float, where, 15.0, least=0.001, most=FAR),
+    )
 
 
 READERS = {"routes": _route, "svcs": _service, "limits": _limits}
--- a/honeywood/system/terms/outcome.py
+++ b/honeywood/system/terms/outcome.py
@@ -1,4 +1,5 @@
 """Tagged outcomes: what went right, and what went wrong at which step with which peer."""
+
 from dataclasses import dataclass
 from typing import Any
 
@@ -6,13 +7,15 @@
 @dataclass(frozen=True, slots=True)
 class Done:
     """A step that ended well, with what it brought."""
+
     value: Any = None
     ok = True
 
 
 @dataclass(frozen=True, slots=True)
 class Failed:
-    """A step that did not: `step` and `peer` say where, `why` what was wrong, `status` what a caller is told."""
+    """A step that did not: `step` and `peer` say where, `why` what was wrong, `status` what is told."""
+
     step: str
     why: str
     peer: str = ""
--- a/honeywood/system/terms/settings.py
+++ b/honeywood/system/terms/settings.py
@@ -1,17 +1,33 @@
 """The settings file of a process, read and checked. Unknown fields are skipped."""
+
 import tomllib
 from dataclasses import dataclass
 
 from honeywood.system.terms.check import address, need
 from honeywood.system.terms.outcome import Wrong
 
-BOUNDS = ("reuse_s", "contact_s", "ack_s", "sync_s", "drain_s", "grace_s", "lost_s", "apply_s", "retry_ratio",
-          "retry_win_s", "retry_slack", "canary_share", "canary_slack", "rollback_s")
+BOUNDS = (
+    "reuse_s",
+    "contact_s",
+    "ack_s",
+    "sync_s",
+    "drain_s",
+    "grace_s",
+    "lost_s",
+    "apply_s",
+    "retry_ratio",
+    "retry_win_s",
+    "retry_slack",
+    "canary_share",
+    "canary_slack",
+    "rollback_s",
+)
 
 
 @dataclass(frozen=True, slots=True)
 class Settings:
     """One process's settings. Times are seconds, addresses (ip, port), `bounds` the figures of the rules."""
+
     node: str
     role: str
     ip: str
@@ -22,7 +38,7 @@
     ports: tuple
     listen: dict
     bounds: dict
-    bear: int        # counted machines that may be lost at once
+    bear: int  # counted machines that may be lost at once
     nofile: int
     mem_mb: float
     beat_s: float
@@ -51,13 +67,18 @@
     listen, given = need(table, "listen", dict, where, {}), need(table, "bounds", dict, where)
     limits, tolerate = need(table, "limits", dict, where, {}), need(table, "tolerate", dict, where, {})
     return Settings(
-        node=need(table, "node", str, where), role=need(table, "role", str, where),
-        ip=need(table, "ip", str, where), zone=need(table, "zone", str, where),
+        node=need(table, "node", str, where),
+        role=need(table, "role", str, where),
+        ip=need(table, "ip", str, where),
+        zone=need(table, "zone", str, where),
         seeds=[address(seed, f"{where}: seeds") for seed in need(table, "seeds", list, where)],
-        fresh=need(table, "fresh", bool, where, False), datadir=need(table, "datadir", str, where, ""),
-        ports=tuple(ports), listen={key: address(value, f"{where}: listen.{key}") for key, value in listen.items()},
+        fresh=need(table, "fresh", bool, where, False),
+        datadir=need(table, "datadir", str, where, ""),
+        ports=tuple(ports),
+        listen={key: address(value, f"{where}: listen.{key}") for key, value in listen.items()},
         bounds={key: need(given, key, float, f"{where}: bounds", least=0) for key in BOUNDS},
         bear=need(tolerate, "machines", int, f"{where}: tolerate", 0, least=0),
         nofile=need(limits, "nofile", int, f"{where}: limits", 1024, least=64),
         mem_mb=need(limits, "mem_mb", float, f"{where}: limits", 256.0, least=1),
-        beat_s=need(table, "beat_s", float, where, 1.5, least=0.01))
+        beat_s=need(table, "beat_s", float, where, 1.5, least=0.01),
+    )
