decide.py split by concern: judge, gate, routing and trial beside the shared cut and counts

Cause: one file held all decisions, and the system needs its statistics without the old front's rules. Ruled out: two copies of the statistics; a package that both import but that keeps the old front's types. No figure and no line of a rule changed.

--- a/honeywood/judge/__init__.py
+++ b/honeywood/judge/__init__.py
@@ -1,4 +1,3 @@
-"""The statistics of the release guard, one text for the old front, the bench's host and the system.
-
-Start reading at cut.py (the sorted cut and its tests), then counts.py (what they run on).
+"""What the decisions are made of: the release guard's statistics (cut.py, counts.py), one text for the old
+front, the bench's host and the system; the old front's own rules (judge.py, gate.py, routing.py, trial.py).
 """
--- a/tests/test_all.py
+++ b/tests/test_all.py
@@ -10,10 +10,10 @@
 
 import pytest
 
-from honeywood import decide
 from honeywood import interface as face
 from honeywood.benchlink import adapter, codec
-from honeywood.decide import sorted_cut, trails
+from honeywood.judge.cut import sorted_cut, trails
+from honeywood.judge.judge import level_each
 from honeywood.protocol import discovery, http, platform
 from honeywood.routing import client, gateway, module, server
 from honeywood.routing.counters import Counters
@@ -129,7 +129,7 @@
 
 
 def test_level_of_many_fronts():
-    levels = decide.level_each(1, 1), decide.level_each(130, 1), decide.level_each(470, 24)
+    levels = level_each(1, 1), level_each(130, 1), level_each(470, 24)
     assert levels[0] == 0.05 and abs(levels[1] - 0.00038) < 5e-6 and abs(levels[2] - 0.035) < 5e-4
 
 
