Register files carry a checksum of the whole; each life writes its own, with all rows

Torn files, tried for the first time, open in lmdb and then end the program by its assertion. Ruled out: the sync itself (rows of calm kills were all there); counting marks (a torn file would still be read); a copy of lmdb's pages (no checksum either). Change: no marks; a sum beside each file, synced with it; an earlier life's files are only read, and removed when two new ones are whole.

--- a/honeywood/system/ledger/disk.py
+++ b/honeywood/system/ledger/disk.py
@@ -1,73 +1,115 @@
 """Rows on disk, by lmdb. A row is written whole, with a checksum, and synced before `put` ends.
 
-lmdb's two meta pages carry no checksum, so a write that was torn by a loss of power may leave a file that
-opens on what never was. Therefore there are two files, written in turn: each write holds the rows of the one
-before as well, so that the file which is not being written always holds all. What must hold: a put that ended
-is found by every later open, whatever became of the writes after it.
+lmdb's pages carry no checksum: a write torn by a loss of power may leave a file that opens and is not sound,
+and reading it may end the program. Therefore
+- the checksum of each whole file stands beside it, and one that doesn't match isn't opened;
+- there are two files, written in turn; each write holds the rows of the one before as well, so that the file
+  which is not being written always holds all;
+- what an earlier life left is only read. Each life writes files of its own, the first time with all rows,
+  and removes the earlier ones when both of its own are whole.
+
+What must hold: a put that ended is found by every later open, whatever became of the writes after it. Files
+that come back after their removal do no harm, since of two rows the one that was put later counts.
 """
 
 import json
 import os
-import shutil
 import zlib
 
 import lmdb
 
 MAP = 64 << 20  # bytes that each file may grow to
-PLACES = ("even", "odd")
+END, SUM = ".mdb", ".sum"
 
 
 class Disk:
     """A folder with the register; used by one thread. Raises OSError or lmdb.Error."""
 
     def __init__(self, folder):
-        self.folder, self.last, self.at = folder, {}, 0
+        self.folder, self.held, self.last, self.files = folder, {}, {}, [None, None]
         os.makedirs(folder, exist_ok=True)
-        self.files, self.held = [], {}
-        for place in PLACES:
-            env, rows = self._open(os.path.join(folder, place))
-            self.files.append(env)
-            for key, (at, row) in rows.items():
+        self.earlier = sorted(name for name in os.listdir(folder) if name.endswith(END))
+        for name in self.earlier:
+            for key, (at, row) in self._read(os.path.join(folder, name)).items():
                 if at > self.held.get(key, (0, None))[0]:
                     self.held[key] = at, row
         self.at = max((at for at, _ in self.held.values()), default=0)
-        self.last = dict(self.held)  # both files are made whole by the next two puts
-
-    def _open(self, path):
-        """The file and its sound rows. One that ended the program when it was opened last is begun anew."""
-        mark = path + ".opening"
-        if os.path.exists(mark):
-            shutil.rmtree(path, ignore_errors=True)
-        open(mark, "wb").close()
+        self.made = max((int(name.partition("-")[0]) for name in self.earlier), default=0)
+
+    def _read(self, path):
+        """The sound rows of an earlier life's file; none of one whose last write was torn."""
         try:
-            env = lmdb.open(path, map_size=MAP, lock=False, readahead=False)
-            rows = _rows(env)
-        except lmdb.Error:
-            shutil.rmtree(path, ignore_errors=True)
-            env, rows = lmdb.open(path, map_size=MAP, lock=False, readahead=False), {}
-        os.unlink(mark)
-        return env, rows
+            if _whole(path) != open(path + SUM, "rb").read():
+                return {}
+            env = lmdb.open(path, map_size=MAP, subdir=False, lock=False, readonly=True, readahead=False)
+            try:
+                return _rows(env)
+            finally:
+                env.close()
+        except (OSError, lmdb.Error):
+            return {}
 
     def rows(self):
         """All rows by key."""
         return {key: row for key, (_, row) in self.held.items()}
 
     def put(self, rows):
-        self.at += 1
-        fresh = {key: (self.at, row) for key, row in rows.items()}
-        env = self.files[self.at % 2]
-        with env.begin(write=True) as writing:
-            for key, (at, row) in {**self.last, **fresh}.items():
-                text = json.dumps([at, row], separators=(",", ":")).encode()
-                writing.put(key.encode(), _sum(text) + text)
-        env.sync(True)
-        # The first put after an open brings one file up to all that both held, the second the other one.
-        self.last = fresh if self.at > 1 and self.last is not self.held else {**self.held, **fresh}
+        """Writes rows; when it has ended, they are found by whoever opens the folder next."""
+        at = self.at + 1
+        fresh = {key: (at, row) for key, row in rows.items()}
+        whole = self.files[at % 2] is None
+        try:
+            if whole:
+                self._make(at % 2)
+            env = self.files[at % 2]
+            with env.begin(write=True) as writing:
+                for key, (put_at, row) in {**(self.held if whole else self.last), **fresh}.items():
+                    text = json.dumps([put_at, row], separators=(",", ":")).encode()
+                    writing.put(key.encode(), _sum(text) + text)
+            env.sync(True)
+            _sync(env.path() + SUM, _whole(env.path()))
+        except BaseException:
+            self._leave(at % 2)  # the next put begins another file there
+            raise
+        self.at, self.last = at, fresh
         self.held.update(fresh)
+        if self.earlier and None not in self.files:
+            for name in self.earlier:
+                for end in ("", SUM):
+                    if os.path.exists(path := os.path.join(self.folder, name + end)):
+                        os.unlink(path)
+            self.earlier = []
+
+    def _make(self, place):
+        self.made += 1
+        path = os.path.join(self.folder, f"{self.made:08d}-{place}{END}")
+        self.files[place] = lmdb.open(path, map_size=MAP, subdir=False, lock=False, readahead=False)
+
+    def _leave(self, place):
+        env, self.files[place] = self.files[place], None
+        if env is not None:
+            self.earlier.append(os.path.basename(env.path()))
+            env.close()
 
     def close(self):
         for env in self.files:
-            env.close()
+            if env is not None:
+                env.close()
+
+
+def _whole(path):
+    """A whole file's length and checksum."""
+    with open(path, "rb") as file:
+        data = file.read()
+    return b"%d %08x" % (len(data), zlib.crc32(data))
+
+
+def _sync(path, text):
+    """A small file's content, on disk when this ends."""
+    with open(path, "wb") as file:
+        file.write(text)
+        file.flush()
+        os.fsync(file.fileno())
 
 
 def _rows(env):
