--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -39,6 +39,13 @@
         self.bourses, self.waits = [ip for ip, _ in s.seeds], []
         self.asking = set()
 
+    def config_held(self):
+        held = self.board.notes.get(CONFIG)
+        return f"{held[0][0]:08x}" if held else None
+
+    def found(self, bourses):
+        self.bourses += [ip for ip in bourses if ip not in self.bourses]
+
     def who(self):
         return {"ip": self.settings.ip, "node": self.settings.node, "private": True}
 
@@ -54,8 +61,8 @@
 
     def hear(self, key, value):
         kind, _, name = key.partition("/")
-        if kind == "bourse" and name not in self.bourses:
-            self.bourses.append(name)
+        if kind == "bourse":
+            self.found([name])
         elif kind == "beat":
             self.machines.alive(self.clock(), name, None)
 
--- a/honeywood/system/program.py
+++ b/honeywood/system/program.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import json
 import logging
 import os
 import signal
@@ -15,6 +16,7 @@
 from honeywood.system.terms.settings import read
 
 FILE = "HONEYWOOD_NODE_FILE"
+REREAD = 2.0  # seconds between looks at whether the settings file has changed
 COLLECT = 20_000  # objects after which the youngest are collected: little here is circular
 
 
@@ -39,15 +41,15 @@
         self.log = structlog.get_logger().bind(node=self.settings.node, life=self.life)
         gc.set_threshold(COLLECT, 50, 100)
 
-    @staticmethod
-    def load():
+    def load(self):
         """The settings; ends the program with status 2 where they can't be used."""
-        path = os.environ.get(FILE, "/etc/honeywood/boot.toml")
+        self.path = os.environ.get(FILE, "/etc/honeywood/boot.toml")
         try:
-            with open(path, encoding="utf-8") as file:
+            self.changed = os.stat(self.path).st_mtime_ns
+            with open(self.path, encoding="utf-8") as file:
                 return read(file.read())
         except (OSError, UnicodeDecodeError, Wrong) as wrong:
-            print(f'{{"event":"settings","why":"{path}: {wrong}"}}', flush=True)
+            print(json.dumps({"event": "settings", "why": f"{self.path}: {wrong}"}), flush=True)
             raise SystemExit(2) from None
 
     def say(self, event, every=0.0, **more):
@@ -55,7 +57,28 @@
         now = self.clock()
         if now - self.said.get(event, -every) >= every:
             self.said[event] = now
-            self.log.info(event, **more)
+            self.log.info(event, config=self.config_held(), **more)
+
+    def config_held(self):
+        """The version of the configuration that this program goes by, in digits as operators send it."""
+        return None
+
+    async def reread(self):
+        """Takes over the seeds of a settings file that has changed, signal or not. What can't be used
+        leaves all as it was; other fields wait for a restart."""
+        try:
+            changed = os.stat(self.path).st_mtime_ns
+            if changed == self.changed:
+                return
+            self.changed = changed
+            with open(self.path, encoding="utf-8") as file:
+                self.found([ip for ip, _ in read(file.read()).seeds])
+            self.say("settings read again")
+        except (OSError, UnicodeDecodeError, Wrong) as wrong:
+            self.say("settings not taken", 5.0, why=str(wrong))
+
+    def found(self, bourses):
+        """Bourses that are told of."""
 
     def loop(self, step, every):
         """Runs `step` again and again, `every` seconds after it ended; what it raises is logged."""
@@ -74,5 +97,6 @@
     async def until_stopped(self):
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        loop.add_signal_handler(signal.SIGHUP, lambda: loop.create_task(self.reread()))
+        self.loop(self.reread, REREAD)
         await self.stopping.wait()
--- a/honeywood/system/stall/program.py
+++ b/honeywood/system/stall/program.py
@@ -42,6 +42,12 @@
         self.sure = Ear(self.mouth, self.caller, self.who, self.own)
         self.bourses, self.told, self.turn = [ip for ip, _ in s.seeds], 0, 0
 
+    def config_held(self):
+        return f"{self.table.version:08x}" if self.table else None
+
+    def found(self, bourses):
+        self.bourses += [ip for ip in bourses if ip not in self.bourses]
+
     def start(self, work):
         task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
@@ -85,15 +91,15 @@
             self.table, self.limits, self.config_at = Table(read), read.limits, self.config_at or self.clock()
             if self.doors is not None:
                 self.doors.keep(read.limits.idle_s)
-            self.say("configuration", version=f"{self.table.version:08x}")
+            self.say("configuration")
         elif kind == "machine":
             machine, left = self.roster.hear(self.clock(), name, value)
             if left and machine is not None:
                 self.links.drop(machine)
         elif kind == "rollout":
             self.stage.hear(value)
-        elif kind == "bourse" and name not in self.bourses:
-            self.bourses.append(name)
+        elif kind == "bourse":
+            self.found([name])
 
     def peers(self):
         """The fronts that bourses have told of: {node: (zone, ip)}."""
--- a/tests/system/test_terms.py
+++ b/tests/system/test_terms.py
@@ -205,3 +205,29 @@
 @test("fields of settings that are not known are skipped")
 def _():
     assert files.read(GOOD + "\n[news]\nx = 1\n").node == "n"
+
+
+@test("settings that change are read again: seeds are taken over, what can't be used leaves all as it was")
+def _():
+    import asyncio
+    import os
+    import tempfile
+
+    from honeywood.system.stall.program import Stall
+
+    with tempfile.TemporaryDirectory() as folder:
+        path = os.path.join(folder, "boot.toml")
+        stall = type("Quiet", (Stall,), {"say": lambda *said, **more: None})(files.read(GOOD))
+        stall.path, stall.changed = path, 0
+        for at, (text, known) in enumerate(
+            (
+                (GOOD, ["10.0.0.1"]),
+                (GOOD.replace("0.0.1:82", "0.0.2:82"), ["10.0.0.1", "10.0.0.2"]),
+                ("seeds = 1", None),
+            )
+        ):
+            with open(path, "w") as file:
+                file.write(text)
+            os.utime(path, ns=(at + 1, at + 1))
+            asyncio.run(stall.reread())
+            assert stall.bourses == (known or ["10.0.0.1", "10.0.0.2"])
