Trial attempts are not saved up; repeatable requests go to a second machine after twice the usual time

Ruled out: the test (its margin and level are the design's); trial over all machines (hides what fails under load). Change: a class banks 1.5 attempts; the slack is kept as reserve; a second try after 2 usual answer times instead of 4.

--- a/honeywood/system/scales/stage.py
+++ b/honeywood/system/scales/stage.py
@@ -10,7 +10,10 @@
 from honeywood.system.scales.record import ACTIVE, DONE, FULL, REVERTED
 from honeywood.system.scales.verdict import Voter
 
-SAFETY = 0.8  # of the share and slack that are told: requests end up elsewhere than they began
+SAFETY = (
+    0.8  # of the share that is told: requests end up elsewhere than they began; the slack is kept for that
+)
+BANKED = 1.5  # attempts that a class may have earned and not used
 YOUNG = 3.0  # seconds: machines that started since say nothing of their version (the design's)
 LEASE = 3.0  # seconds a stage holds at a front that hears no bourse; then the earlier version alone
 ESTABLISHED, ON_TRIAL, CLOSED = "established", "trial", "closed"
@@ -19,18 +22,15 @@
 class Stage:
     """One front's view of all services' versions."""
 
-    def __init__(self, roster, share, slack, fronts):
-        self.roster, self.share, self.slack, self.fronts = roster, share * SAFETY, slack * SAFETY, fronts
-        self.records, self.taken, self.tried, self.counts = {}, Counter(), Counter(), {}
+    def __init__(self, roster, share, fronts):
+        self.roster, self.share, self.fronts = roster, share * SAFETY, fronts
+        self.records, self.earned, self.counts = {}, Counter(), {}
         self.heard_at, self.voters, self.chosen = 0.0, {}, {}
 
     def hear(self, record):
         if record["svc"] not in self.records or record["n"] > self.records[record["svc"]]["n"]:
             held = self.records.get(record["svc"])
             if held is None or held["to_ver"] != record["to_ver"]:  # a version's trial begins with its order
-                for counter in (self.taken, self.tried):
-                    for key in [key for key in counter if key[0] == record["svc"]]:
-                        del counter[key]
                 self.counts = {key: count for key, count in self.counts.items() if key[0] != record["svc"]}
             self.records[record["svc"]] = record
 
@@ -57,15 +57,13 @@
         """Whether one more request of the class fits under its cap; only safe classes are tried."""
         if not ask.route.safe or now - self.heard_at > LEASE:
             return False
-        place = ask.service, ask.route.name
-        free = self.slack / max(1, self.fronts()) / max(1, len(self.classes(ask.service)))
-        return self.tried[place] + 1 <= free + self.share * self.taken[place]
-
-    def classes(self, svc):
-        return {name for service, name in self.taken if service == svc}
+        return self.earned[ask.service, ask.route.name] >= 1
 
     def taking(self, ask):
-        self.taken[ask.service, ask.route.name] += 1
+        """A request is taken: it earns its class the cap's part of an attempt. What was not used is not saved
+        up: all fronts would spend it at once on the few machines on trial, which would look slow by that."""
+        place = ask.service, ask.route.name
+        self.earned[place] = min(BANKED, self.earned[place] + self.share)
 
     def allows(self, now, ask, machine):
         standing = self.standing(ask.service, machine.ver)
@@ -73,7 +71,7 @@
 
     def sent(self, now, ask, machine):
         if self.standing(ask.service, machine.ver) == ON_TRIAL:
-            self.tried[ask.service, ask.route.name] += 1
+            self.earned[ask.service, ask.route.name] -= 1
 
     def groups(self, now, ask, machines):
         """The machines in groups, the first to ask first: on trial while there is room, then the rest."""
--- a/honeywood/system/stall/carry.py
+++ b/honeywood/system/stall/carry.py
@@ -10,7 +10,7 @@
 from honeywood.system.porter.gate import Ask
 from honeywood.system.porter.routes import share_out
 
-HEDGE = 4.0  # usual answer times after which a repeatable request goes to a second machine as well
+HEDGE = 2.0  # usual answer times after which a repeatable request goes to a second machine as well
 HEDGE_LEAST = 0.05  # seconds
 AGAIN_S = 0.1  # seconds after which a refused client may come again
 SPARE = 0.004  # seconds before its client gives up that a request is answered by us
--- a/honeywood/system/stall/program.py
+++ b/honeywood/system/stall/program.py
@@ -30,7 +30,7 @@
         s, self.app = self.settings, App(self)
         self.random, self.table, self.limits, self.config_at = random or Random(), None, config.Limits(), None
         self.roster = Roster()
-        self.stage = Stage(self.roster, s.bounds["canary_share"], s.bounds["canary_slack"], self.fronts)
+        self.stage = Stage(self.roster, s.bounds["canary_share"], self.fronts)
         self.budgets, self.doors = {}, None
         self.links = Links(self.clock)
         self.gate = Gate(self.budget_of, self.fronts, self.stage)
--- a/tests/system/test_gate.py
+++ b/tests/system/test_gate.py
@@ -23,7 +23,7 @@
 
     def __init__(self, slack=64.0):
         self.roster = Roster()
-        self.stage = Stage(self.roster, 0.1, 50, lambda: 1)
+        self.stage = Stage(self.roster, 0.1, lambda: 1)
         self.budget = Budget(0.2, slack, 10.0)
         self.gate = Gate(lambda svc: self.budget, lambda: 1, self.stage)
         for id in "mno":
--- a/tests/system/test_rollouts.py
+++ b/tests/system/test_rollouts.py
@@ -37,7 +37,7 @@
                     "cold": 0.0,
                 }
                 roster.hear(-5.0, id, value)
-            self.fronts.append((roster, Stage(roster, 0.1, 50, lambda: fronts)))
+            self.fronts.append((roster, Stage(roster, 0.1, lambda: fronts)))
         self.record = record.start(None, "s", "v2", 14.0, 0.0)
         self.trial = self.total = self.bads = 0
         self.fiftieth = self.last_trial = self.end = None
@@ -146,6 +146,8 @@
     stage.hear(fleet.record)
     stage.heard_at = 0.0
     ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
+    for _ in range(20):
+        stage.taking(ask)
     assert stage.allows(
         0.1, ask, next(m for m in stage.few("s", [m for m in roster.machines.values() if m.ver == "v2"]))
     ) and not stage.allows(
@@ -165,6 +167,23 @@
         assert {m.ver for group in groups for m in group} == versions
 
 
+@test("attempts that could not be made are not saved up")
+def _():
+    # Seen on a standard day: what was earned while the machines on trial were young went to one of them at
+    # once, which grew slow by it, and a good version was sent back.
+    fleet = Fleet(good, 0)
+    for _ in range(2000):
+        roster, stage = fleet.draw.choice(fleet.fronts)
+        stage.taking(Ask(fleet.routes[0], "s", b"i", 0.0, 9.0))
+    for _ in range(24):
+        for roster, stage in fleet.fronts:
+            ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
+            machine = stage.groups(0.0, ask, roster.services["s"])[0][0]
+            fleet.trial += machine.ver == "v2"
+            stage.sent(0.0, ask, machine)
+    assert 0 < fleet.trial <= 12
+
+
 @test("an order twice changes nothing; steps from an older stage, or after the end, change nothing")
 def _():
     first = record.start(None, "s", "v2", 14.0, 0.0)
