Timeline of rollouts: fronts know of the order before its machines beat

Ruled out: the rule under test. Change: the fleet of the tests hears the order first, as machines of a new version are started after it.

--- a/tests/system/test_rollouts.py
+++ b/tests/system/test_rollouts.py
@@ -39,6 +39,8 @@
                 roster.hear(-5.0, id, value)
             self.fronts.append((roster, Stage(roster, 0.1, lambda: fronts)))
         self.record = record.start(None, "s", "v2", 14.0, 0.0)
+        for _, stage in self.fronts:
+            stage.hear(self.record)
         self.trial = self.total = self.bads = 0
         self.fiftieth = self.last_trial = self.end = None
         self.loads = {}  # when what is at each machine on trial ends
