--- /dev/null
+++ b/benchmarks/stall.py
@@ -0,0 +1,145 @@
+"""Processor time a request costs a stall, beside what uvicorn and httpcore cost alone in the same place.
+
+    python benchmarks/stall.py [REQUESTS]
+
+A child process is client and machine; this one serves, first bare (each request read, exchanged on a kept
+connection, answered), then as a stall. Prints milliseconds a request and the difference: our own code.
+"""
+
+import asyncio
+import json
+import multiprocessing
+import os
+import sys
+import time
+
+sys.path[:0] = [
+    os.path.join(os.path.dirname(__file__), ".."),
+    os.path.join(os.path.dirname(__file__), "../tests/system"),
+]
+
+from timeline import SETTINGS, config  # noqa: E402
+
+from honeywood.system.cart.ask import answer, body_of  # noqa: E402
+from honeywood.system.cart.door import Doors  # noqa: E402
+from honeywood.system.cart.link import Link, end_to_end  # noqa: E402
+from honeywood.system.stall.program import Stall  # noqa: E402
+from honeywood.system.terms.config import Limits  # noqa: E402
+from honeywood.system.terms.settings import read  # noqa: E402
+
+CLIENTS, BODY = 8, b"x" * 1500
+
+
+async def machine(reader, writer):
+    try:
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            id = head.lower().partition(b"x-try-id: ")[2].partition(b"\r\n")[0]
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nX-Try-Id: %s\r\nX-Seal: s\r\nX-Load: 1,0,6\r\nContent-Length: %d\r\n\r\n"
+                % (id, len(BODY))
+                + BODY
+            )
+    except (asyncio.IncompleteReadError, ConnectionError):
+        writer.close()
+
+
+async def client(port, count, at):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    for n in range(count):
+        writer.write(
+            b"GET /p0/x HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: %d-%d\r\nX-Deadline-Ms: 600\r\n\r\n"
+            % (at, n)
+        )
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200"), head
+        await reader.readexactly(len(BODY))
+    writer.close()
+
+
+def other_side(pipe):
+    async def work():
+        server = await asyncio.start_server(machine, "127.0.0.1", 0)
+        pipe.send(server.sockets[0].getsockname()[1])
+        loop = asyncio.get_running_loop()
+        while order := await loop.run_in_executor(None, pipe.recv):
+            port, count = order
+            await asyncio.gather(*[client(port, count // CLIENTS, at) for at in range(CLIENTS)])
+            pipe.send(True)
+
+    asyncio.run(work())
+
+
+class Bare:
+    """The libraries alone."""
+
+    limits = Limits()
+
+    def __init__(self, port):
+        self.port, self.links = port, []
+
+    async def __call__(self, scope, receive, send):
+        await body_of(receive, 1 << 20)
+        link = self.links.pop() if self.links else await Link.to("127.0.0.1", self.port, 1.0)
+        until = asyncio.get_running_loop().time() + 1.0
+        reply = await link.exchange(b"GET", scope["target"], scope["headers"], b"", until)
+        self.links.append(link)
+        await answer(
+            send,
+            reply.status,
+            [h for h in end_to_end(reply.headers) if h[0] != b"content-length"],
+            reply.body,
+        )
+
+
+async def measure(app, port, pipe, count):
+    doors = Doors(app, 15)
+    await doors.open([("127.0.0.1", port)])
+    loop = asyncio.get_running_loop()
+    for n in (count // 10, count):
+        began = time.process_time()
+        pipe.send((port, n))
+        await loop.run_in_executor(None, pipe.recv)
+        took = time.process_time() - began
+    await doors.close(0.1)
+    return took / count * 1000
+
+
+async def work(count, pipe):
+    port = pipe.recv()
+    text = SETTINGS.format(node="127.0.0.1", zone="z", seeds="", fresh="true", bear=0)
+    for name, given in (("80", 18180), ("81", 18181), ("82", 18182)):
+        text = text.replace(f'"127.0.0.1:{name}"', f'"127.0.0.1:{given}"')
+    stall = Stall(read(text))
+    stall.hear("config", json.dumps(config(5)))
+    for n in range(4):
+        stall.hear(
+            f"machine/i-{n}",
+            {
+                "svc": "s",
+                "ip": "127.0.0.1",
+                "port": port,
+                "zone": "z",
+                "ver": "v1",
+                "slots": 6,
+                "state": "ready",
+                "cold": 0,
+            },
+        )
+    bare, whole = [], []
+    for turn in range(3):
+        bare.append(await measure(Bare(port), 18190 + turn, pipe, count))
+        stall.app.ready_port = stall.app.news_port = 0
+        whole.append(await measure(stall.app, 18195 + turn, pipe, count))
+    print("| turn | libraries, ms | stall, ms | own code, ms |\n| --- | --- | --- | --- |")
+    for turn, (a, b) in enumerate(zip(bare, whole)):
+        print(f"| {turn + 1} | {a:.3f} | {b:.3f} | {b - a:.3f} |")
+    pipe.send(None)
+
+
+if __name__ == "__main__":
+    ours, theirs = (
+        multiprocessing.Pipe()
+    )  # before any loop: a child that shares a loop's selector takes its wakings
+    multiprocessing.Process(target=other_side, args=(theirs,), daemon=True).start()
+    asyncio.run(work(int(sys.argv[1]) if len(sys.argv) > 1 else 8000, ours))
