--- a/honeywood/system/cart/link.py
+++ b/honeywood/system/cart/link.py
@@ -104,8 +104,8 @@
                 timer.cancel()
 
     async def _over(self, reply, fields):
-        """The answer is whole: keeps the connection only if nothing came behind it. httpcore tells of such bytes
-        only after upgrades, but its h11 state (of the pinned version) knows of them."""
+        """The answer is whole: keeps the connection only if nothing came behind it. httpcore tells of that
+        only after upgrades, but its h11 state (of the pinned version) knows."""
         behind, _ = self.line._h11_state.trailing_data
         await reply.aclose()
         self.stream.done(not behind)
