--- a/honeywood/system/stall/links.py
+++ b/honeywood/system/stall/links.py
@@ -1,4 +1,4 @@
-"""Connections to machines: kept by life, never more than the front's part of what a machine takes."""
+"""Connections to machines, kept by life. What all fronts open together is not yet held to `max_conns`."""
 
 import httpcore
 
