Tests: one way to play a chart after another, one machine's note for all

Cause: two timelines of the register and two scenes wrote the same again. Ruled out: folding charts of news that only look alike (other fronts, other faults). Change: played() takes several charts; timeline.machine makes the note. No assertion changed.

--- a/tests/system/test_gate.py
+++ b/tests/system/test_gate.py
@@ -2,6 +2,7 @@
 
 import random
 
+from timeline import machine
 from ward import each, test
 
 from honeywood.system.porter import answers
@@ -30,17 +31,7 @@
             self.note(id, "ready")
 
     def note(self, id, state, ver="v1", now=0.0):
-        value = {
-            "svc": "s",
-            "ip": id,
-            "port": 1,
-            "zone": "z",
-            "ver": ver,
-            "slots": 2,
-            "state": state,
-            "cold": 0,
-        }
-        return self.roster.hear(now, id, value)
+        return self.roster.hear(now, id, machine(id, ver, state=state))
 
     def bar(self, ask, id, now=0.1):
         return self.gate.bar(
--- a/tests/system/test_register.py
+++ b/tests/system/test_register.py
@@ -11,13 +11,15 @@
 from honeywood.system.ledger import acceptor
 
 
-def played(chart, **given):
-    world = World(**given)
+def played(*charts):
+    """Plays charts in a world; from the second one on, whoever starts does so on a system not fresh."""
+    world = World()
     try:
-        world.play(chart)
+        for chart in charts:
+            world.play(chart)
+            world.fresh = False
     finally:
         world.close()
-    return world
 
 
 @test("a version is acknowledged once a majority holds it, and the third hears of it")
@@ -46,46 +48,40 @@
 @test("the one that acknowledged loses its disk while the others lose power")
 def _():
     # Amnesia: an empty disk that voted would make a majority with one that never heard of 5.
-    world = World()
-    try:
-        world.play("""
+    played(
+        """
           at   | a     | b     | c
           0    | start | start | start
           1    |       | kill  |
           1.1  | put 5 |       |
           1.3  | acked 5, wipe | | kill
-        """)
-        world.fresh = False
-        world.play("""
+        """,
+        """
           at   | a     | b     | c
           1.4  | start | start |
           3.5  | put 4, = None | put 4, = None |
           4.6  | acked 4 not   |       |
           5    |       |       | start
           8    | = 5   | = 5   | = 5
-        """)
-    finally:
-        world.close()
+        """,
+    )
 
 
 @test("all are killed at once and come back with their disks, without help")
 def _():
-    world = World()
-    try:
-        world.play("""
+    played(
+        """
           at   | a     | b     | c
           0    | start | start | start
           1    | put 5 |       |
           1.1  | acked 5, kill | kill | kill
-        """)
-        world.fresh = False
-        world.play("""
+        """,
+        """
           at   | a     | b     | c
           2    | start | start | start
           4    | = 5   | = 5   | = 5
-        """)
-    finally:
-        world.close()
+        """,
+    )
 
 
 @test("a lower version is acknowledged and changes nothing; the same one twice keeps the first")
--- a/tests/system/test_rollouts.py
+++ b/tests/system/test_rollouts.py
@@ -2,7 +2,7 @@
 
 import random
 
-from timeline import World
+from timeline import World, machine
 from ward import each, test
 
 from honeywood.system.porter.gate import Ask
@@ -26,17 +26,7 @@
         for _ in range(fronts):
             roster = Roster()
             for id, ver in (("m", "v1"), *((f"n{n}", "v2") for n in range(8))):
-                value = {
-                    "svc": "s",
-                    "ip": id,
-                    "port": 1,
-                    "zone": "z",
-                    "ver": ver,
-                    "slots": 6,
-                    "state": "ready",
-                    "cold": 0.0,
-                }
-                roster.hear(-5.0, id, value)
+                roster.hear(-5.0, id, machine(id, ver, slots=6))
             self.fronts.append((roster, Stage(roster, 0.1, lambda: fronts)))
         self.record = record.start(None, "s", "v2", 14.0, 0.0)
         for _, stage in self.fronts:
--- a/tests/system/timeline.py
+++ b/tests/system/timeline.py
@@ -326,3 +326,9 @@
         }
     )
     return {"ver": f"{version:08x}", "res": res}
+
+
+def machine(id, ver="v1", slots=2, state="ready"):
+    """What a note says of a machine."""
+    place = {"svc": "s", "ip": id, "port": 1, "zone": "z"}
+    return {**place, "ver": ver, "slots": slots, "state": state, "cold": 0}
