Programs start without OpenSSL, click and multiprocessing: 7 MB less each

Cause: of a stall's 29.7 MB after its imports 20 are libraries, and 4.4 of those OpenSSL, 3.2 uvicorn's command line, 0.7 certifi, 0.7 logging.config, 0.6 hashlib; none of it is used. Ruled out: anyio (httpcore's locks need it), dropping asyncio's own concurrent.futures and inspect. Change: lean.py puts stand-ins in their places before the program is imported; blake2b comes from its own module. Measured after imports, whole process: 29.7 to 22.5 MB. Test: real processes start, listen and end without those modules.

--- a/honeywood/system/bourse/__main__.py
+++ b/honeywood/system/bourse/__main__.py
@@ -1,5 +1,3 @@
-import asyncio
+from honeywood.system.lean import run
 
-from honeywood.system.bourse.program import Bourse
-
-asyncio.run(Bourse().run())
+run("honeywood.system.bourse.program", "Bourse")
--- a/honeywood/system/cart/door.py
+++ b/honeywood/system/cart/door.py
@@ -3,8 +3,9 @@
 import asyncio
 import socket
 
-import uvicorn
+from uvicorn.config import Config
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
+from uvicorn.server import Server
 
 BACKLOG = 1024
 AHEAD = 16  # requests of one connection that are at work before the first is answered
@@ -114,7 +115,7 @@
     """The listeners of a program."""
 
     def __init__(self, app, idle_s):
-        config = uvicorn.Config(
+        config = Config(
             app,
             http=Door,
             ws="none",
@@ -128,7 +129,7 @@
             backlog=BACKLOG,
             loop="asyncio",
         )
-        self.server = uvicorn.Server(config)
+        self.server = Server(config)
 
     async def open(self, places):
         """Listens on [(ip, port)]. uvicorn's own loop only keeps dates and limits that are off here."""
--- a/honeywood/system/crier/ring.py
+++ b/honeywood/system/crier/ring.py
@@ -1,6 +1,6 @@
 """Who knows whom: rendezvous hashing. Every program that knows the same names comes to the same order."""
 
-from hashlib import blake2b
+from _blake2 import blake2b  # hashlib would bring OpenSSL
 
 FAN = 4  # fronts that hear from one relay
 
--- a/honeywood/system/stall/__main__.py
+++ b/honeywood/system/stall/__main__.py
@@ -1,5 +1,3 @@
-import asyncio
+from honeywood.system.lean import run
 
-from honeywood.system.stall.program import Stall
-
-asyncio.run(Stall().run())
+run("honeywood.system.stall.program", "Stall")
--- /dev/null
+++ b/tests/system/test_lean.py
@@ -0,0 +1,50 @@
+"""Real processes, started as the deploy file starts them."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+
+from test_sockets import free
+from timeline import SETTINGS
+from ward import each, test
+
+UNUSED = ("_ssl", "click", "multiprocessing", "hashlib")
+
+
+@test("a {role} starts without OpenSSL, click and multiprocessing, and listens")
+def _(role=each("stall", "bourse"), listener=each("ready", "ctl"), told=each(b"503", b"404")):
+    with tempfile.TemporaryDirectory() as folder:
+        text = SETTINGS.format(node="127.0.0.1", zone="z", seeds="", fresh="true", bear=0)
+        ports = {80: free(), 81: free(), 82: free(), 7000: free()}
+        for number, port in ports.items():
+            text = text.replace(f'127.0.0.1:{number}"', f'127.0.0.1:{port}"')
+        text = text.replace("[7000, 7010]", f"[{ports[7000]}, 65535]")
+        text = text.replace('datadir = "127.0.0.1"', f'datadir = "{folder}/data"')
+        path = os.path.join(folder, "boot.toml")
+        with open(path, "w") as file:
+            file.write(text)
+        code = (
+            "import atexit, sys; atexit.register(lambda: print(sorted(sys.modules)))\n"
+            f"from honeywood.system.lean import run\nrun('honeywood.system.{role}.program', '{role.title()}')"
+        )
+        process = subprocess.Popen(
+            [sys.executable, "-c", code],
+            stdout=subprocess.PIPE,
+            env={**os.environ, "HONEYWOOD_NODE_FILE": path},
+        )
+        try:
+            while b'"started"' not in (line := process.stdout.readline()):
+                assert line, "ended before it listened"
+            place = "127.0.0.1", ports[81 if listener == "ready" else 82]
+            with socket.create_connection(place, 5) as peer:
+                peer.sendall(b"GET /v1/readyz HTTP/1.1\r\nHost: h\r\n\r\n")
+                assert told in peer.recv(100)
+            process.send_signal(signal.SIGTERM)
+            modules = process.communicate(timeout=20)[0].rpartition(b"[")[2].decode()
+            assert process.returncode == 0
+            assert not [name for name in UNUSED if f"'{name}'" in modules], modules
+        finally:
+            process.kill()
