Register: what a disk told before it was lost counts no more once its new life is known

Ruled out: waiting before a rebuild (rests on times of messages); a ballot raised by the rebuilt disk (a promise from before the loss could still be counted beside one made after it). Change: a lost disk takes a new life, which those that rebuild it note on disk before they tell their rows, under the lock of their writes; each reply carries the lives its sender knows, and a reply of an older life is not counted. A disk that refuses writes answers 503 instead of ending the change that asked it.

--- a/honeywood/system/bourse/register.py
+++ b/honeywood/system/bourse/register.py
@@ -4,12 +4,14 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from honeywood.system.ledger import acceptor
-from honeywood.system.ledger.round import Round, agreed
+from honeywood.system.ledger.round import FIRST, Round, agreed, current
 from honeywood.system.terms.check import need
 from honeywood.system.terms.outcome import Done, Failed, Wrong
 
 PATH = "/register"
-BORN, MEMBERS = "born", "members"  # rows beside the registers: this disk has taken part; whose disks count
+BORN, MEMBERS = "born", "members"  # rows beside the registers: this disk's life; whose disks count;
+LIVES = "lives"  # what is known of others' later lives
+BESIDE = (BORN, MEMBERS, LIVES)
 WITHIN = 0.8  # seconds a peer has for one step
 PAUSE = 0.02  # seconds, by chance up to twice, after a ballot that lost
 TURNS = 8  # ballots before a change gives up
@@ -35,9 +37,20 @@
         return await asyncio.get_running_loop().run_in_executor(self.thread, work, *given)
 
     async def _keep(self, rows):
-        await self._on_disk(self.disk.put, rows)
+        try:
+            await self._on_disk(self.disk.put, rows)
+        except OSError as wrong:
+            raise Wrong(PATH, f"the disk refuses: {wrong}", self.settings.ip, 503) from None
         self.rows.update(rows)
 
+    def _registers(self):
+        return {key: row for key, row in self.rows.items() if key not in BESIDE}
+
+    def _lives(self):
+        """How often each disk has begun anew, as far as this one knows, where that was more than once."""
+        own = int(self.rows[BORN])
+        return {**self.rows.get(LIVES, {}), **({self.settings.ip: own} if own > FIRST else {})}
+
     # starting
     async def open(self):
         """Opens the disk: sound if it has taken part before or all begins anew; else it was lost."""
@@ -46,8 +59,11 @@
         if BORN in self.rows:
             self.sound, self.members = True, self.rows.get(MEMBERS, [])
         elif self.settings.fresh:
-            await self._keep({BORN: True})
-            self.sound = True
+            try:
+                await self._keep({BORN: FIRST})
+                self.sound = True
+            except Wrong as wrong:  # taken for a lost one until it can be written to
+                self.say("register not begun", why=str(wrong))
         self.say("register", sound=self.sound, rows=len(self.rows))
 
     async def found(self, known):
@@ -58,22 +74,24 @@
             self.members = members
 
     async def rebuild(self, known):
-        """A lost disk: neither votes nor counts until a majority of those that lost nothing has told all."""
-        pulls = []
-        for reply in await asyncio.gather(
-            *[self._call(ip, {"op": "pull"}) for ip in known if ip != self.settings.ip]
-        ):
-            if reply.ok:
-                pulls.append(reply.value["rows"])
-        if len(pulls) < self.majority:
-            return
-        members = next((pull[MEMBERS] for pull in pulls if MEMBERS in pull), None)
-        rows = acceptor.rebuilt(
-            [{k: row for k, row in pull.items() if k not in (BORN, MEMBERS)} for pull in pulls]
-        )
-        await self._keep({**rows, **({MEMBERS: members} if members else {}), BORN: True})
-        self.sound, self.members = True, members or []
-        self.say("rebuilt", rows=len(rows), told_by=len(pulls))
+        """A lost disk: neither votes nor counts until a majority of those that lost nothing has noted its new
+        life and then told all."""
+        life = FIRST
+        for last in (False, True):
+            ask = {"op": "pull", "ip": self.settings.ip, "life": life if last else FIRST}
+            replies = await asyncio.gather(
+                *[self._call(ip, ask) for ip in known if ip != self.settings.ip]
+            )
+            pulls = [reply.value for reply in replies if reply.ok]
+            if len(pulls) < self.majority:
+                return
+            life = life if last else acceptor.next_life(self.settings.ip, [pull["lives"] for pull in pulls])
+        members = next((pull["members"] for pull in pulls if pull["members"]), [])
+        rows = acceptor.rebuilt([pull["rows"] for pull in pulls])
+        lives = acceptor.known_lives([pull["lives"] for pull in pulls])
+        await self._keep({**rows, LIVES: lives, **({MEMBERS: members} if members else {}), BORN: life})
+        self.sound, self.members = True, members
+        self.say("rebuilt", rows=len(rows), told_by=len(pulls), disk_life=life)
 
     # one disk's side
     async def serve(self, ask, peer):
@@ -82,15 +100,19 @@
         if not self.sound:
             raise Wrong(PATH, "this disk was lost and is not rebuilt", peer, 503)
         if op == "pull":
-            return {"rows": self.rows}
+            ip, life = need(ask, "ip", str, PATH), need(ask, "life", int, PATH, least=FIRST)
+            async with self.lock:  # what is being written belongs to what is told
+                if life > self._lives().get(ip, FIRST):
+                    await self._keep({LIVES: {**self.rows.get(LIVES, {}), ip: life}})
+                return {"rows": self._registers(), "lives": self._lives(), "members": self.members}
         if op == "survey":
             known = need(ask, "known", dict, PATH)
             return {
                 "rows": {
                     key: {"accepted": row[1], "value": None if known.get(key) == row[1] else row[2]}
-                    for key, row in self.rows.items()
-                    if key not in (BORN, MEMBERS)
-                }
+                    for key, row in self._registers().items()
+                },
+                "lives": self._lives(),
             }
         key, ballot = need(ask, "key", str, PATH), need(ask, "ballot", list, PATH)
         async with self.lock:
@@ -103,7 +125,7 @@
                 raise Wrong(PATH, f"op {op!r} is not known", peer)
             if row is not None:
                 await self._keep({key: row})
-        return reply
+            return {**reply, "lives": self._lives()}
 
     async def _call(self, ip, body):
         if ip == self.settings.ip:
@@ -116,12 +138,13 @@
     # all disks
     async def _ask_all(self, body, take):
         """Asks all members at once until `take` says that it is enough; whether it did."""
-        tasks = {asyncio.ensure_future(self._call(ip, body)) for ip in self.members}
+        asked = {asyncio.ensure_future(self._call(ip, body)): ip for ip in self.members}
+        tasks = set(asked)
         while tasks:
             done, tasks = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
             for task in done:
                 reply = task.result()
-                if reply.ok and take(reply.value):
+                if reply.ok and take(asked[task], reply.value):
                     return True
         return False
 
@@ -146,16 +169,15 @@
         """Done with all values that a majority agrees on, by key; those in doubt are settled by a round."""
         if not (self.sound and self.members):
             return Failed("register", "this disk takes no part yet", "", 503)
-        known = {key: row[1] for key, row in self.rows.items() if key not in (BORN, MEMBERS)}
-        replies = []
+        known, replies = {key: row[1] for key, row in self._registers().items()}, {}
 
-        def take(reply):
-            replies.append(reply["rows"])
-            return len(replies) == self.majority
+        def take(ip, reply):
+            replies[ip] = reply
+            return len(current(replies)) >= self.majority
 
         if not await self._ask_all({"op": "survey", "known": known}, take):
             return Failed("register", "no majority answers", "", 503)
-        found = {}
+        found, replies = {}, [reply["rows"] for reply in current(replies)]
         for key in {key for rows in replies for key in rows}:
             told = [rows.get(key, {"accepted": acceptor.NEVER, "value": None}) for rows in replies]
             sure, value = agreed(told, self.majority)
--- a/honeywood/system/ledger/acceptor.py
+++ b/honeywood/system/ledger/acceptor.py
@@ -22,6 +22,16 @@
     return [ballot, ballot, value], {"ok": True}
 
 
+def known_lives(told):
+    """What is known of disks' lives, out of what several know of them."""
+    return {ip: max(lives.get(ip, 0) for lives in told) for lives in told for ip in lives}
+
+
+def next_life(ip, told):
+    """The life with which the lost disk of `ip` begins anew, out of what enough others know."""
+    return known_lives(told).get(ip, 1) + 1
+
+
 def rebuilt(pulls):
     """The rows of a disk that was lost, out of those of enough others: per key the highest promise and the
     highest accepted value."""
--- a/honeywood/system/ledger/disk.py
+++ b/honeywood/system/ledger/disk.py
@@ -23,7 +23,7 @@
 
 
 class Disk:
-    """A folder with the register; used by one thread. Raises OSError or lmdb.Error."""
+    """A folder with the register; used by one thread. Raises OSError."""
 
     def __init__(self, folder):
         self.folder, self.held, self.last, self.files = folder, {}, {}, [None, None]
@@ -68,9 +68,9 @@
                     writing.put(key.encode(), _sum(text) + text)
             env.sync(True)
             _sync(env.path() + SUM, _whole(env.path()))
-        except BaseException:
+        except (OSError, lmdb.Error) as wrong:
             self._leave(at % 2)  # the next put begins another file there
-            raise
+            raise OSError(str(wrong)) from None
         self.at, self.last = at, fresh
         self.held.update(fresh)
         if self.earlier and None not in self.files:
--- a/honeywood/system/ledger/round.py
+++ b/honeywood/system/ledger/round.py
@@ -1,40 +1,57 @@
-"""A change of one key's value: prepare, then accept, each with a majority. Pure: replies are fed in."""
+"""A change of one key's value: prepare, then accept, each with a majority. Pure: replies are fed in.
+
+A reply carries `lives`: how often each disk has begun anew, as far as its sender knows, its own among them.
+What a disk told before it was lost counts no more as soon as another reply tells of its newer life: the disk
+has asked the others for their rows since, perhaps before they heard what it had answered to.
+"""
 
 from honeywood.system.ledger.acceptor import NEVER
 
+FIRST = 1  # the life of a disk that was never lost
+
+
+def current(replies):
+    """Of {ip: reply} those whose disk is not known, by any of them, to have begun anew since."""
+    newest = {}
+    for reply in replies.values():
+        for ip, life in reply["lives"].items():
+            newest[ip] = max(life, newest.get(ip, FIRST))
+    return [
+        reply for ip, reply in replies.items() if reply["lives"].get(ip, FIRST) == newest.get(ip, FIRST)
+    ]
+
 
 class Round:
     """One ballot's way. `change` takes the value held (or None) and gives the one to hold."""
 
     def __init__(self, ballot, majority, change):
         self.ballot, self.majority, self.change = ballot, majority, change
-        self.promises, self.accepts, self.refused, self.value = [], 0, NEVER, None
+        self.promises, self.accepts, self.refused, self.value = {}, {}, NEVER, None
 
-    def promised(self, reply):
-        """Takes a reply to prepare; whether a majority has promised and `value` stands."""
+    def _enough(self, ip, reply, kept):
         if not reply["ok"]:
             self.refused = max(self.refused, reply["promised"])
-            return False
-        self.promises.append((reply["accepted"], reply["value"]))
-        if len(self.promises) != self.majority:
-            return False
-        held = max(self.promises, key=lambda promise: promise[0])[1]
-        self.value = self.change(held)
-        return True
-
-    def accepted(self, reply):
+            return ()
+        kept[ip] = reply
+        counted = current(kept)
+        return counted if len(counted) >= self.majority else ()
+
+    def promised(self, ip, reply):
+        """Takes a reply to prepare; whether a majority has promised and `value` stands."""
+        counted = self._enough(ip, reply, self.promises)
+        if counted:
+            self.value = self.change(max(counted, key=lambda one: one["accepted"])["value"])
+        return bool(counted)
+
+    def accepted(self, ip, reply):
         """Takes a reply to accept; whether a majority holds the value now."""
-        if not reply["ok"]:
-            self.refused = max(self.refused, reply["promised"])
-            return False
-        self.accepts += 1
-        return self.accepts == self.majority
+        return bool(self._enough(ip, reply, self.accepts))
 
 
-def agreed(replies, majority):
-    """A value that a majority holds under one ballot, as (found, value), out of replies to read."""
-    ballots = [reply["accepted"] for reply in replies]
-    for reply in replies:
-        if ballots.count(reply["accepted"]) >= majority:
-            return True, reply["value"]
+def agreed(rows, majority):
+    """A value that a majority holds under one ballot, as (found, value), out of rows of different disks."""
+    ballots = [row["accepted"] for row in rows]
+    for row in rows:
+        if ballots.count(row["accepted"]) >= majority:
+            return True, row["value"]
     return False, None
--- a/tests/system/test_register.py
+++ b/tests/system/test_register.py
@@ -206,7 +206,7 @@
 
 
 async def careless(self, known):
-    await self._keep({BORN: True})
+    await self._keep({BORN: 1})
     self.sound = True
 
 
