--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -89,7 +89,7 @@
         await asyncio.gather(self._known(), self._kept())
 
     async def _kept(self):
-        """Puts the notes of machines on this disk; a slow one, or one that refuses, holds up no answer long."""
+        """Puts the notes of machines on this disk; one that is slow or refuses holds up no answer long."""
         saving = asyncio.ensure_future(self.keep_notes())
         await asyncio.wait((saving,), timeout=KEPT)
 
