A version is not done before enough requests have met it, nor full before five on trial have ended

Ruled out: counting requests that are still out as slow (they may be young). Change: full stage needs 5 pooled outcomes on trial unless 0.7 of the time is over, done needs 20 on the version unless 0.9 is. Test: old machines are kept until enough have met the version.

--- a/honeywood/system/scales/verdict.py
+++ b/honeywood/system/scales/verdict.py
@@ -10,7 +10,8 @@
 LEAST_TRIAL = 5  # outcomes on trial before they are tested
 SHORT = 3.0  # seconds after a stage's start at which short samples vote on as well (the design's)
 WATCHED = 0.55  # part of the time given over which a version stays on trial: it may turn bad late
-LATEST = 0.7  # part of it after which votes that are still missing are waited for no more
+LATEST = 0.7  # part of it after which votes and outcomes that are still missing are waited for no more
+LAST = 0.9  # part of it after which a version that few have met is done all the same
 LEFT = 0.4  # seconds that all fronts must have left the earlier machines before they are stopped
 ON, BACK = "on", "back"
 
@@ -26,6 +27,11 @@
     return new, old
 
 
+def ended(rows, svc, ver):
+    """How many requests at a version have ended."""
+    return sum(row[4] for row in rows if row[0] == svc and row[2] == ver)
+
+
 def tests(new, old):
     """[(p, kind, class)]: one of failures and one of slow answers a class."""
     found = []
@@ -88,7 +94,7 @@
         self.back = self.back or self.suspicion.confirmed(now, rows, record["svc"], record["to_ver"])
         if self.back:
             return BACK
-        tried = sum(row[4] for row in rows if row[0] == record["svc"] and row[2] == record["to_ver"])
+        tried = ended(rows, record["svc"], record["to_ver"])
         return ON if self.suspicion.since is None and (tried >= LEAST or now - self.began >= SHORT) else None
 
 
@@ -106,10 +112,11 @@
             return {"state": REVERTED}
         if self.suspicion.since is not None:  # until it is confirmed or gone, no more than the trial's part
             return {"stage": TRIAL} if record["stage"] == FULL else None
-        part = elapsed / record["over_s"]
+        part, met = elapsed / record["over_s"], ended(rows, record["svc"], record["to_ver"])
         if record["stage"] == TRIAL:
-            on = part >= WATCHED and votes and all(vote == ON for vote in votes)
+            on = part >= WATCHED and votes and all(vote == ON for vote in votes) and met >= LEAST_TRIAL
             return {"stage": FULL} if on or part >= LATEST else None
+        left = left and (part >= LAST or met >= LEAST)
         self.all_left_at = (now if self.all_left_at is None else self.all_left_at) if left else None
         if self.all_left_at is not None and now - self.all_left_at >= LEFT:
             return {"state": DONE}
--- a/tests/system/test_rollouts.py
+++ b/tests/system/test_rollouts.py
@@ -145,6 +145,21 @@
         assert fleet.end < 13.0
 
 
+@test("old machines are kept until enough requests have met the new version, or time is nearly over")
+def _():
+    # Found by the emulator (day 83): a version was done with eight answers, the slow ones still out.
+    held = record.advance(record.start(None, "s", "v2", 10.0, 0.0), "v2", 1, stage=record.FULL)
+
+    def row(ver, count):
+        return ["s", "r", ver, 0, count, [float(count), *[0.0] * 8]]
+
+    for count, elapsed, state in ((8, 7.5, None), (20, 7.5, record.DONE), (8, 9.5, record.DONE)):
+        verdict = Verdict(2)
+        rows = [row("v1", 90), row("v2", count)]
+        told = [verdict.look(elapsed + n / 10, elapsed + n / 10, held, rows, [], True) for n in range(6)]
+        assert [step["state"] for step in told if step][:1] == ([state] if state else []), (count, told)
+
+
 @test("a front that doubts a version in full stage says that it has not left the earlier machines")
 def _():
     # Otherwise these would be stopped with its requests on them.
