--- a/honeywood/lab/market/day.py
+++ b/honeywood/lab/market/day.py
@@ -30,6 +30,7 @@
     per_s: float = 40.0
     machines: int = 6
     bear: int = 1
+    bounds: tuple = ()  # (key, figure) where not those of boot.BOUNDS
     seeing: bool = False  # a router with sight of all machines instead of ours: the bound
 
 
@@ -62,8 +63,8 @@
         bourses = tuple(f"b{n}" for n in range(2 * day.bear + 1))
         fronts = tuple(f"f{n}" for n in range(day.fronts))
         places = {name: zones[n % len(zones)] for names in (bourses, fronts) for n, name in enumerate(names)}
-        super().__init__(bourses, fronts, day.seed, day.bear, places)
-        self.book, self.told, self.chance = Book(BOUNDS), Told(), random.Random(day.seed + 1)
+        super().__init__(bourses, fronts, day.seed, day.bear, places, {**BOUNDS, **dict(day.bounds)})
+        self.book, self.told, self.chance = Book(self.bounds), Told(), random.Random(day.seed + 1)
         self.work = {"s": 0.04, "u": 0.06}
         self.hall = Hall(self, random.Random(day.seed + 2), self.book, self.work.get)
         self.tasks, self.ids, self.deaf, self.sent, self.ready = {}, 0, 0.0, 0, set(fronts)
@@ -117,7 +118,7 @@
         status, _ = await self.call("instances.heartbeat", machine.id, machine.beat(self.loop.time()), 8)
         if status == 200:
             self.book.left(self.loop.time(), machine.id)
-        await asyncio.sleep(BOUNDS["drain_s"] + LEAVES)
+        await asyncio.sleep(self.bounds["drain_s"] + LEAVES)
         await self.call("instances.leave", machine.id, {}, 4)
         machine.crash("left")
         for link in list(machine.links):
--- /dev/null
+++ b/tests/system/test_market.py
@@ -0,0 +1,118 @@
+"""The emulator: days without a broken rule; it sees each rule broken when its guard is taken away."""
+
+from dataclasses import replace
+
+from ward import each, test
+
+from honeywood.lab.market import hunt
+from honeywood.lab.market.day import Day, draw, play
+from honeywood.lab.market.faults import Fault
+from honeywood.system.bourse.register import Register
+from honeywood.system.crier.board import Board
+from honeywood.system.porter import answers
+from honeywood.system.porter.budget import Budget
+from honeywood.system.porter.gate import Gate
+from honeywood.system.scales.stage import Stage
+from honeywood.system.stall import carry
+from honeywood.system.stall.carry import Carrier
+
+
+@test("twelve drawn days with all their faults break nothing, and a day comes out the same twice")
+def _():
+    for seed in range(12):
+        told = play(draw(seed))
+        assert not told.broken, f"seed {seed}: {told.broken}"
+        assert told.worth > 0.8 * told.owed > 200
+    assert play(draw(3)) == play(draw(3))
+
+
+def fault(kind, at=1.0, for_s=3.0, pick=0.5, x=0.4):
+    return Fault(kind, at, for_s, pick, x)
+
+
+def barless(name):
+    """The gate without one of its bars."""
+    bar = Gate.bar
+
+    def without(self, now, ask, machine, connected=False):
+        found = bar(self, now, ask, machine, connected)
+        return None if found == name else found
+
+    return [(Gate, "bar", without)]
+
+
+def any_answer(status, fields, try_id):
+    return answers.GOOD if 200 <= status < 300 else answers.FAILED
+
+
+def last_wins(self, key, stamp, value, put=Board.put):
+    if key == "config" and self.get(key) not in (None, value):
+        self.notes.pop(key)
+    return put(self, key, stamp, value)
+
+
+def all_again(self, life, rev, private, held=None, since=Board.since):
+    found = [note for note in since(self, life, rev, private) if note[0] != "config"]
+    return found + [(key, *self.notes[key][:2]) for key in ("config",) if key in self.notes]
+
+
+async def unwritten(self, rows):
+    self.rows.update(rows)
+
+
+def promise(self, ask, best):
+    return carry.ours(503, "no machine free", 0.1)
+
+
+POOR = {"per_s": 120.0, "bounds": (("retry_slack", 2), ("retry_ratio", 0.02))}
+
+
+@test("without its guard {rule} is seen to break")
+def _(
+    rule=each("once", "promise", "own", "drain", "back", "budget", "exposure", "kept"),
+    patch=each(
+        lambda: barless("may have run"),
+        lambda: [(Carrier, "_given_up", promise)],
+        lambda: [(carry, "meaning", any_answer)],
+        lambda: barless("state"),
+        lambda: [(Board, "put", last_wins), (Board, "since", all_again)],
+        lambda: [(Budget, "allows", lambda self, now, fronts: True)],
+        lambda: [(Stage, "room", lambda self, now, ask: True)],
+        lambda: [(Register, "_keep", unwritten)],
+    ),
+    troubles=each(
+        (fault("answers_lost", x=1.0),),
+        (fault("answers_lost", x=1.0),),
+        (fault("garble", x=1.0),),
+        (fault("drain", 1.0, pick=0.1), fault("drain", 1.5, pick=0.9), fault("drain", 2.0)),
+        (fault("cut", 1.5, 1.5, pick=0.0, x=1.0), fault("configure", 2.0)),
+        (fault("ill", 0.5, 6.0, x=1.0),),
+        (fault("rollout_bad", 1.0, x=0.3),),
+        (fault("kill_all", 3.0),),
+    ),
+    shape=each(*[{}] * 5, POOR, {"per_s": 150.0}, {}),
+):
+    patches = [(place, name, place.__dict__[name], without) for place, name, without in patch()]
+    for place, name, _, without in patches:
+        setattr(place, name, without)
+    try:
+        seen = set()
+        for seed in range(6):
+            seen |= {broken[0] for broken in play(Day(seed, troubles, **shape)).broken}
+            if rule in seen:
+                break
+        assert rule in seen, seen
+    finally:
+        for place, name, guarded, _ in patches:
+            setattr(place, name, guarded)
+
+
+@test("a failing day is shrunk to the faults that matter")
+def _():
+    def judged(day):
+        kinds = {one.kind for one in day.troubles}
+        return hunt.days.Told(broken=[("once", 1.0, "")] if {"cut", "drain"} <= kinds else [])
+
+    day = Day(1, tuple(fault(kind) for kind in ("ill", "cut", "deaf", "crash", "drain", "disk", "garble")))
+    assert [one.kind for one in hunt.shrink(day, "once", judged).troubles] == ["cut", "drain"]
+    assert hunt.read(hunt.written(day)) == day == replace(day)
