--- a/honeywood/cli/lab.py
+++ b/honeywood/cli/lab.py
@@ -73,3 +73,11 @@
     """Adds up what the fronts of a fleet counted, from the folder of their LOGS."""
     from honeywood.lab.fleet_count import spans, table
     click.echo(table(spans(logs, seconds)))
+
+
+@command.command("market", context_settings={"ignore_unknown_options": True, "help_option_names": []})
+@click.argument("words", nargs=-1, type=click.UNPROCESSED)
+def market(words):
+    """The whole system in a world of its own: run, hunt, replay, sweep, report, prove."""
+    from honeywood.cli.market import command as group
+    group.main(list(words), prog_name="honeywood lab market")
--- /dev/null
+++ b/honeywood/cli/market.py
@@ -0,0 +1,160 @@
+"""`honeywood lab market ...`: the whole system in a world of its own, with faults drawn by seed."""
+
+import json
+import sys
+
+import click
+
+
+@click.group("market")
+def command():
+    """Plays days of the system on one simulated clock; its worlds, machines and clients are simulated."""
+
+
+def shape(function):
+    for option in (
+        click.option("--fronts", type=click.IntRange(1), default=4, show_default=True),
+        click.option("--per-s", type=float, default=40.0, show_default=True, help="Requests a second."),
+        click.option("--seconds", type=click.FloatRange(3), default=8.0, show_default=True),
+        click.option(
+            "--bear",
+            type=click.IntRange(0),
+            default=1,
+            show_default=True,
+            help="Disks that may be lost at once; 2 bear + 1 bourses.",
+        ),
+    ):
+        function = option(function)
+    return function
+
+
+@command.command()
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--chart", type=click.Path(), help="A PNG of the worth a second.")
+@shape
+def run(seed, chart, **given):
+    """One day of a seed, and what came of it."""
+    from honeywood.lab.market import hunt, report
+    from honeywood.lab.market.day import draw
+
+    day = draw(seed, **given)
+    found = hunt.played(day)
+    click.echo(report.told(day, found))
+    if chart:
+        report.chart(chart, {f"seed {seed}": (day, found)})
+    sys.exit(bool(found.broken))
+
+
+@command.command()
+@click.option("--days", type=click.IntRange(1), default=1000, show_default=True)
+@click.option("--first", type=int, default=0, show_default=True, help="The first seed.")
+@click.option("--jobs", type=click.IntRange(1), help="Cores to use; all of them otherwise.")
+@click.option("--out", type=click.Path(), help="Where failing days go, shrunk, for replay.")
+@shape
+def hunt(days, first, jobs, out, **given):
+    """Many days with drawn faults, to find a broken rule; failing days are shrunk."""
+    from rich.progress import Progress
+
+    from honeywood.lab.market import hunt as hunts
+
+    with Progress(transient=True) as shown:
+        bar = shown.add_task("days", total=days)
+
+        def progress(done, broken):
+            shown.update(bar, completed=done, description=f"days, {broken} broken")
+
+        found, sums = hunts.hunt(first, days, jobs, given, progress)
+    click.echo(
+        f"{sums['days']} days, {sums['faults']} faults, {sums['owed']} requests in {sums['took']:.0f} s "
+        f"({60 * sums['days'] / sums['took']:.0f} a minute), worth {sums['worth'] / sums['owed']:.3f}, "
+        f"{len(found)} with a broken rule"
+    )
+    small = []
+    for seed, (day, broken) in sorted(found.items())[:10]:
+        least = hunts.shrink(day, broken[0][0])
+        small.append(hunts.written(least))
+        click.echo(f"seed {seed}: {broken[0]}; least faults: {[one.kind for one in least.troubles]}")
+    if out and small:
+        with open(out, "w") as file:
+            json.dump(small, file, indent=1)
+    sys.exit(bool(found))
+
+
+@command.command()
+@click.argument("file", type=click.Path(exists=True))
+def replay(file):
+    """The days of a FILE that a hunt wrote."""
+    from honeywood.lab.market import hunt as hunts
+    from honeywood.lab.market import report
+
+    with open(file) as text:
+        days = [hunts.read(plain) for plain in json.load(text)]
+    found = [hunts.played(day) for day in days]
+    for day, one in zip(days, found):
+        click.echo(report.told(day, one) + "\n")
+    sys.exit(any(one.broken for one in found))
+
+
+@command.command()
+@click.option("--sizes", default="2,4,8,16", show_default=True, help="Numbers of fronts.")
+@click.option("--days", type=click.IntRange(1), default=8, show_default=True)
+def sweep(sizes, days):
+    """The same days at several numbers of fronts, the load a front alike."""
+    from honeywood.lab.market import hunt as hunts
+    from honeywood.lab.market import report
+
+    numbers = [int(one) for one in sizes.split(",")]
+    click.echo(report.sweep(numbers, hunts.played, range(days)))
+
+
+@command.command("report")
+@click.option("--days", type=click.IntRange(1), default=100, show_default=True)
+@click.option("--first", type=int, default=0, show_default=True)
+@click.option("--chart", type=click.Path(), help="A PNG of the first four days.")
+@shape
+def report_(days, first, chart, **given):
+    """By kind of fault: worth beside that of a router with sight of all machines."""
+    from honeywood.lab.market import hunt as hunts
+    from honeywood.lab.market import report
+    from honeywood.lab.market.day import draw
+
+    click.echo(report.bound(range(first, first + days), hunts.played, **given))
+    if chart:
+        some = [draw(seed, **given) for seed in range(first, first + min(4, days))]
+        report.chart(chart, {f"seed {day.seed}": (day, hunts.played(day)) for day in some})
+
+
+@command.command()
+@click.option("--what", type=click.Choice(["versions", "outcomes"]), default="versions", show_default=True)
+@click.option("--writers", type=click.IntRange(1, 3), default=2, show_default=True)
+@click.option("--depth", type=click.IntRange(1), default=10, show_default=True)
+@click.option("--most", type=click.IntRange(1), default=1_000_000, show_default=True, help="States.")
+@click.option(
+    "--walks", type=click.IntRange(0), default=0, show_default=True, help="Long ways by chance besides."
+)
+def prove(what, writers, depth, most, walks):
+    """All orders of messages and losses of the register's rules, up to a depth; then long ways by chance."""
+    from random import Random
+
+    from honeywood.lab.prove import register
+    from honeywood.lab.prove.explore import explore, walk
+
+    def model(**more):
+        return register.versions(writers, **more) if what == "versions" else register.outcomes(**more)
+
+    found = explore(model(), depth, most)
+    whole = "whole" if found.whole else "not whole"
+    click.echo(
+        f"{found.states} states, {found.depth} steps deep, {whole}: {found.wrong or 'nothing is broken'}"
+    )
+    click.echo("\n".join(found.trace))
+    chance, wrong, steps = Random(1), found.wrong, 0
+    for _ in range(walks):
+        taken, broken, trace = walk(model(again=1), chance, 80)
+        steps, wrong = steps + taken, wrong or broken
+        if broken:
+            click.echo("\n".join([broken, *trace]))
+            break
+    if walks:
+        click.echo(f"{walks} ways, {steps} steps: {wrong or 'nothing is broken'}")
+    sys.exit(bool(wrong))
--- a/honeywood/lab/market/__init__.py
+++ b/honeywood/lab/market/__init__.py
@@ -2,4 +2,4 @@
 watched.
 
 Start reading at world.py (programs, net, disks), then day.py (machines, clients, operators, faults on one
-clock) and rules.py (what must hold). loopback.py shows the same programs as processes on this machine. """
+clock) and rules.py (what must hold). loopback.py shows the same programs as processes on this machine."""
--- a/honeywood/lab/market/loopback.py
+++ b/honeywood/lab/market/loopback.py
@@ -1,6 +1,6 @@
 """The system on loopback, as it happens: three bourses and two stalls as processes of their own, stand-in
 machines, a client, a configuration and a rollout. `python -m honeywood.lab.market.loopback`, or `make
-market`. """
+market`."""
 
 import asyncio
 import os
--- /dev/null
+++ b/honeywood/lab/market/report.py
@@ -0,0 +1,89 @@
+"""What days came to, as tables and a chart."""
+
+from collections import Counter
+from dataclasses import replace
+
+from honeywood.lab.market import day as days
+
+
+def table(head, rows):
+    """Rows under a head, in columns, as text that is also a table in Markdown."""
+    cells = [[str(cell) for cell in row] for row in (head, *rows)]
+    wide = [max(len(row[at]) for row in cells) for at in range(len(head))]
+    lines = ["| " + " | ".join(cell.ljust(size) for cell, size in zip(row, wide)) + " |" for row in cells]
+    return "\n".join([lines[0], "| " + " | ".join("-" * size for size in wide) + " |", *lines[1:]])
+
+
+def told(day, found):
+    """A day's outcome in a few lines."""
+    ends = ", ".join(f"{end}: {count}" for end, count in found.ends.most_common())
+    faults = ", ".join(f"{one.kind} at {one.at:g} s" for one in day.troubles) or "none"
+    broken = "\n".join(f"  {rule} at {at} s: {why}" for rule, at, why in found.broken[:8]) or "  none"
+    return (
+        f"seed {day.seed}: worth {found.worth / max(1, found.owed):.3f} of {found.owed} requests\n"
+        f"faults: {faults}\nanswers: {ends}\n"
+        f"further arrivals {found.extra}, connections reset {found.resets}\n"
+        f"broken rules:\n{broken}"
+    )
+
+
+def bound(seeds, play, **shape):
+    """Per kind of fault: worth, that of a router with sight of all machines, and the share reached."""
+    ours, best, owed = Counter(), Counter(), Counter()
+    for seed in seeds:
+        day = days.draw(seed, **shape)
+        found, seen = play(day), play(replace(day, seeing=True))
+        for kind in {one.kind for one in day.troubles} | {"all"}:
+            ours[kind] += found.worth / max(1, found.owed)
+            best[kind] += seen.worth / max(1, seen.owed)
+            owed[kind] += 1
+    rows = [
+        (
+            kind,
+            owed[kind],
+            f"{ours[kind] / owed[kind]:.3f}",
+            f"{best[kind] / owed[kind]:.3f}",
+            f"{ours[kind] / best[kind]:.3f}",
+        )
+        for kind in sorted(owed, key=lambda kind: ours[kind] / best[kind])
+    ]
+    return table(("days with", "days", "ours", "sight of all", "share"), rows)
+
+
+def sweep(sizes, play, seeds, **shape):
+    """How the system does with several numbers of fronts."""
+    rows = []
+    for fronts in sizes:
+        found = [play(days.draw(seed, fronts=fronts, **shape)) for seed in seeds]
+        owed = sum(one.owed for one in found)
+        rows.append(
+            (
+                fronts,
+                len(found),
+                f"{sum(one.worth for one in found) / owed:.3f}",
+                f"{sum(one.extra for one in found) / owed:.3f}",
+                sum(one.resets for one in found),
+                sum(bool(one.broken) for one in found),
+            )
+        )
+    return table(("fronts", "days", "worth", "further arrivals a request", "resets", "broken days"), rows)
+
+
+def chart(path, shown):
+    """Worth a second of each of {name: (day, Told)}, with the day's faults."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, places = pyplot.subplots(len(shown), 1, figsize=(9, 2.2 * len(shown)), squeeze=False, sharex=True)
+    for place, (name, (day, found)) in zip(places[:, 0], shown.items()):
+        at = sorted(found.seconds)
+        place.step(at, [found.seconds[one][1] / max(1, found.seconds[one][0]) for one in at], where="post")
+        for one in day.troubles:
+            place.axvspan(days.CALM + one.at, days.CALM + one.at + one.for_s, alpha=0.15)
+            place.text(days.CALM + one.at, 0.05, one.kind, rotation=90, fontsize=7)
+        place.set(title=name, ylim=(0, 1.05), ylabel="worth of owed")
+    places[-1, 0].set_xlabel("seconds")
+    figure.tight_layout()
+    figure.savefig(path, dpi=90)
--- a/honeywood/lab/prove/register.py
+++ b/honeywood/lab/prove/register.py
@@ -108,9 +108,7 @@
         answer = tuple(sorted({**answer, "lives": disk.known(one)}.items()))
         told = tuple((key, tuple(part) if isinstance(part, list) else part) for key, part in answer)
         writer = replace(writer, ways=at(writer.ways, one, COMING), answers=at(writer.answers, one, told))
-        return replace(
-            state, disks=at(state.disks, one, disk), writers=at(state.writers, place, writer)
-        )
+        return replace(state, disks=at(state.disks, one, disk), writers=at(state.writers, place, writer))
 
     def _taken(self, state, place, one):
         writer = state.writers[place]
@@ -146,16 +144,18 @@
         if self.early:
             for one, disk in enumerate(state.disks):
                 if disk.row != disk.synced:
-                    yield f"sync at {one}", replace(
-                        state, disks=at(state.disks, one, replace(disk, synced=disk.row))
+                    yield (
+                        f"sync at {one}",
+                        replace(state, disks=at(state.disks, one, replace(disk, synced=disk.row))),
                     )
         if state.powers:
             disks = tuple(replace(disk, row=disk.synced, pulls=()) for disk in state.disks)
             yield "power is lost", replace(state, disks=disks, powers=state.powers - 1)
         for one in DISKS if state.wipes else ():
             lost = Disk(sound=False, life=0, lives=(0,) * 3)
-            yield f"disk {one} is lost", replace(
-                state, disks=at(state.disks, one, lost), wipes=state.wipes - 1
+            yield (
+                f"disk {one} is lost",
+                replace(state, disks=at(state.disks, one, lost), wipes=state.wipes - 1),
             )
 
     def _rebuilds(self, state, one):
@@ -173,8 +173,9 @@
                 asked = replace(asked, lives=at(asked.lives, one, max(asked.lives[one], disk.life)))
                 pull = other, asked.row, asked.known(other)
                 begun = replace(disk, pulls=tuple(sorted((*disk.pulls, pull))))
-                yield f"{other} tells {one} all", replace(
-                    state, disks=at(at(state.disks, one, begun), other, asked)
+                yield (
+                    f"{other} tells {one} all",
+                    replace(state, disks=at(at(state.disks, one, begun), other, asked)),
                 )
         if len(disk.pulls) >= MAJORITY:
             row = frozen(acceptor.rebuilt([{"key": thawed(row)} for _, row, _ in disk.pulls])["key"])
--- a/honeywood/system/ledger/disk.py
+++ b/honeywood/system/ledger/disk.py
@@ -18,15 +18,18 @@
 
 import lmdb
 
-MAP = 64 << 20  # bytes that each file may grow to
+from honeywood.system.ledger.files import Files
+
 END, SUM = ".mdb", ".sum"
 
 
 class Disk:
     """A folder with the register; used by one thread. Raises OSError."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, calls=None):
+        """`calls` makes the disk's calls; tests hand in one that loses power at them."""
         self.folder, self.held, self.last, self.files = folder, {}, {}, [None, None]
+        self.calls = calls or Files()
         os.makedirs(folder, exist_ok=True)
         self.earlier = sorted(name for name in os.listdir(folder) if name.endswith(END))
         for name in self.earlier:
@@ -41,7 +44,7 @@
         try:
             if _whole(path) != open(path + SUM, "rb").read():
                 return {}
-            env = lmdb.open(path, map_size=MAP, subdir=False, lock=False, readonly=True, readahead=False)
+            env = self.calls.open(path, True)
             try:
                 return _rows(env)
             finally:
@@ -61,13 +64,13 @@
         try:
             if whole:
                 self._make(at % 2)
-            env = self.files[at % 2]
-            with env.begin(write=True) as writing:
-                for key, (put_at, row) in {**(self.held if whole else self.last), **fresh}.items():
-                    text = json.dumps([put_at, row], separators=(",", ":")).encode()
-                    writing.put(key.encode(), _sum(text) + text)
-            env.sync(True)
-            _sync(env.path() + SUM, _whole(env.path()))
+            env, written = self.files[at % 2], {}
+            for key, (put_at, row) in {**(self.held if whole else self.last), **fresh}.items():
+                text = json.dumps([put_at, row], separators=(",", ":")).encode()
+                written[key.encode()] = _sum(text) + text
+            self.calls.commit(env, written)
+            self.calls.sync(env)
+            self.calls.write(env.path() + SUM, _whole(env.path()))
         except (OSError, lmdb.Error) as wrong:
             self._leave(at % 2)  # the next put begins another file there
             raise OSError(str(wrong)) from None
@@ -77,13 +80,13 @@
             for name in self.earlier:
                 for end in ("", SUM):
                     if os.path.exists(path := os.path.join(self.folder, name + end)):
-                        os.unlink(path)
+                        self.calls.remove(path)
             self.earlier = []
 
     def _make(self, place):
         self.made += 1
         path = os.path.join(self.folder, f"{self.made:08d}-{place}{END}")
-        self.files[place] = lmdb.open(path, map_size=MAP, subdir=False, lock=False, readahead=False)
+        self.files[place] = self.calls.open(path, False)
 
     def _leave(self, place):
         env, self.files[place] = self.files[place], None
@@ -104,14 +107,6 @@
     return b"%d %08x" % (len(data), zlib.crc32(data))
 
 
-def _sync(path, text):
-    """A small file's content, on disk when this ends."""
-    with open(path, "wb") as file:
-        file.write(text)
-        file.flush()
-        os.fsync(file.fileno())
-
-
 def _rows(env):
     """What is sound: rows whose checksum holds."""
     found = {}
--- a/tests/system/test_prove.py
+++ b/tests/system/test_prove.py
@@ -39,7 +39,6 @@
     return {"key": [acceptor.NEVER, acceptor.NEVER, None]}
 
 
-
 @test("without {guard} the search finds what is lost")
 def _(
     guard=each("lives", "refused promises", "the rows of others", "syncs before answers"),
