Counts in the log of both programs; a refusal says why no machine was free

Cause: operators saw a 503 without its reason, and nothing of what a program had done unless it went wrong. Change: a line of counts every 10 s (requests, further sends, answers by status, why no machine, connections; at bourses machines by state, fronts, joined, sound, refused calls). Ruled out: counters a request over the network (bytes, processor). Test: a machine that drains, the reason and the counts.

--- a/honeywood/system/bourse/app.py
+++ b/honeywood/system/bourse/app.py
@@ -16,7 +16,7 @@
 
 class App:
     def __init__(self, bourse):
-        self.bourse = bourse
+        self.bourse, self.refused = bourse, 0
         self.calls = {
             ("POST", "v1", "rpc", "instances.heartbeat"): self.heartbeat,
             ("POST", "v1", "rpc", "instances.leave"): self.leave,
@@ -44,7 +44,7 @@
                 raise Wrong(named, "the body is too long or broken off", peer, 413)
             found = await call(of, body, peer)
         except Wrong as wrong:
-            failed = wrong.failed
+            failed, self.refused = wrong.failed, self.refused + 1
             self.bourse.say("refused", 1.0, step=failed.step, peer=peer, why=failed.why, status=failed.status)
             found = json.dumps({"step": failed.step, "peer": peer, "why": failed.why}).encode()
             return await answer(send, failed.status, JSON, found)
--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -1,6 +1,7 @@
 """The bourse's program: what it tells and keeps, and the loops that bring it there."""
 
 import asyncio
+from collections import Counter
 from random import Random
 
 from honeywood.system.bourse.app import App
@@ -10,7 +11,7 @@
 from honeywood.system.crier.mouth import HOLD, Ear, Mouth
 from honeywood.system.crier.ring import order
 from honeywood.system.ledger.disk import Disk
-from honeywood.system.program import Program
+from honeywood.system.program import COUNTS, Program
 from honeywood.system.scales import record as rollouts
 from honeywood.system.scales.verdict import Verdict
 from honeywood.system.terms import config
@@ -241,6 +242,18 @@
             bool(left) and all(one == [record["n"], 0] for one in left),
         )
 
+    async def count(self):
+        """A line of what stands now."""
+        states = Counter(value["state"] for _, value in self.board.under("machine/"))
+        self.say(
+            "counts",
+            machines=dict(states),
+            fronts=len(self.board.get(f"fleet/{self.settings.ip}") or ()),
+            joined=self.joined,
+            sound=self.register.sound,
+            refused=self.app.refused,
+        )
+
     async def run(self):
         s = self.settings
         await self.register.open()
@@ -262,3 +275,4 @@
         self.loop(self.watch, 0.5)
         self.loop(self.steer, LOOK)
         self.loop(self.keep_notes, NOTING)
+        self.loop(self.count, COUNTS)
--- a/honeywood/system/program.py
+++ b/honeywood/system/program.py
@@ -17,6 +17,7 @@
 
 FILE = "HONEYWOOD_NODE_FILE"
 REREAD = 2.0  # seconds between looks at whether the settings file has changed
+COUNTS = 10.0  # seconds between lines of counts in the log
 COLLECT = 20_000  # objects after which the youngest are collected: little here is circular
 
 
--- a/honeywood/system/stall/carry.py
+++ b/honeywood/system/stall/carry.py
@@ -1,6 +1,7 @@
 """A request's way: to a machine, to another where that may be, and back as one answer."""
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass
 from typing import Any
 
@@ -41,7 +42,7 @@
     def __init__(self, clock, random, zone, roster, gate, stage, links, budget_of):
         self.clock, self.random, self.zone, self.roster = clock, random, zone, roster
         self.gate, self.stage, self.links, self.budget_of = gate, stage, links, budget_of
-        self.ends = {}
+        self.counts = Counter()  # since the start: requests, further sends, answers by status, why no machine
 
     async def carry(self, route, method, target, headers, fields, body):
         """The Answer to a whole request: `target` with its raw escapes, `fields` a value of each header."""
@@ -67,6 +68,9 @@
         )
         answer = await self._tries(ask, method, target, passed, body)
         ask.done = True
+        self.counts["requests"] += 1
+        self.counts["further sends"] += max(0, len(ask.sends) - 1)
+        self.counts[f"answered {answer.status}"] += 1
         return answer
 
     async def _tries(self, ask, method, target, headers, body):
@@ -188,4 +192,8 @@
             return ours(504, "time is up")
         if ask.may_have_run:
             return ours(502, "no whole answer came")
-        return ours(503, "no machine free", AGAIN_S)
+        now, machines = self.clock(), self.roster.services.get(ask.service, ())
+        bars = Counter(self.gate.bar(now, ask, machine) or "left alone" for machine in machines)
+        why = bars.most_common(1)[0][0] if bars else "none known"
+        self.counts[f"no machine: {why}"] += 1
+        return ours(503, f"no machine free: {why}", AGAIN_S)
--- a/honeywood/system/stall/program.py
+++ b/honeywood/system/stall/program.py
@@ -11,7 +11,7 @@
 from honeywood.system.porter.gate import Gate
 from honeywood.system.porter.roster import Roster
 from honeywood.system.porter.routes import Table
-from honeywood.system.program import Program
+from honeywood.system.program import COUNTS, Program
 from honeywood.system.scales.stage import Stage
 from honeywood.system.stall.app import App
 from honeywood.system.stall.carry import Carrier
@@ -152,6 +152,19 @@
     async def tidy(self):
         self.links.tidy(self.roster.machines.values())
 
+    async def count(self):
+        """A line of what was done since the start, and of what stands now."""
+        machines = self.roster.machines.values()
+        self.say(
+            "counts",
+            **self.carrier.counts,
+            dialled=self.links.dialled,
+            connections=sum(machine.held for machine in machines),
+            machines=len(machines),
+            fronts=self.fronts(),
+            ready=self.ready,
+        )
+
     async def run(self):
         s = self.settings
         self.doors = Doors(self.app, self.limits.idle_s)
@@ -169,3 +182,4 @@
         self.loop(self.listen, 0.01)
         self.loop(self.make_sure, 0.05)
         self.loop(self.tidy, TIDY)
+        self.loop(self.count, COUNTS)
--- a/tests/system/test_sockets.py
+++ b/tests/system/test_sockets.py
@@ -358,3 +358,22 @@
             assert status(found) == 504 and len(scene.machines[0].seen) == 1
 
     play(work)
+
+
+@test("a refusal says why no machine was free, and when to come back; the stall counts what it did")
+def _():
+    async def work():
+        async with Scene([ok]) as scene:
+            await scene.get(b"id1")
+            scene.note(0, "draining")
+            found = (await scene.get(b"id2")).lower()
+            assert status(found.upper()) == 503 and b"no machine free: state" in found
+            assert b"retry-after: 0.1" in found
+            told = []
+            scene.stall.say = lambda event, *given, **more: told.append((event, more))
+            await scene.stall.count()
+            (event, more), counts = told[0], scene.stall.carrier.counts
+            assert event == "counts" and more["answered 200"] == more["answered 503"] == 1
+            assert counts["requests"] == 2 and counts["no machine: state"] == 1 and more["machines"] == 1
+
+    play(work)
