--- a/tests/system/test_market.py
+++ b/tests/system/test_market.py
@@ -1,5 +1,6 @@
 """The emulator: days without a broken rule; it sees each rule broken when its guard is taken away."""
 
+import asyncio
 from dataclasses import replace
 
 from ward import each, test
@@ -13,8 +14,9 @@
 from honeywood.system.porter.budget import Budget
 from honeywood.system.porter.gate import Gate
 from honeywood.system.scales.stage import Stage
-from honeywood.system.stall import carry
+from honeywood.system.stall import carry, program
 from honeywood.system.stall.carry import Carrier
+from honeywood.system.stall.program import Stall
 
 
 @test("twelve drawn days with all their faults break nothing, and a day comes out the same twice")
@@ -56,6 +58,10 @@
     return found + [(key, *self.notes[key][:2]) for key in ("config",) if key in self.notes]
 
 
+async def idle(self):
+    await asyncio.sleep(9.0)
+
+
 async def unwritten(self, rows):
     self.rows.update(rows)
 
@@ -69,12 +75,13 @@
 
 @test("without its guard {rule} is seen to break")
 def _(
-    rule=each("once", "promise", "own", "drain", "back", "budget", "exposure", "kept"),
+    rule=each("once", "promise", "own", "drain", "apply", "back", "budget", "exposure", "kept"),
     patch=each(
         lambda: barless("may have run"),
         lambda: [(Carrier, "_given_up", promise)],
         lambda: [(carry, "meaning", any_answer)],
         lambda: barless("state"),
+        lambda: [(program, "SURE", 9.0), (Stall, "listen", idle)],
         lambda: [(Board, "put", last_wins), (Board, "since", all_again)],
         lambda: [(Budget, "allows", lambda self, now, fronts: True)],
         lambda: [(Stage, "room", lambda self, now, ask: True)],
@@ -85,12 +92,13 @@
         (fault("answers_lost", x=1.0),),
         (fault("garble", x=1.0),),
         (fault("drain", 1.0, pick=0.1), fault("drain", 1.5, pick=0.9), fault("drain", 2.0)),
+        (fault("configure", 3.0),),
         (fault("cut", 1.5, 1.5, pick=0.0, x=1.0), fault("configure", 2.0)),
         (fault("ill", 0.5, 6.0, x=1.0),),
         (fault("rollout_bad", 1.0, x=0.3),),
         (fault("kill_all", 3.0),),
     ),
-    shape=each(*[{}] * 5, POOR, {"per_s": 150.0}, {}),
+    shape=each(*[{}] * 6, POOR, {"per_s": 150.0}, {}),
 ):
     patches = [(place, name, place.__dict__[name], without) for place, name, without in patch()]
     for place, name, _, without in patches:
