A front whose clock was set back counts in rollouts: its last life is the one last heard of

Cause: of several lives of a front the one with the highest time of day was taken for its voice; after a clock that stepped back that was the dead one, whose requests out at the earlier machines never ended, and a version was never done. Ruled out: lives counted on disk (stalls have none). Change: the life last heard of counts. Open: notes of a bourse whose clock stepped back win again only when its time has passed the old one. Test: fails without it; worlds have clocks that are off.

--- a/honeywood/lab/market/world.py
+++ b/honeywood/lab/market/world.py
@@ -108,14 +108,15 @@
         self.nodes, self.lives, self.disks, self.cuts = {}, {}, {}, set()
         self.zones, self.bounds, self.executors = zones or {}, bounds, {}
         self.random, self.delay, self.loss = random.Random(seed), 0.001, 0.0
-        self.fresh = True
+        self.fresh, self.skew = True, {}  # seconds by which a node's time of day is off
 
     # programs
     def start(self, name):
         seeds = [f"{bourse}:82" for bourse in self.bourses[:3]]
         zone = self.zones.get(name, "z")
         text = boot(name, zone, seeds, self.fresh, self.bear, bounds=self.bounds)
-        given = read(text), Wire(self, name), self.loop.time, lambda: 1e9 + self.loop.time()
+        clock = self.loop.time
+        given = read(text), Wire(self, name), clock, lambda: 1e9 + clock() + self.skew.get(name, 0.0)
         kind, more = (Bourse, {"disk": self._disk()}) if name in self.bourses else (Stall, self.more(name))
         quiet = type("Quiet", (kind,), {"say": lambda *said, **more: None})
         program = quiet(*given, random=random.Random(self.random.random()), **more)
--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -229,11 +229,10 @@
     def counted(self, record):
         """All fronts' counts, those of fronts that have died too; of the fronts that share in the traffic
         their votes on this stage, and whether all follow it and have nothing out where it leaves."""
-        notes, last = [note for _, note in self.board.under("count/")], {}
-        for key, note in self.board.under("count/"):
-            node = key.split("/")[1]
-            if node not in last or note["life"] > last[node]["life"]:
-                last[node] = note
+        told = sorted(self.board.heard("count/"), key=lambda one: one[2])
+        notes, last = [note for _, note, _ in told], {}
+        for key, note, _ in told:  # the life last heard of is the one that lives, whatever its clock said
+            last[key.split("/")[1]] = note
         alive = {node for _, nodes in self.board.under("fleet/") for node in nodes}
         votes = [last[node]["votes"].get(record["svc"]) if node in last else None for node in alive]
         left = [last[node]["left"].get(record["svc"]) if node in last else None for node in alive]
--- a/honeywood/system/crier/board.py
+++ b/honeywood/system/crier/board.py
@@ -36,6 +36,10 @@
         """The keys and values of notes whose keys begin so."""
         return [(key, value) for key, (_, value, _) in self.notes.items() if key.startswith(prefix)]
 
+    def heard(self, prefix):
+        """The same with the order in which they were heard: (key, value, a number that rises)."""
+        return [(key, value, at) for key, (_, value, at) in self.notes.items() if key.startswith(prefix)]
+
     def held(self):
         """The stamps of the large notes here."""
         return {key: self.notes[key][0] for key in LARGE if key in self.notes}
--- a/tests/system/test_rollouts.py
+++ b/tests/system/test_rollouts.py
@@ -232,6 +232,30 @@
     assert record.start(done, "s", "v3", 14.0, 20.0)["n"] == 4
 
 
+@test("a front that starts again with its clock set back still counts in a rollout")
+def _():
+    # Lives are told apart by the time of day: the earlier one's word stood for the front, and a version was
+    # never done.
+    world = World(fronts="fg")
+    try:
+        for name in "abcfg":
+            world.start(name)
+        world.play("""
+          at  | a              | b
+          2   | put 5          |
+          2.5 | beat m ready   |
+          3   | order v2 3     |
+        """)
+        world.run(3.6)
+        world.kill("f")
+        world.skew["f"] = -3600.0
+        world.start("f")
+        world.run(9.0)
+        assert world.nodes["a"].board.get("rollout/s")["state"] == record.DONE
+    finally:
+        world.close()
+
+
 @test("two bourses that decide differently tell one outcome, whichever is killed")
 def _():
     for seed in range(12):
