--- a/honeywood/cli/market.py
+++ b/honeywood/cli/market.py
@@ -110,18 +110,17 @@
 @command.command("report")
 @click.option("--days", type=click.IntRange(1), default=100, show_default=True)
 @click.option("--first", type=int, default=0, show_default=True)
-@click.option("--chart", type=click.Path(), help="A PNG of the first four days.")
+@click.option("--chart", type=click.Path(), help="A PNG of the four days of least worth.")
 @shape
 def report_(days, first, chart, **given):
     """By kind of fault: worth beside that of a router with sight of all machines."""
     from honeywood.lab.market import hunt as hunts
     from honeywood.lab.market import report
-    from honeywood.lab.market.day import draw
 
-    click.echo(report.bound(range(first, first + days), hunts.played, **given))
+    text, played = report.bound(range(first, first + days), hunts.played, **given)
+    click.echo(text)
     if chart:
-        some = [draw(seed, **given) for seed in range(first, first + min(4, days))]
-        report.chart(chart, {f"seed {day.seed}": (day, hunts.played(day)) for day in some})
+        report.chart(chart, {f"seed {day.seed}": (day, found) for day, found in played[:4]})
 
 
 @command.command()
--- a/honeywood/lab/market/report.py
+++ b/honeywood/lab/market/report.py
@@ -28,11 +28,13 @@
 
 
 def bound(seeds, play, **shape):
-    """Per kind of fault: worth, that of a router with sight of all machines, and the share reached."""
-    ours, best, owed = Counter(), Counter(), Counter()
+    """Per kind of fault: worth, that of a router with sight of all machines, and the share reached; and
+    the days with what came of them, that of the least worth first."""
+    ours, best, owed, played = Counter(), Counter(), Counter(), []
     for seed in seeds:
         day = days.draw(seed, **shape)
         found, seen = play(day), play(replace(day, seeing=True))
+        played.append((day, found))
         for kind in {one.kind for one in day.troubles} | {"all"}:
             ours[kind] += found.worth / max(1, found.owed)
             best[kind] += seen.worth / max(1, seen.owed)
@@ -47,7 +49,8 @@
         )
         for kind in sorted(owed, key=lambda kind: ours[kind] / best[kind])
     ]
-    return table(("days with", "days", "ours", "sight of all", "share"), rows)
+    played.sort(key=lambda one: one[1].worth / max(1, one[1].owed))
+    return table(("days with", "days", "ours", "sight of all", "share"), rows), played
 
 
 def sweep(sizes, play, seeds, **shape):
