--- a/tests/system/test_register.py
+++ b/tests/system/test_register.py
@@ -67,6 +67,18 @@
     )
 
 
+@test("a bourse whose own disk takes no writes still acknowledges what the others' disks hold")
+def _():
+    # Its own refusal ended the whole change by an exception, and the caller got 500.
+    played("""
+      at   | a       | b     | c
+      0    | start   | start | start
+      1    | refuse  |       |
+      1.1  | put 5   |       |
+      1.4  | acked 5 | = 5   | = 5
+    """)
+
+
 @test("all are killed at once and come back with their disks, without help")
 def _():
     played(
--- a/tests/system/timeline.py
+++ b/tests/system/timeline.py
@@ -22,6 +22,8 @@
             getattr(self, word)(name)
         elif word == "cut":
             self.cut(name, more[0])
+        elif word == "refuse":
+            self.disk(name, None)
         elif word == "join":
             self.join()
         elif word == "put":
