--- a/honeywood/lab/market/day.py
+++ b/honeywood/lab/market/day.py
@@ -8,7 +8,7 @@
 
 from honeywood.lab.market import faults
 from honeywood.lab.market.boot import BOUNDS
-from honeywood.lab.market.machines import BEAT_S, LEAVES, Hall
+from honeywood.lab.market.machines import BEAT_S, LEAVES, LEFT, Hall
 from honeywood.lab.market.rules import PROMISES, Book
 from honeywood.lab.market.world import World
 
@@ -120,9 +120,7 @@
             self.book.left(self.loop.time(), machine.id)
         await asyncio.sleep(self.bounds["drain_s"] + LEAVES)
         await self.call("instances.leave", machine.id, {}, 4)
-        machine.crash("left")
-        for link in list(machine.links):
-            link.close()
+        machine.crash(LEFT)
 
     async def call(self, call, of="", body=None, turns=8):
         """A caller of ctl: one bourse after the other until one answers."""
@@ -180,9 +178,7 @@
                 state = found["state"]
                 self.book.told(self.loop.time(), svc, ver, state)
         for machine in old if state == "done" else ():
-            machine.crash("left")
-            for link in list(machine.links):
-                link.close()
+            machine.crash(LEFT)
         for machine in new if state == "reverted" else ():
             self.loop.create_task(self.drain(machine))
 
--- a/honeywood/lab/market/faults.py
+++ b/honeywood/lab/market/faults.py
@@ -6,6 +6,9 @@
 from dataclasses import dataclass
 
 
+AGAIN_S = 0.6  # seconds after which a process that was killed is started again
+
+
 @dataclass(frozen=True, slots=True)
 class Fault:
     """`kind` at `at` seconds of traffic for `for_s`; `pick` (0 to 1) says who, `x` how strong or which
@@ -38,13 +41,19 @@
     return sorted(names)[int(fault.pick * len(names))] if names else None
 
 
+async def down(world, names, for_s, core, wiped=()):
+    """Programs end at once, those in `wiped` without their disks, and start again."""
+    for name in names:
+        world.book.disturb(world.loop.time(), name, core)
+        world.wipe(name) if name in wiped else world.kill(name)
+    await asyncio.sleep(for_s)
+    for name in names:
+        world.start(name)
+        world.book.disturb(world.loop.time(), name, core)
+
+
 async def kill_front(world, fault):
-    name = one(world.fronts, fault)
-    world.book.disturb(world.loop.time(), name, False)
-    world.kill(name)
-    await asyncio.sleep(0.6)
-    world.start(name)
-    world.book.disturb(world.loop.time(), name, False)
+    await down(world, [one(world.fronts, fault)], AGAIN_S, False)
 
 
 def lost(world, fault):
@@ -53,19 +62,13 @@
     return [names[(first + n) % len(names)] for n in range(world.bear)]
 
 
-async def kill_bourse(world, fault, wiped=False):
-    names = lost(world, fault)
-    for name in names:
-        world.book.disturb(world.loop.time(), name, True)
-        world.wipe(name) if wiped else world.kill(name)
-    await asyncio.sleep(fault.for_s)
-    for name in names:
-        world.start(name)
-        world.book.disturb(world.loop.time(), name, True)
+async def kill_bourse(world, fault):
+    await down(world, lost(world, fault), fault.for_s, True)
 
 
 async def wipe_bourse(world, fault):
-    await kill_bourse(world, fault, True)
+    names = lost(world, fault)
+    await down(world, names, fault.for_s, True, names)
 
 
 async def after_ack(world, fault):
@@ -76,24 +79,11 @@
     status, _ = await world.ask(name, "config.replace", "", world.configuration(version))
     if status == 200:
         world.book.acknowledged(world.loop.time(), version)
-    for other in world.bourses:
-        world.book.disturb(world.loop.time(), other, True)
-        world.wipe(other) if other in wiped else world.kill(other)
-    await asyncio.sleep(0.6)
-    for other in world.bourses:
-        world.start(other)
-        world.book.disturb(world.loop.time(), other, True)
+    await down(world, world.bourses, AGAIN_S, True, wiped)
 
 
 async def kill_all(world, fault):
-    names = world.bourses + world.fronts
-    for name in names:
-        world.book.disturb(world.loop.time(), name, True)
-        world.kill(name)
-    await asyncio.sleep(0.6)
-    for name in names:
-        world.start(name)
-        world.book.disturb(world.loop.time(), name, True)
+    await down(world, world.bourses + world.fronts, AGAIN_S, True)
 
 
 async def cut(world, fault):
--- a/honeywood/lab/market/hunt.py
+++ b/honeywood/lab/market/hunt.py
@@ -28,7 +28,7 @@
 
 
 def hunt(first, count, jobs=None, shape=None, progress=lambda done, broken: None):
-    """Plays days of seeds from `first` on: ({seed: (day, broken)}, Summary-like counts)."""
+    """Plays days of seeds from `first` on: ({seed: (day, broken)}, sums)."""
     found, sums, began = {}, Counter(), monotonic()
     with get_context("spawn").Pool(jobs or os.cpu_count(), maxtasksperchild=500) as pool:
         seeds = [(seed, shape or {}) for seed in range(first, first + count)]
--- a/honeywood/lab/market/machines.py
+++ b/honeywood/lab/market/machines.py
@@ -7,7 +7,7 @@
 
 from honeywood.system.cart.link import Broken, Reply
 
-REFUSES, DARK = "refuses", "dark"  # how a machine that has crashed is met
+REFUSES, DARK, LEFT = "refuses", "dark", "left"  # how a machine that has ended is met
 COLD_S, COLD = 3.0, 2.0  # seconds after its start in which a machine is so much slower
 LEAVES = 0.5  # seconds that a machine serves on after drain_s
 BEAT_S, QUEUE = 1.5, 8
@@ -54,9 +54,9 @@
         }
 
     def crash(self, how):
-        """Ends without a word; what runs is lost. A dark one's connections hang."""
+        """Ends; what runs is lost. A dark one's connections hang."""
         self.gone = how
-        if how == REFUSES:
+        if how != DARK:
             for link in list(self.links):
                 link.close()
 
@@ -143,7 +143,7 @@
         """What Links.dial calls: a Link, or httpcore's ConnectError or ConnectTimeout."""
         machine = self.at.get(ip)
         await asyncio.sleep(self.delay(front, machine) * 2 if machine else self.world.delay)
-        if machine is None or machine.gone == REFUSES or machine.gone == "left":
+        if machine is None or machine.gone in (REFUSES, LEFT):
             raise httpcore.ConnectError("refused")
         if machine.gone or self.cut(front, machine):
             await asyncio.sleep(within)
--- a/honeywood/lab/prove/explore.py
+++ b/honeywood/lab/prove/explore.py
@@ -34,7 +34,7 @@
                     came[reached] = state, label
                     after.append(reached)
         if not after:
-            return Found(len(came), deep, deep < depth or not edge)
+            return Found(len(came), deep, deep < depth)
         edge = after
     return Found(len(came), depth, False)
 
--- a/tests/system/test_market.py
+++ b/tests/system/test_market.py
@@ -25,7 +25,7 @@
         told = play(draw(seed))
         assert not told.broken, f"seed {seed}: {told.broken}"
         assert told.worth > 0.8 * told.owed > 200
-    assert play(draw(3)) == play(draw(3))
+    assert play(draw(3)) == play(draw(3))  # not so of every day yet: docs/design/lab.md
 
 
 @test("five bourses of which each is told three find one another, and bear two lost disks")
