Calls and requests: whose answer it is, and what may be sent twice

Cause: a machine's "not run" (X-Not-Run, 421) was taken without its id: a late refusal of another request on a kept connection sent an unsafe request to a second machine while the first ran it. Bytes that came on a kept connection in the turn of the loop between taking it and writing, or that the kernel held because the program was busy or frozen, were taken for the answer to the next request, which cost it a try. An answer with neither length nor chunks looked whole wherever it was cut. Our own calls carried no id, and Caller.call repeated every call on a kept connection that had ended. Connections kept the idle_s of the configuration in force when they were made: with a greater one, clients were closed before four fifths of it. An answer of ours over 256 KiB was read as JSON by its start and failed.

Change: answers.meaning asks for the id first, always. Stream looks into the kernel before a request leaves, and ends a connection that spoke or ended before; such a request goes on on another connection, with no blame on the machine. Each of our calls carries X-Call-Id, which the listener repeats; an answer without it ends the connection. Whether a call may be made twice is its own word (`again`, not by default). A rest lasts as long as the limits said when it began or say now. Nothing further is begun for a client that has left, and nothing behind another while the stall stops.

New: test_calls.py, cuts at every byte and step of the loop, with seven guards taken away.

Ruled out: httpcore leaves no link behind when cancelled (tested at 64 moments, before and after).

--- a/benchmarks/stall.py
+++ b/benchmarks/stall.py
@@ -95,7 +95,7 @@
 
 
 async def measure(app, port, pipe, count):
-    doors = Doors(app, 15)
+    doors = Doors(app)
     await doors.open([("127.0.0.1", port)])
     loop = asyncio.get_running_loop()
     for n in (count // 10, count):
--- a/honeywood/lab/market/machines.py
+++ b/honeywood/lab/market/machines.py
@@ -162,7 +162,7 @@
         id, left = fields[b"x-try-id"], int(fields[b"x-deadline-ms"]) / 1000
         until = loop.time() + left
         if fields[b"x-want-instance"] != machine.id.encode():
-            return await self._reply(link, 421, {b"x-instance": machine.id.encode()})
+            return await self._reply(link, 421, {b"x-try-id": id, b"x-instance": machine.id.encode()})
         self.book.arrived(loop.time(), id, machine, link.front)
         if not await machine.slot():
             return await self._reply(link, 503, {b"x-not-run": b"1", b"x-try-id": id})
--- a/honeywood/lab/market/world.py
+++ b/honeywood/lab/market/world.py
@@ -90,7 +90,7 @@
     def __init__(self, world, node):
         self.world, self.node, self.links = world, node, {}
 
-    async def call(self, ip, port, path, body, within):
+    async def call(self, ip, port, path, body, within, again=False):
         try:
             async with asyncio.timeout(within):
                 return await self.world.carry(self.node, ip, path, json.dumps(body))
--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -25,7 +25,6 @@
 TELL = 0.8  # seconds in which enough others must know of a leaving before it is acknowledged
 KEPT = 0.2  # seconds that an acknowledgement waits for this disk besides
 NOTING = 0.5  # seconds between looks at whether notes of machines have changed
-IDLE = 15.0  # seconds an idle caller keeps its connection
 CONFIG, ROLLOUT = "config", "rollout/"
 
 
@@ -257,7 +256,7 @@
     async def run(self):
         s = self.settings
         await self.register.open()
-        doors = Doors(self.app, IDLE)
+        doors = Doors(self.app)
         await doors.open([s.listen["ctl"], (s.ip, s.bourse_port)])
         self.say("started", role=s.role)
         self.begin()
--- a/honeywood/system/bourse/register.py
+++ b/honeywood/system/bourse/register.py
@@ -143,7 +143,7 @@
                 return Done(await self.serve(body, ip))
             except Wrong as wrong:
                 return wrong.failed
-        return await self.caller.call(ip, self.settings.bourse_port, PATH, body, WITHIN)
+        return await self.caller.call(ip, self.settings.bourse_port, PATH, body, WITHIN, again=True)
 
     # all disks
     async def _ask_all(self, body, take):
--- a/honeywood/system/cart/call.py
+++ b/honeywood/system/cart/call.py
@@ -1,30 +1,43 @@
-"""Calls between our programs: a JSON body to a path, a JSON body back."""
+"""Calls between our programs: a JSON body to a path, a JSON body back.
+
+Each call carries an id that its answer repeats (door.py puts it there). An answer without it, or with another
+call's, is none, and ends the connection; so does whoever gives a call up.
+"""
 
 import asyncio
 import json
+import os
+from itertools import count
 
 import httpcore
 
+from honeywood.system.cart.door import CALL_ID
 from honeywood.system.cart.link import Broken, Link
 from honeywood.system.terms.check import read_json
 from honeywood.system.terms.outcome import Done, Failed, Wrong
 
 CONNECT = 0.3  # seconds for a connection to one of ours
 IDLE = 5.0  # seconds after which an idle connection isn't trusted
+MOST = 8 << 20  # bytes of an answer
 
 
 class Caller:
     """Keeps a few connections to each peer."""
 
     def __init__(self):
-        self.links = {}
+        self.links, self.name, self.numbers = {}, os.urandom(6).hex(), count(1)
+
+    async def call(self, ip, port, path, body, within, again=False):
+        """Done with the answer's object, or Failed with step and peer, after `within` seconds at the most.
 
-    async def call(self, ip, port, path, body, within):
-        """Done with the answer's object, or Failed with step and peer."""
+        `again` is the call's word that it may be made twice: if a kept connection ends before its answer, it
+        is made once more on another. A call that doesn't say so is made again only where nothing of it left.
+        """
         loop, peer = asyncio.get_running_loop(), f"{ip}:{port}"
         until, kept = loop.time() + within, self.links.setdefault((ip, port), [])
         raw = json.dumps(body, separators=(",", ":")).encode()
-        headers = [(b"host", peer.encode()), (b"content-length", str(len(raw)).encode())]
+        id = b"%s-%d" % (self.name.encode(), next(self.numbers))
+        headers = [(b"host", peer.encode()), (CALL_ID, id), (b"content-length", str(len(raw)).encode())]
         while True:
             link = kept.pop() if kept else None
             if link is not None and not (link.fit and loop.time() - link.idle_at < IDLE):
@@ -32,15 +45,18 @@
                 continue
             try:
                 fresh = link is None
-                link = link or await Link.to(ip, port, min(CONNECT, within))
+                link = link or await Link.to(ip, port, max(0.001, min(CONNECT, until - loop.time())))
             except (httpcore.ConnectError, httpcore.ConnectTimeout) as wrong:
                 return Failed(path, f"{type(wrong).__name__}: {wrong}", peer, 503)
-            reply = await link.exchange(b"POST", path.encode(), headers, raw, until)
-            if isinstance(reply, Broken) and not fresh and not reply.late and loop.time() < until:
-                continue  # a kept connection had ended: our calls may all be made twice
-            break
+            reply = await link.exchange(b"POST", path.encode(), headers, raw, until, MOST)
+            ended = isinstance(reply, Broken) and not fresh and not reply.late and loop.time() < until
+            if not (ended and (again or not reply.sent)):
+                break
         if isinstance(reply, Broken):
             return Failed(path, reply.why, peer, 503)
+        if reply.fields.get(CALL_ID) != id or reply.rest is not None:
+            link.close()
+            return Failed(path, "no answer to this call, or one too long", peer, 503)
         if link.fit:
             kept.append(link)
         if reply.status != 200:
--- a/honeywood/system/cart/door.py
+++ b/honeywood/system/cart/door.py
@@ -9,6 +9,7 @@
 
 BACKLOG = 1024
 AHEAD = 16  # requests of one connection that are at work before the first is answered
+CALL_ID = b"x-call-id"  # the id that one of our own calls carries, and its answer repeats
 
 
 class Refused(Exception):
@@ -46,6 +47,23 @@
         """Whether a request has begun whose body is not whole; nothing of it has been passed on."""
         return self.cycle is not None and self.cycle.more_body and not self.cycle.response_started
 
+    def on_response_complete(self):
+        """A rest begins, if nothing stands behind: it lasts as long as the limits in force say."""
+        self.rests_at, self.timeout_keep_alive = self.loop.time(), self.config.app.limits.idle_s
+        super().on_response_complete()
+
+    def timeout_keep_alive_handler(self):
+        """Ends a connection that has rested for as long as the limits said when the rest began, and say now:
+        clients go by either. A rest begins when the answer has left."""
+        now = self.loop.time()
+        if self.transport.get_write_buffer_size():
+            self.rests_at = now
+        left = self.rests_at + self.config.app.limits.idle_s - now
+        if left > 0:
+            self.timeout_keep_alive_task = self.loop.call_later(left, self.timeout_keep_alive_handler)
+        else:
+            super().timeout_keep_alive_handler()
+
     def wait(self, within):
         self.patience.cancel()
         self.patience = self.loop.call_later(within, self.too_slow)
@@ -93,8 +111,11 @@
             raise Refused
         if not self.url.startswith(b"/") or b"#" in self.url:
             raise Refused
-        self.scope["target"] = self.url
+        self.scope["target"], self.scope["left"] = self.url, self.transport.is_closing
         super().on_headers_complete()
+        ids = [(name, value) for name, value in self.headers if name == CALL_ID]
+        if ids:  # put here, so that no application forgets it
+            self.cycle.default_headers = [*self.cycle.default_headers, ids[0]]
         if self.pipeline and self.pipeline[0][0] is self.cycle and self.scope["method"] in ("GET", "HEAD"):
             early = getattr(self.config.app, "early", None)
             if early is not None:
@@ -112,9 +133,9 @@
 
 
 class Doors:
-    """The listeners of a program."""
+    """The listeners of a program; `app.limits` bounds what comes in."""
 
-    def __init__(self, app, idle_s):
+    def __init__(self, app):
         config = Config(
             app,
             http=Door,
@@ -125,7 +146,6 @@
             server_header=False,
             date_header=False,
             proxy_headers=False,
-            timeout_keep_alive=idle_s,
             backlog=BACKLOG,
             loop="asyncio",
         )
@@ -137,10 +157,6 @@
         self.server.lifespan = self.server.config.lifespan_class(self.server.config)
         await self.server.startup(sockets=[listen(ip, port) for ip, port in places])
 
-    def keep(self, idle_s):
-        """For how long connections may be idle from here on."""
-        self.server.config.timeout_keep_alive = idle_s
-
     async def close(self, within):
         """Takes no more, ends idle connections, and waits for what is at work."""
         for server in self.server.servers:
--- a/honeywood/system/cart/link.py
+++ b/honeywood/system/cart/link.py
@@ -69,10 +69,11 @@
     async def to(cls, ip, port, within, *up):
         return cls(await dial(ip, port, within, *up), ip, port)
 
-    async def exchange(self, method, target, headers, body, until):
-        """Reply or Broken, by `until` on the loop's clock; then the link is `fit` for another, or ended."""
+    async def exchange(self, method, target, headers, body, until, hold=HOLD):
+        """Reply or Broken, by `until` on the loop's clock; then the link is `fit` for another, or ended. An
+        answer over `hold` bytes is passed on as it comes. Whoever cancels this ends the connection."""
         loop, stream = asyncio.get_running_loop(), self.stream
-        if not stream.fit:
+        if not (stream.fit and stream.quiet):
             return Broken("the connection had ended", False)
         stream.begin()
         self.used += 1
@@ -86,11 +87,13 @@
             found = Reply(
                 reply.status, [(name.lower(), value) for name, value in reply.headers], b"", None, fields
             )
+            if not framed(method, reply.status, fields):
+                raise httpcore.RemoteProtocolError("nothing tells where the answer ends")
             chunks, size, parts = aiter(reply.stream), 0, []
             async for chunk in chunks:
                 parts.append(chunk)
                 size += len(chunk)
-                if size > HOLD:
+                if size > hold:
                     found.body, found.rest = b"".join(parts), self._rest(reply, chunks, fields, timer)
                     timer = None
                     return found
@@ -101,6 +104,9 @@
             late = isinstance(wrong, httpcore.TimeoutException)
             self.close()
             return Broken(f"{type(wrong).__name__}: {wrong}", stream.flushed, late)
+        except BaseException:  # cancelled: what was asked for may still come, and must meet no other
+            self.close()
+            raise
         finally:
             if timer is not None:
                 timer.cancel()
@@ -129,12 +135,19 @@
 
     @property
     def fit(self):
-        return self.stream.fit and self.line.is_idle()
+        """Whether another exchange may begin on it: nothing came while it rested, nor waits unread."""
+        return self.stream.fit and self.line.is_idle() and self.stream.quiet
 
     def close(self):
         self.stream.give_up("closed")
 
 
+def framed(method, status, fields):
+    """Whether an answer tells where it ends. One that ends with its connection could have been cut."""
+    bare = method == b"HEAD" or status in (204, 304)
+    return bare or b"content-length" in fields or b"transfer-encoding" in fields
+
+
 def kept(fields):
     """For how many seconds the peer keeps an idle connection, None where it doesn't say."""
     for part in fields.get(b"keep-alive", b"").split(b","):
--- a/honeywood/system/cart/stream.py
+++ b/honeywood/system/cart/stream.py
@@ -1,10 +1,13 @@
 """One TCP connection under httpcore: what it reads and writes, and what it tells of it.
 
 What is written waits until something is read, so that a request leaves in one piece; `flushed` tells whether
-any byte may have left. Bytes that come while no exchange is out make the connection `stained`.
+any byte may have left. Bytes that come while no request is out belong to none and make the connection
+`stained`; what the kernel holds unread is looked at before a request leaves, since a program that was busy or
+frozen has not heard of it yet.
 """
 
 import asyncio
+import select
 import socket
 
 import httpcore
@@ -88,7 +91,11 @@
 
     def _flush(self):
         if self.held:
-            self.flushed = True
+            if not self.out and not (self.fit and self.quiet):
+                self.lost = self.lost or httpcore.ReadError("it ended or spoke before the request")
+                self.held = []
+                raise self.lost
+            self.flushed = self.out = True
             self.transport.write(b"".join(self.held))
             self.held = []
 
@@ -104,7 +111,7 @@
     # ours
     def begin(self):
         """A new exchange: nothing of it has left or come."""
-        self.flushed, self.out = False, True
+        self.flushed = self.out = False
 
     def done(self, clean):
         """The exchange's answer is whole; `clean` says that nothing else was read with it."""
@@ -125,6 +132,16 @@
         """Whether an exchange may begin on it."""
         return not (self.eof or self.stained or self.buffer or self.lost)
 
+    @property
+    def quiet(self):
+        """Whether the kernel holds nothing unread: neither bytes nor the connection's end."""
+        sock = self.transport.get_extra_info("socket")
+        if sock is None:
+            return True
+        look = select.poll()
+        look.register(sock.fileno(), select.POLLIN)
+        return not look.poll(0)
+
 
 async def dial(ip, port, within, up=lambda change: None):
     """A Stream to a peer, or httpcore.ConnectError or ConnectTimeout after `within` seconds."""
--- a/honeywood/system/crier/mouth.py
+++ b/honeywood/system/crier/mouth.py
@@ -68,7 +68,7 @@
         life, rev = self.known.get((ip, port), ("", 0))
         body = {"who": self.who(), "life": life, "rev": rev, "notes": self.own(), "hold": hold}
         body["held"] = self.mouth.board.held()
-        reply = await self.caller.call(ip, port, PATH, body, hold + 0.5)
+        reply = await self.caller.call(ip, port, PATH, body, hold + 0.5, again=True)
         if reply.ok:
             self.mouth.board.hear(reply.value["notes"])
             self.known[ip, port] = reply.value["life"], reply.value["rev"]
--- a/honeywood/system/porter/answers.py
+++ b/honeywood/system/porter/answers.py
@@ -7,14 +7,15 @@
 def meaning(status, fields, try_id):
     """Of a whole answer's status and fields (lower-case bytes) to the request `try_id`.
 
-    SPOILT is no answer to this request, or one that must not reach the client: it may have run.
+    SPOILT is no answer to this request, or one that must not reach the client: it may have run. So is another
+    request's "not run" that comes late: this one is at work. Where a request has no id its answer has none.
     """
+    if fields.get(b"x-try-id") != (try_id or None):
+        return SPOILT
     if fields.get(b"x-not-run") is not None or status == 421:
         return NOT_RUN
-    if fields.get(b"x-try-id") != try_id:
-        return SPOILT
     if 200 <= status < 300:
-        whole = b"x-seal" in fields and fields.get(b"content-encoding", b"identity") == b"identity"
+        whole = try_id and b"x-seal" in fields and fields.get(b"content-encoding", b"identity") == b"identity"
         return GOOD if whole else SPOILT
     return FAILED
 
--- a/honeywood/system/porter/gate.py
+++ b/honeywood/system/porter/gate.py
@@ -1,5 +1,6 @@
 """The one place that every send to a machine passes."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from honeywood.system.porter.answers import FAILED, GOOD, NOT_RUN
@@ -21,6 +22,7 @@
     until: float
     sends: list = field(default_factory=list)
     done: bool = False
+    left: Callable = lambda: False  # whether its client has gone
 
     @property
     def had(self):
@@ -47,6 +49,8 @@
         """Why `ask` may not go to `machine` now, or None; `connected` says that its connection stands."""
         if ask.done or any(meaning == GOOD for _, meaning in ask.sends):
             return "done"
+        if ask.left():
+            return "left"
         if machine.state != READY or machine.svc != ask.service:
             return "state"
         if now > ask.until - LEAST_LEFT:
--- a/honeywood/system/stall/app.py
+++ b/honeywood/system/stall/app.py
@@ -44,7 +44,8 @@
         """Begins with a request that stands behind another, where it may be repeated and has no body."""
         fields = dict(scope["headers"])
         if (
-            scope["server"][1] in (self.ready_port, self.news_port)
+            self.stall.stopping.is_set()  # what stands behind an answer that closes isn't read
+            or scope["server"][1] in (self.ready_port, self.news_port)
             or fields.get(b"content-length", b"0") != b"0"
         ):
             return None
@@ -67,8 +68,9 @@
         return await self.carry(scope, route, fields, body)
 
     async def carry(self, scope, route, fields, body):
+        left = scope.get("left", lambda: False)
         return await self.stall.carrier.carry(
-            route, scope["method"].encode(), scope["target"], scope["headers"], fields, body
+            route, scope["method"].encode(), scope["target"], scope["headers"], fields, body, left
         )
 
     async def hear(self, raw, peer):
--- a/honeywood/system/stall/carry.py
+++ b/honeywood/system/stall/carry.py
@@ -44,15 +44,21 @@
         self.gate, self.stage, self.links, self.budget_of = gate, stage, links, budget_of
         self.counts = Counter()  # since the start: requests, further sends, answers by status, why no machine
 
-    async def carry(self, route, method, target, headers, fields, body):
-        """The Answer to a whole request: `target` with its raw escapes, `fields` a value of each header."""
+    async def carry(self, route, method, target, headers, fields, body, left=lambda: False):
+        """The Answer to a whole request: `target` with its raw escapes, `fields` a value of each header.
+        `left` tells whether its client has gone: then nothing is begun any more."""
         now = self.clock()
         try:
             wait = min(route.timeout, int(fields.get(b"x-deadline-ms", b"86400000")) / 1000)
         except ValueError:
             return ours(400, "x-deadline-ms is no number")
         ask = Ask(
-            route, share_out(route.split, self.random.random()), fields.get(b"x-try-id", b""), now, now + wait
+            route,
+            share_out(route.split, self.random.random()),
+            fields.get(b"x-try-id", b""),
+            now,
+            now + wait,
+            left=left,
         )
         self.budget_of(ask.service).request(now)
         self.stage.taking(ask)
@@ -119,25 +125,28 @@
         machine.began(clock())
         found, reply = NOT_RUN, None
         try:
-            link = self.links.idle(machine)
-            if link is None:
-                link = await self.links.dial(machine, ask.until)
+            while True:
+                link, kept = self.links.idle(machine), True
                 if link is None:
-                    machine.trouble(clock())
-                    return found, reply
-            now = clock()
-            if (
-                self.gate.bar(now, ask, machine, True) is not None
-            ):  # what changed while the connection came up counts
-                return found, reply
-            record = self.gate.pass_on(now, ask, machine)
-            left = max(1, int((ask.until - now) * 1000))
-            told = [
-                *headers,
-                (b"x-deadline-ms", str(left).encode()),
-                (b"x-want-instance", machine.id.encode()),
-            ]
-            reply = await link.exchange(method, target, told, body, ask.until + AFTER)
+                    link, kept = await self.links.dial(machine, ask.until), False
+                    if link is None:
+                        machine.trouble(clock())
+                        return found, reply
+                now = clock()
+                if self.gate.bar(now, ask, machine, True) is not None:
+                    return found, reply  # what changed while the connection came up counts
+                record = self.gate.pass_on(now, ask, machine)
+                left = max(1, int((ask.until - now) * 1000))
+                told = [
+                    *headers,
+                    (b"x-deadline-ms", str(left).encode()),
+                    (b"x-want-instance", machine.id.encode()),
+                ]
+                reply = await link.exchange(method, target, told, body, ask.until + AFTER)
+                if not (kept and isinstance(reply, Broken) and not reply.sent):
+                    break
+                self.gate.unsend(ask, record)  # it ended while it rested: the machine has no part in that
+                record = None
             found = self._found(ask, machine, reply, clock() - now)
             if found == SPOILT:  # what belongs to this request may still come, and must meet no other
                 link.close()
--- a/honeywood/system/stall/program.py
+++ b/honeywood/system/stall/program.py
@@ -96,8 +96,6 @@
             self.table, self.limits, self.config_at = Table(read), read.limits, self.config_at or self.clock()
             self.roster.most.clear()
             self.roster.most.update({name: service.max_conns for name, service in read.services.items()})
-            if self.doors is not None:
-                self.doors.keep(read.limits.idle_s)
             self.say("configuration")
         elif kind == "machine":
             machine, left = self.roster.hear(self.clock(), name, value)
@@ -167,7 +165,7 @@
 
     async def run(self):
         s = self.settings
-        self.doors = Doors(self.app, self.limits.idle_s)
+        self.doors = Doors(self.app)
         await self.doors.open([s.listen["http"], s.listen["ready"], (s.ip, s.stall_port)])
         self.say("started", role=s.role)
         self.begin()
--- a/standins/sorting.py
+++ b/standins/sorting.py
@@ -48,8 +48,8 @@
     async def answer(self, fields):
         if fields.get(b"x-want-instance") != self.id.encode():
             return (
-                b"HTTP/1.1 421 Misdirected Request\r\nX-Instance: %s\r\nContent-Length: 0\r\n\r\n"
-                % self.id.encode()
+                b"HTTP/1.1 421 Misdirected Request\r\nX-Try-Id: %s\r\nX-Instance: %s\r\n"
+                b"Content-Length: 0\r\n\r\n" % (fields[b"x-try-id"], self.id.encode())
             )
         self.running += 1
         await asyncio.sleep(self.random.expovariate(1 / WORK_S))
--- /dev/null
+++ b/tests/system/test_calls.py
@@ -0,0 +1,582 @@
+"""Requests and our own calls cut at every byte and at every step of the loop: real stalls, callers and
+connections between scripted peers, on a clock that jumps. What must hold is in `Market.broken`."""
+
+import asyncio
+import json
+from collections import Counter
+from random import Random
+from unittest.mock import patch
+
+from timeline import config, machine
+from ward import each, test
+
+from honeywood.lab.market import world
+from honeywood.lab.market.boot import boot
+from honeywood.protocol import http
+from honeywood.system.cart import link, stream
+from honeywood.system.cart.call import Caller
+from honeywood.system.cart.door import Door, Doors
+from honeywood.system.porter import answers
+from honeywood.system.porter.gate import Ask
+from honeywood.system.stall import carry
+from honeywood.system.stall.program import Stall
+from honeywood.system.terms.config import Limits
+from honeywood.system.terms.settings import read
+from honeywood.transport.buffer import Buffer
+
+HEAD = b"HTTP/1.1 %s\r\nX-Try-Id: %s\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\n%s"
+FULL = b"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nX-Try-Id: %s\r\nContent-Length: 0\r\n\r\n"
+CALLED = b'HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n{"n":%d}'
+NOBODYS = b"HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n"
+STEP = 0.001  # seconds one way
+TIMEOUT, SPARE = 0.6, carry.SPARE
+
+
+def good(id):
+    return HEAD % (b"200 OK", id, id[-2:])
+
+
+class Loop(world.Loop):
+    """A clock that jumps; connections go to scripted peers."""
+
+    def __init__(self, peer):
+        super().__init__()
+        self.peer, self.lines = peer, []
+
+    async def create_connection(self, factory, ip, port):
+        await asyncio.sleep(STEP)
+        protocol = factory()
+        self.lines.append(Line(self, protocol, self.peer))
+        protocol.connection_made(self.lines[-1])
+        return self.lines[-1], protocol
+
+
+class Line(asyncio.Transport):
+    """One end's transport; `peer(line, request)` plays the other for each whole request."""
+
+    def __init__(self, loop, protocol, peer=None):
+        super().__init__({"sockname": ("f", 80), "peername": ("c", 1)})
+        self.loop, self.protocol, self.peer = loop, protocol, peer
+        self.got, self.closing, self.most = b"", False, None
+
+    def write(self, data):
+        if self.closing:
+            return
+        if self.most is not None:  # a reset within a request, or right behind it
+            data, self.most = data[: self.most], None
+            self.loop.call_later(STEP, self.reset)
+        self.loop.call_later(STEP, self.arrive, data)
+
+    def arrive(self, data):
+        self.got += data
+        while self.peer is not None:
+            head, end, body = self.got.partition(b"\r\n\r\n")
+            lines = head.lower().split(b"\r\n")
+            if not end:
+                return
+            size = sum(int(line[15:]) for line in lines if line.startswith(b"content-length"))
+            if len(body) < size:
+                return
+            self.got = body[size:]
+            self.peer(self, head + end + body[:size])
+
+    def say(self, data):
+        if data and not self.closing:
+            self.protocol.data_received(data)
+
+    def eof(self):
+        if not self.closing:
+            self.protocol.eof_received()
+            self.close()
+
+    def reset(self):
+        self.end(ConnectionResetError("reset"))
+
+    def close(self):
+        self.end(None)
+
+    abort = close
+
+    def end(self, why):
+        if not self.closing:
+            self.closing = True
+            self.loop.call_soon(self.protocol.connection_lost, why)
+
+    def is_closing(self):
+        return self.closing
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def pause_reading(self):
+        pass
+
+    resume_reading = pause_reading
+
+
+def id_of(request):
+    return request.lower().partition(b"x-try-id: ")[2].partition(b"\r\n")[0]
+
+
+class Market:
+    """A stall with a route of one `kind` and machines m and n; `script(line, id)` plays the first arrival,
+    all others are answered at once, unless `every`."""
+
+    def __init__(self, kind="safe", script=None, every=False):
+        self.loop, self.kind, self.script, self.every = Loop(self.serve), kind, script, every
+        self.still = 0.0  # seconds for which the stall stood still
+        self.served = False  # whether nothing keeps a request from being served
+        asyncio.set_event_loop(self.loop)
+        quiet = type("Quiet", (Stall,), {"say": lambda *said, **more: None})
+        given = read(boot("f", bear=0)), None, self.loop.time, self.loop.time
+        self.stall, self.ran, self.answers = quiet(*given, random=Random(1)), Counter(), {}
+        self.stall.hear("config", json.dumps(config(5, kind=kind)))
+        for id in "mn":
+            self.stall.hear(f"machine/{id}", machine(id))
+
+    def serve(self, line, request):
+        id = id_of(request)
+        self.ran[id] += 1
+        script, self.script = self.script, self.script if self.every else None
+        if script is not None:
+            script(line, id)
+        else:
+            line.loop.call_later(STEP, line.say, good(id))
+
+    async def ask(self, id):
+        """One request of a client on its own."""
+        stall = self.stall
+        fields = {b"host": b"h.example", b"x-try-id": id}
+        route = stall.table.find(b"h.example", b"/p0/x")
+        began = self.loop.time()
+        given = route, b"POST", b"/p0/x", list(fields.items()), fields, b"body"
+        answer = await stall.carrier.carry(*given)
+        self.answers[id] = answer.status, answer.body, self.loop.time() - began
+        return answer.status
+
+    def play(self, *ids, every=0.0):
+        """The requests one after the other, then three seconds in which nothing may come of them."""
+
+        async def work():
+            for id in ids:
+                await self.ask(id)
+                await asyncio.sleep(every)
+            await asyncio.sleep(3.0)
+            await self.stall.tidy()
+            await asyncio.sleep(STEP)
+
+        self.loop.run_until_complete(work())
+        broken = self.broken()
+        self.loop.close()
+        return broken
+
+    def broken(self):
+        """What doesn't hold of TWICE, MIXED, REFUSED, and of what was given up."""
+        found = []
+        for id, (status, body, took) in self.answers.items():
+            if self.kind == "unsafe" and self.ran[id] > 1:
+                found.append(f"{id} ran {self.ran[id]} times")
+            if self.served and (status != 200 or self.ran[id] != 1):
+                found.append(f"{id} got {status} though nothing of it was lost")
+            if status == 200 and body != id[-2:]:
+                found.append(f"{id} got {body}")
+            if status in (408, 421, 429, 503) and self.ran[id]:
+                found.append(f"{id} was refused and ran")
+            if took > max(TIMEOUT, self.still + 3 * STEP) + 0.001:
+                found.append(f"{id} was held for {took}")
+        for held in self.stall.roster.machines.values():
+            kept = sum(one.fit for one in held.links)
+            if held.open or held.dialling or held.up != kept:
+                found.append(f"{held.id}: {held.open} open, {held.up} connections, {kept} kept")
+        return found
+
+
+def cuts(whole, kind):
+    """An answer cut at every byte by an end, a reset or silence; the same on a kept connection."""
+    for n in range(len(whole) + 1):
+        for how in ("eof", "reset", None):
+
+            market = Market(kind)
+
+            def script(line, id, n=n, how=how, market=market):
+                if n == len(whole) and b"X-Not-Run" in whole:
+                    market.ran[id] -= 1
+                line.say(whole[:n])
+                if how:
+                    line.loop.call_later(STEP, getattr(line, how))
+
+            market.script = script
+            yield market, (b"a1",)
+
+
+def sends(kind):
+    """A request on a fresh and on a kept connection, reset after each of its bytes."""
+    for n in range(0, 210, 3):
+        for kept in (False, True):
+            market = Market(kind)
+
+            def most(line, id, n=n):
+                line.most = n
+                line.say(good(id))
+
+            if kept:
+                market.script = most
+                yield market, (b"a1", b"a2")
+            else:
+                connect = market.loop.create_connection
+
+                async def cut(factory, ip, port, market=market, connect=connect, n=n):
+                    made = await connect(factory, ip, port)
+                    made[0].most, market.loop.create_connection = n, connect
+                    return made
+
+                market.loop.create_connection = cut
+                yield market, (b"a1",)
+
+
+def strays(kind):
+    """Another request's answer, good or a refusal, at each step of the loop and moment of a request."""
+    for stray in (good(b"a1"), FULL % b"a1", good(b"zz"), FULL % b"zz", NOBODYS):
+        for steps in range(14):
+
+            def script(line, id, stray=stray, steps=steps):
+                line.say(good(id))
+
+                def later(left):
+                    line.loop.call_soon(later, left - 1) if left else line.say(stray)
+
+                later(steps)
+
+            yield Market(kind, script), (b"a1", b"a2")
+        for moment in (0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0):  # in steps of the wire: the next is at work
+
+            def slow(line, id, stray=stray, moment=moment):
+                if id == b"a1":
+                    line.say(good(id))
+                    line.loop.call_later(moment * STEP, line.say, stray)
+                else:
+                    line.loop.call_later(5 * STEP, line.say, good(id))
+
+            yield Market(kind, slow, every=True), (b"a1", b"a2")
+
+
+def silences(kind):
+    """Answers about when time is up, whole or halved, and a program that stands still until then."""
+    whole = good(b"a1")
+    for n in (0, 1, len(whole) // 2, len(whole) - 1, len(whole)):
+        for late in range(-12, 64, 4):
+
+            def script(line, id, n=n, late=late):
+                loop = line.loop
+                loop.call_at(TIMEOUT - SPARE + late / 1000, line.say, whole[:n])
+                loop.call_at(TIMEOUT - SPARE + late / 1000 + 0.02, line.say, whole[n:])
+
+            yield Market(kind, script), (b"a1", b"a2")
+        for still in (0.3, TIMEOUT - carry.SPARE, TIMEOUT, TIMEOUT + carry.AFTER, 2.0):
+
+            def frozen(line, id, n=n, still=still):
+                line.loop.now += still  # then what came is heard, and all timers are due
+                line.say(whole[:n])
+                line.loop.call_later(STEP, line.say, whole[n:])
+
+            market = Market(kind, frozen)
+            market.still = still
+            yield market, (b"a1", b"a2")
+
+
+def rests(kind):
+    """Another's answer, or the end, at each step of the loop after an answer, long before the next request."""
+    for stray in (good(b"a1"), FULL % b"a1", b"\x00", None):
+        for steps in range(14):
+            market = Market(kind)
+
+            def script(line, id, stray=stray, steps=steps):
+                line.say(good(id))
+
+                def later(left):
+                    if left:
+                        line.loop.call_soon(later, left - 1)
+                    else:
+                        line.say(stray) if stray else line.eof()
+
+                later(steps)
+
+            market.script, market.served = script, True
+            yield market, (b"a1", b"a2")
+
+
+ENDLESS = b"HTTP/1.1 200 OK\r\nX-Try-Id: a1\r\nX-Seal: s\r\n\r\na1"
+FAMILIES = {
+    "answers cut": lambda kind: cuts(good(b"a1"), kind),
+    "refusals cut": lambda kind: cuts(FULL % b"a1", kind),
+    "silent promises cut": lambda kind: cuts((FULL % b"a1").replace(b"X-Not-Run: 1\r\n", b""), kind),
+    "endless answers": lambda kind: cuts(ENDLESS, kind),
+    "requests cut": sends,
+    "strays": strays,
+    "strays at rest": rests,
+    "silences": silences,
+}
+
+
+def found(family, kind):
+    """What broke in a family: the first of it, and how many scenes were played."""
+    played = 0
+    for market, ids in FAMILIES[family](kind):
+        played += 1
+        broken = market.play(*ids, every=20 * STEP if market.served else 0.0)
+        if broken:
+            return broken, played
+    return [], played
+
+
+@test("{family}, {kind}: nothing runs twice, nobody gets another's answer, refusals are kept, nothing is held")
+def _(family=each(*2 * [*FAMILIES]), kind=each(*["safe"] * len(FAMILIES), *["unsafe"] * len(FAMILIES))):
+    broken, played = found(family, kind)
+    assert not broken and played > 50
+
+
+def lax(status, fields, id):
+    refused = b"x-not-run" in fields or status == 421
+    return "not run" if refused else answers.meaning(status, fields, id)
+
+
+GUARDS = {  # each guard taken away: (what stands in its place, the family that shows it)
+    "whose refusal it is": ((carry, "meaning", lax), "strays"),
+    "whose answer it is": (
+        (carry, "meaning", lambda status, fields, id: answers.meaning(status, fields | {b"x-try-id": id}, id)),
+        "strays",
+    ),
+    "what may have run": ((Ask, "may_have_run", property(lambda ask: False)), "requests cut"),
+    "what has left": (
+        (link, "Broken", lambda why, sent, late=False, kind=link.Broken: kind(why, False, late)),
+        "requests cut",
+    ),
+    "where it ends": ((link, "framed", lambda *given: True), "endless answers"),
+    "who may promise": ((carry, "may_pass", lambda status: True), "silent promises cut"),
+    "what came at rest": (
+        (stream.Stream, "fit", property(lambda line: not (line.eof or line.lost))),
+        "strays at rest",
+    ),
+}
+
+
+@test("without the guard of {guard!r} the enumeration finds a break")
+def _(guard=each(*GUARDS)):
+    (place, name, stand_in), family = GUARDS[guard]
+    with patch.object(place, name, stand_in):
+        assert found(family, "unsafe")[0]
+
+
+class Office:
+    """A caller and a peer that answers each call with its number; `script(line, id, n)` plays one of them."""
+
+    def __init__(self, script=None, at=2):
+        self.loop, self.script, self.at, self.came = Loop(self.serve), script, at, Counter()
+        asyncio.set_event_loop(self.loop)
+        self.caller = Caller()
+
+    def serve(self, line, request):
+        n = json.loads(request.rpartition(b"\r\n\r\n")[2])["n"]
+        self.came[n] += 1
+        id = b"X-Call-Id: %s\r\n" % request.lower().partition(b"x-call-id: ")[2].partition(b"\r\n")[0]
+        script = self.script if n == self.at and self.came[n] == 1 else None
+        whole = CALLED % (id, 6 + len(str(n)), n)
+        self.loop.call_later(STEP, *((script, line, whole, id) if script else (line.say, whole)))
+
+    async def call(self, n, again):
+        return await self.caller.call("b", 7000, "/p", {"n": n}, 0.5, again)
+
+    def play(self, again, between=0.0, cancel=None):
+        """Three calls, the second cancelled after `cancel` seconds; what doesn't hold."""
+        told = {}
+
+        async def work():
+            for n in (1, 2, 3):
+                task = self.loop.create_task(self.call(n, again))
+                if n == 2 and cancel is not None:
+                    await asyncio.sleep(cancel)
+                    task.cancel()
+                told[n] = (await asyncio.gather(task, return_exceptions=True))[0]
+                await asyncio.sleep(between)
+            await asyncio.sleep(1.0)
+
+        self.loop.run_until_complete(work())
+        self.loop.close()
+        kept = sum(one.fit for ones in self.caller.links.values() for one in ones)
+        wrong = [n for n, reply in told.items() if getattr(reply, "ok", False) and reply.value != {"n": n}]
+        wrong += [] if told[3].ok else ["the next got no answer"]
+        wrong += [] if again else [f"{n} twice" for n, came in self.came.items() if came > 1]
+        open_now = sum(not line.closing for line in self.loop.lines)
+        return wrong + ([] if open_now == kept else [f"{open_now} connections, {kept} kept"]), told
+
+
+@test("a call of ours, repeatable: {again}, whose answer is cut at any byte gets its own or none")
+def _(again=each(True, False)):
+    whole = CALLED % (b"X-Call-Id: 0123456789ab-2\r\n", 7, 2)
+    for n in range(len(whole)):
+        for how in ("eof", "reset", None):
+
+            def script(line, whole, id, n=n, how=how):
+                line.say(whole[:n])
+                how and line.loop.call_later(STEP, getattr(line, how))
+
+            office = Office(script)
+            wrong, told = office.play(again)
+            assert not wrong and told[2].ok == (again and how is not None), (n, how, wrong)
+            assert office.came[2] == 1 + (again and how is not None)
+
+
+@test("an answer with {what} ends the connection and is none")
+def _(what=each("no id", "another call's id", "its id, of another call before")):
+    ids = {"no id": b"", "another call's id": b"X-Call-Id: 1-1\r\n"}
+
+    def script(line, whole, id):
+        early = CALLED % (ids.get(what, b"X-Call-Id: 0-1\r\n"), 7, 1)
+        line.say(early + whole)
+
+    office = Office(script)
+    wrong, told = office.play(True)
+    assert not wrong and not told[2].ok and office.came[2] == 1 and len(office.loop.lines) == 2
+
+
+@test("a call that is given up at any moment leaves no connection on which its answer could meet another")
+def _():
+    for quarter in range(0, 16):
+        for late in range(0, 4):
+
+            def script(line, whole, id, late=late):
+                line.say(whole[: late * 10])
+                line.loop.call_later(late * STEP, line.say, whole[late * 10 :])
+
+            wrong, _ = Office(script).play(False, cancel=quarter * STEP / 4)
+            assert not wrong, (quarter, late, wrong)
+
+
+REQUEST = b"%s /p0/x HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: %s\r\n%sContent-Length: 0\r\n\r\n"
+
+
+class Visitor(Line):
+    """A client's connection to the stall's listener."""
+
+    def __init__(self, market, port=80):
+        self.out, doors = b"", Doors(market.stall.app)
+        doors.server.config.load()
+        door = Door(doors.server.config, doors.server.server_state, {}, market.loop)
+        super().__init__(market.loop, door)
+        self._extra["sockname"] = ("f", port)
+        door.connection_made(self)
+
+    def write(self, data):
+        self.out += b"" if self.closing else data
+
+    def run(self, until):
+        self.loop.run_until_complete(asyncio.sleep(until - self.loop.time()))
+        return self
+
+    @property
+    def ids(self):
+        return [part.partition(b"\r\n")[0] for part in self.out.lower().split(b"x-try-id: ")[1:]]
+
+
+@test("requests behind one another, split at any byte, are answered in order, each with its own")
+def _():
+    whole = b"".join(REQUEST % (b"GET", id, b"") for id in (b"a1", b"a2", b"a3"))
+    for n in range(0, len(whole), 2):
+        market = Market()
+        visitor = Visitor(market)
+        market.loop.call_soon(visitor.say, whole[:n])
+        market.loop.call_later(2.5 * STEP, visitor.say, whole[n:])
+        visitor.run(1.0)
+        assert visitor.ids == [b"a1", b"a2", b"a3"] and visitor.out.count(b"200 OK") == 3
+        assert all(b"\r\n\r\n" + id in visitor.out for id in visitor.ids) and set(market.ran.values()) == {1}
+
+
+@test("a client that leaves at any byte: what it had not sent whole never runs, and nothing goes out twice")
+def _():
+    whole = b"".join(REQUEST % (b"POST", id, b"") for id in (b"a1", b"a2"))
+    for n in range(0, len(whole) + 1, 3):
+        for kind in ("safe", "unsafe"):
+
+            def refuse(line, id):
+                line.loop.call_later(4 * STEP, line.say, FULL % id)
+
+            market = Market(kind, refuse, every=True)
+            visitor = Visitor(market)
+            market.loop.call_soon(visitor.say, whole[:n])
+            market.loop.call_later(3 * STEP, visitor.close)
+            visitor.run(3.0)
+            assert market.ran == Counter({b"a1": 1} if n >= len(whole) // 2 else {}) and not market.broken()
+
+
+@test("what stands behind an answer that closes, {why}, has not run")
+def _(why=each("as the client wishes", "as the stall stops", "as the stall stops, repeatable")):
+    market = Market("safe" if "repeatable" in why else "unsafe")
+    visitor, method = Visitor(market), b"GET" if "repeatable" in why else b"POST"
+    if "stall" in why:
+        market.stall.stopping.set()
+    close = b"" if "stall" in why else b"Connection: close\r\n"
+    market.loop.call_soon(visitor.say, REQUEST % (method, b"a1", close) + REQUEST % (method, b"a2", b""))
+    visitor.run(1.0)
+    assert visitor.ids == [b"a1"] and market.ran == {b"a1": 1} and visitor.closing
+
+
+@test("idle_s {before}, then {after}: a connection that rests is there after {at} s: {there}")
+def _(
+    before=each(5, 5, 5, 5, 15, 15),
+    after=each(5, 5, 15, 15, 5, 5),
+    at=each(4.9, 5.2, 14.8, 15.2, 14.8, 15.2),
+    there=each(True, False, True, False, True, False),
+):
+    # Clients take up connections after four fifths of idle_s, of the old or the new configuration's.
+    market = Market()
+    market.stall.limits = Limits(idle_s=before)
+    visitor = Visitor(market)
+    visitor.say(REQUEST % (b"GET", b"a1", b""))
+    visitor.run(1.0)
+    market.stall.limits = Limits(idle_s=after)
+    assert visitor.run(at).closing != there
+
+
+@test("a request that came while the stall stood still is heard before its connection is ended as idle")
+def _():
+    market = Market()
+    market.stall.limits = Limits(idle_s=5)
+    visitor = Visitor(market)
+    visitor.say(REQUEST % (b"GET", b"a1", b""))
+
+    def still():
+        market.loop.now += 3.0  # what came is heard first, then all timers are due
+        visitor.say(REQUEST % (b"GET", b"a2", b""))
+
+    market.loop.call_at(4.0, still)
+    assert visitor.run(9.0).ids == [b"a1", b"a2"] and not visitor.closing
+
+
+@test("each answer to one of our calls repeats its id, a refusal too")
+def _():
+    visitor = Visitor(Market(), port=7000)
+    visitor.say(b"POST /news HTTP/1.1\r\nHost: f\r\nX-Call-Id: c-1\r\nContent-Length: 2\r\n\r\n{}")
+    visitor.say(b"GET /else HTTP/1.1\r\nHost: f\r\nX-Call-Id: c-2\r\n\r\n")
+    out = visitor.run(1.0).out
+    assert out.startswith(b"HTTP/1.1 400") and out.index(b"x-call-id: c-1") < out.index(b"x-call-id: c-2")
+
+
+@test("the old program's reader, fed in two parts cut at any byte, takes one message and nothing of the next")
+def _():
+    one = {
+        http.request_head: b"POST /p HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n%s",
+        http.response_head: b"HTTP/1.1 200 OK\r\nX-Id: 1\r\n%s",
+    }
+    bodies = b"Content-Length: 2\r\n\r\nok", b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+    for reads, head in one.items():
+        for body in bodies:
+            whole, behind = head % body, (head % body).replace(b"X-Id: 1", b"X-Id: 2")
+            for n in range(len(whole)):
+                buffer = Buffer()
+                buffer.add(whole[:n])
+                message = reads(buffer)
+                assert message is None or http.body(buffer, message) is None
+                buffer.add(whole[n:] + behind)
+                message = message or reads(buffer)
+                assert (message.get("x-id"), bytes(http.body(buffer, message))) == ("1", b"ok")
+                assert bytes(buffer.view(0, len(buffer))) == behind
--- a/tests/system/test_gate.py
+++ b/tests/system/test_gate.py
@@ -113,26 +113,40 @@
     assert 0.1 * total < spent <= 0.2 * total + 64
 
 
-SEALED = {b"x-try-id": b"id", b"x-seal": b"s"}
+ID = {b"x-try-id": b"id"}
+SEALED = {**ID, b"x-seal": b"s"}
 
 
 @test("an answer of status {status} with {fields} means {meaning}")
 def _(
-    status=each(200, 200, 200, 200, 500, 503, 503, 421, 429),
+    status=each(200, 200, 200, 200, 500, 503, 503, 421, 429, 503, 421, 503),
     fields=each(
         SEALED,
         {b"x-try-id": b"other", b"x-seal": b"s"},
         {b"x-try-id": b"id"},
         {**SEALED, b"content-encoding": b"gzip"},
         SEALED,
-        {b"x-not-run": b"1"},
+        {**ID, b"x-not-run": b"1"},
         SEALED,
-        {b"x-instance": b"i"},
+        {**ID, b"x-instance": b"i"},
+        {**ID, b"x-not-run": b"1"},
+        {b"x-try-id": b"other", b"x-not-run": b"1"},
+        {b"x-try-id": b"other", b"x-instance": b"i"},
         {b"x-not-run": b"1"},
     ),
-    meaning=each("good", "spoilt", "spoilt", "spoilt", "failed", "not run", "failed", "not run", "not run"),
+    meaning=each(
+        "good",
+        *["spoilt"] * 3,
+        "failed",
+        "not run",
+        "failed",
+        "not run",
+        "not run",
+        *["spoilt"] * 3,
+    ),
 ):
-    # MIXED: a late surplus answer carries another id; a success without seal is none.
+    # MIXED: a late surplus answer carries another id; a success without seal is none. TWICE: another's "not
+    # run" that comes late, or one that is nobody's, says nothing of this request, which may be at work.
     assert answers.meaning(status, fields, b"id") == meaning
 
 
@@ -178,3 +192,9 @@
     machines, draw = list(scene.roster.machines.values()), random.Random(1)
     scene.roster.machines["m"].began(1.0)
     assert "m" not in {choose(1.4, machines, "z", [], 0.1, draw).id for _ in range(50)}
+
+
+@test("a request without an id: its machine's refusal without one is its own, any other answer is not")
+def _():
+    told = [answers.meaning(400, {b"x-not-run": b"1"}, b""), answers.meaning(200, {b"x-seal": b"s"}, b"")]
+    assert told == ["not run", "spoilt"] and answers.meaning(421, ID, b"") == "spoilt"
--- a/tests/system/test_sockets.py
+++ b/tests/system/test_sockets.py
@@ -94,7 +94,22 @@
 
 
 async def other(id, writer):
-    writer.write(b"HTTP/1.1 421 Misdirected\r\nX-Instance: i-9\r\nContent-Length: 0\r\n\r\n")
+    writer.write(
+        b"HTTP/1.1 421 Misdirected\r\nX-Try-Id: %s\r\nX-Instance: i-9\r\nContent-Length: 0\r\n\r\n" % id
+    )
+
+
+async def full_late(id, writer):
+    await full(b"other", writer)
+
+
+async def other_late(id, writer):
+    await other(b"other", writer)
+
+
+async def endless(id, writer):
+    writer.write(b"HTTP/1.1 200 OK\r\nX-Try-Id: %s\r\nX-Seal: s\r\n\r\nno" % id)
+    writer.close()
 
 
 async def sick(id, writer):
@@ -131,7 +146,7 @@
             self.machines.append(machine)
             self.note(n, "ready")
         self.port = self.stall.settings.listen["http"][1]
-        self.doors = self.stall.doors = Doors(self.stall.app, 5)
+        self.doors = self.stall.doors = Doors(self.stall.app)
         await self.doors.open([("127.0.0.1", self.port)])
         return self
 
@@ -212,7 +227,7 @@
 
 @test("a {kind} request whose machine first does {first.__name__}: {told}, sent {sends} times in all")
 def _(
-    kind=each(*["safe"] * 7, *["unsafe"] * 8),
+    kind=each(*["safe"] * 10, *["unsafe"] * 11),
     first=each(
         cut,
         close,
@@ -221,17 +236,23 @@
         noise,
         full,
         other,
+        full_late,
+        other_late,
+        endless,
         cut,
         close,
         stranger,
         noise,
+        full_late,
+        other_late,
+        endless,
         full,
         other,
         sick,
         silent_503,
     ),
-    told=each(*[200] * 7, *[502] * 4, 200, 200, 500, 502),
-    sends=each(*[2] * 7, *[1] * 4, 2, 2, 1, 1),
+    told=each(*[200] * 10, *[502] * 7, 200, 200, 500, 502),
+    sends=each(*[2] * 10, *[1] * 7, 2, 2, 1, 1),
 ):
     # MIXED, TWICE, REFUSED: nothing spoilt reaches a client, nothing that may have run goes again, and only
     # what a machine said has not run is promised not to have.
