--- a/honeywood/system/stall/carry.py
+++ b/honeywood/system/stall/carry.py
@@ -142,11 +142,14 @@
                     (b"x-deadline-ms", str(left).encode()),
                     (b"x-want-instance", machine.id.encode()),
                 ]
+                rested = now - link.idle_at
                 reply = await link.exchange(method, target, told, body, ask.until + AFTER)
                 if not (kept and isinstance(reply, Broken) and not reply.sent):
                     break
                 self.gate.unsend(ask, record)  # it ended while it rested: the machine has no part in that
                 record = None
+            if kept and isinstance(reply, Broken) and not reply.late:
+                self.links.broke(machine, rested, clock() - now)
             found = self._found(ask, machine, reply, clock() - now)
             if found == SPOILT:  # what belongs to this request may still come, and must meet no other
                 link.close()
--- a/tests/system/test_calls.py
+++ b/tests/system/test_calls.py
@@ -581,3 +581,20 @@
                 message = message or reads(buffer)
                 assert (message.get("x-id"), bytes(http.body(buffer, message))) == ("1", b"ok")
                 assert bytes(buffer.view(0, len(buffer))) == behind
+
+
+@test("machines that forget connections at rest cost one request a service, not one a connection")
+def _():
+    # `idle_race`: machines say they keep a connection, and reset the next request on it after 0.3 s of rest.
+    market = Market("unsafe")
+
+    def forgetful(line, id):
+        now, rested = line.loop.time(), line.loop.time() - getattr(line, "last", line.loop.time())
+        line.last = now
+        market.ran[id] -= rested > 0.3
+        line.reset() if rested > 0.3 else line.say(good(id))
+
+    market.script, market.every = forgetful, True
+    ids = [b"a%d" % n for n in range(10)]
+    assert not market.play(*ids, every=0.5)
+    assert [market.answers[id][0] for id in ids].count(200) == 9
