Operators' answers rest on a majority read of one key; one number stands for one content

Cause: a bourse answered rollouts.read, and config.replace of any number not above the held one, from its own board, cut off or not, whatever the content; an order for a service that its board had not heard of was refused with 400, for good. So a cut-off bourse confirmed what the others had long replaced, and two operators were confirmed under one number. Ruled out: acknowledging another content under the held number as 'not above the one held'. Another content under a number is refused with 412 once a majority has said so, with 503 before. Tests: test_orders.py, with the board's reads as kept mutation.

--- a/honeywood/system/bourse/app.py
+++ b/honeywood/system/bourse/app.py
@@ -64,23 +64,26 @@
 
     # operators
     async def replace(self, of, body, peer):
-        sent = config.read(body, peer)
-        await self.bourse.replace(sent.version, body.decode(), peer)
-        return {}
+        try:
+            text = body.decode()
+        except UnicodeDecodeError as wrong:
+            raise Wrong("config.replace", f"no UTF-8: {wrong}", peer) from None
+        found, ver = await self.bourse.orders.replace(config.read(body, peer).version, text, peer)
+        return {"outcome": found, "ver": f"{ver:08x}"}
 
     async def read(self, of, body, peer):
-        return (await self.bourse.configuration(peer)).encode()
+        return (await self.bourse.orders.configuration(peer)).encode()
 
     async def start(self, of, body, peer):
         order = read_json(body, "rollouts.start", peer)
         svc, to_ver = (need(order, key, str, "rollouts.start") for key in ("svc", "to_ver"))
-        await self.bourse.order(
+        await self.bourse.orders.order(
             svc, to_ver, need(order, "over_s", float, "rollouts.start", least=0.001), peer
         )
         return {}
 
     async def rollout(self, of, body, peer):
-        record = await self.bourse.rollout(of, peer)
+        record = await self.bourse.orders.rollout(of, peer)
         return {"state": record["state"], "to_ver": record["to_ver"]}
 
     # our own
--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -6,6 +6,7 @@
 
 from honeywood.system.bourse.app import App
 from honeywood.system.bourse.machines import Machines
+from honeywood.system.bourse.orders import CONFIG, ROLLOUT, Orders
 from honeywood.system.bourse.register import Register
 from honeywood.system.cart.door import Doors
 from honeywood.system.crier.mouth import HOLD, Ear, Mouth
@@ -14,7 +15,6 @@
 from honeywood.system.program import COUNTS, Program
 from honeywood.system.scales import record as rollouts
 from honeywood.system.scales.verdict import Verdict
-from honeywood.system.terms import config
 from honeywood.system.terms.outcome import Wrong
 
 LOOK = 0.1  # seconds between looks at rollouts
@@ -26,7 +26,6 @@
 KEPT = 0.2  # seconds that an acknowledgement waits for this disk besides
 NOTING = 0.5  # seconds between looks at whether notes of machines have changed
 IDLE = 15.0  # seconds an idle caller keeps its connection
-CONFIG, ROLLOUT = "config", "rollout/"
 
 
 class Bourse(Program):
@@ -36,6 +35,7 @@
         self.app, self.mouth = App(self), Mouth(self.life, self.hear, self.met)
         self.board = self.mouth.board
         self.register = Register(s, self.caller, self.random, self.say, disk)
+        self.orders = Orders(self)
         self.machines = Machines(self.board, s.beat_s)
         self.ear = Ear(self.mouth, self.caller, self.who)
         self.fronts, self.others, self.reached, self.verdicts, self.told = {}, {}, {}, {}, 0
@@ -115,49 +115,7 @@
         finally:
             self.waits.remove(wait)
 
-    # operators
-    async def replace(self, version, text, peer):
-        held = self.board.notes.get(CONFIG)
-        if held is not None and held[0][0] >= version:
-            return
-        found = await self.register.change(
-            CONFIG, lambda now: {"ver": version, "text": text} if now is None or now["ver"] < version else now
-        )
-        if not found.ok:
-            raise Wrong("config.replace", found.why, peer, 503)
-        self.publish(CONFIG, found.value)
-
-    async def configuration(self, peer):
-        found = await self.register.survey()
-        if not found.ok or not found.value.get(CONFIG):
-            raise Wrong("config.read", "none yet" if found.ok else found.why, peer, 404 if found.ok else 503)
-        self.publish(CONFIG, found.value[CONFIG])
-        return found.value[CONFIG]["text"]
-
-    async def order(self, svc, to_ver, over_s, peer):
-        known = self.board.get(CONFIG)
-        if known is not None and svc not in config.read(known.encode()).services:
-            raise Wrong("rollouts.start", f"svc {svc!r} is not known", peer)
-        found = await self.register.change(
-            ROLLOUT + svc, lambda held: rollouts.start(held, svc, to_ver, over_s, self.wall())
-        )
-        if not found.ok:
-            raise Wrong("rollouts.start", found.why, peer, 503)
-        self.publish(ROLLOUT + svc, found.value)
-        self.say("rollout ordered", svc=svc, to_ver=to_ver, over_s=over_s)
-
-    async def rollout(self, svc, peer):
-        value = self.board.get(ROLLOUT + svc)
-        if value is None:
-            found = await self.register.survey()
-            if not found.ok:
-                raise Wrong("rollouts.read", found.why, peer, 503)
-            value = found.value.get(ROLLOUT + svc)
-            if value is None:
-                raise Wrong("rollouts.read", f"no rollout of {svc!r}", peer, 404)
-            self.publish(ROLLOUT + svc, value)
-        return value
-
+    # the register's values
     def publish(self, key, value):
         """Tells of what a majority's disks hold."""
         if key == CONFIG and value is not None:
--- a/honeywood/system/bourse/register.py
+++ b/honeywood/system/bourse/register.py
@@ -124,7 +124,12 @@
                 },
                 "lives": self._lives(),
             }
-        key, ballot = need(ask, "key", str, PATH), need(ask, "ballot", list, PATH)
+        key = need(ask, "key", str, PATH)
+        if op == "read":
+            _, accepted, value = self.rows.get(key) or (None, acceptor.NEVER, None)
+            known = accepted == ask.get("known")  # the asker has this value, and it may be large
+            return {"accepted": accepted, "value": None if known else value, "lives": self._lives()}
+        ballot = need(ask, "ballot", list, PATH)
         async with self.lock:
             row = self.rows.get(key)
             if op == "prepare":
@@ -175,6 +180,25 @@
             await asyncio.sleep(PAUSE * (1 + self.random.random()))
         return Failed("register", "other changes came first", "", 503)
 
+    async def read(self, key):
+        """Done with the value of one key that a majority agreed on at some moment since the call (or None);
+        one in doubt is settled by a round."""
+        if not (self.sound and self.members):
+            return Failed("register", "this disk takes no part yet", "", 503)
+        mine, replies = self.rows.get(key) or [acceptor.NEVER, acceptor.NEVER, None], {}
+
+        def take(ip, reply):
+            replies[ip] = reply
+            return len(current(replies)) >= self.majority
+
+        if not await self._ask_all({"op": "read", "key": key, "known": mine[1]}, take):
+            return Failed("register", "no majority answers", "", 503)
+        told = [
+            {**row, "value": mine[2]} if row["accepted"] == mine[1] else row for row in current(replies)
+        ]
+        sure, value = agreed(told, self.majority)
+        return Done(value) if sure else await self.change(key, lambda held: held)
+
     async def survey(self):
         """Done with all values that a majority agrees on, by key; those in doubt are settled by a round."""
         if not (self.sound and self.members):
--- /dev/null
+++ b/tests/system/test_orders.py
@@ -0,0 +1,284 @@
+"""Operators' calls: each answer rests on a majority at the time of the call, and an order has one outcome."""
+
+import json
+
+from timeline import World, config
+from ward import each, test
+
+from honeywood.system.bourse.orders import Orders
+from honeywood.system.terms import held
+
+CONTENTS = {"x": 1, "y": 2, "z": 3}  # contents under one number, by their routes
+
+
+class Desk(World):
+    """Words for operators: `send 7x` a configuration, `order v2 14`, `read` it, `state` of the rollout; `says
+    WORD STATUS` looks at the answer to the last call of that word at the column's bourse (0: none)."""
+
+    def __init__(self, *given, **more):
+        super().__init__(*given, **more)
+        self.answers = {}
+
+    def say(self, name, cell):
+        word, *more = cell.split()
+        if word == "send":
+            body = config(int(more[0][:-1]), CONTENTS[more[0][-1]])
+            self.call(name, more[0], "config.replace", body=body)
+        elif word == "order":
+            body = {"svc": "s", "to_ver": more[0], "over_s": float(more[1])}
+            self.call(name, more[0], "rollouts.start", body=body)
+        elif word == "read":
+            self.call(name, "read", "config.read")
+        elif word == "state":
+            self.call(name, "state", "rollouts.read", "s")
+        elif word == "deaf":  # nothing reaches the bourse, what it says does
+            self.cuts |= {(other, name) for other in self.bourses if other != name}
+        elif word == "mute":
+            self.cuts |= {(name, other) for other in self.bourses if other != name}
+        elif word == "says":
+            status, told = self.answers.get((name, more[0]), (None, None))
+            found = " ".join([str(status), *self.shown(told)][: len(more) - 1])
+            assert found == " ".join(more[1:]), f"{name} says {found} to {more[0]} at {self.loop.time():.2f}"
+        else:
+            super().say(name, cell)
+
+    def shown(self, told):
+        """The words of an answer that are looked at."""
+        told = json.loads(told) if isinstance(told, bytes) else told
+        shown = told if isinstance(told, dict) else {}
+        return [str(shown[key]) for key in ("outcome", "state", "ver", "to_ver") if key in shown]
+
+    def call(self, name, word, *given, **more):
+        async def asked():
+            self.answers[name, word] = await self.ask(name, *given, **more)
+
+        self.answers[name, word] = 0, None
+        self.loop.create_task(asked())
+
+
+def played(chart, **more):
+    world = Desk(**more)
+    try:
+        return world.play(chart)
+    finally:
+        world.close()
+
+
+CUT_OFF = """
+  at   | a              | b     | c
+  0    | start          | start | start
+  1    | send 5x        |       |
+  1.5  | order v2 14    |       |
+  2    | says v2 200, cut bc |  |
+  2.1  | {call}         |       |
+  3.2  | says {word} 503|       |
+  20   | {call}         |       |
+  21   | says {word} 503|       |
+  21.1 | join           |       |
+  24   | {call}         |       |
+  25   | says {word} {joined} | |
+"""
+
+
+@test("cut off, a bourse answers {call} by 503 from the first moment on, and {joined} when joined")
+def _(
+    call=each("state", "read", "send 5x", "send 4x", "send 5y", "order v2 14", "order v3 9"),
+    word=each("state", "read", "5x", "4x", "5y", "v2", "v3"),
+    joined=each(200, 200, 200, 200, 412, 200, 200),
+):
+    # `rollouts.read` and orders with a number not above the held one were answered 200 from its own board,
+    # twenty seconds after the cut, whatever the others had come to hold.
+    played(CUT_OFF.format(call=call, word=word, joined=joined))
+
+
+@test("cut off in one direction alone, {way}, a bourse answers by 503; the others go on")
+def _(way=each("deaf", "mute")):
+    played("""
+      at   | a              | b       | c
+      0    | start          | start   | start
+      1    | send 5x        |         |
+      1.5  | order v2 14    |         |
+      2    | WAY            |         |
+      2.1  | send 5x, state, order v3 14 | send 6x | state
+      4    | send 4x, read  |         |
+      5.5  | says 5x 503, says state 503, says v3 503 | says 6x 200 | says state 200 active v2
+      5.6  | says 4x 503, says read 503 |  |
+    """.replace("WAY", way))
+
+
+@test("a service brought in by a version that this bourse has not heard of is known all the same")
+def _():
+    # 400 ends an operator's call for good; it was told from this bourse's board alone.
+    world = Desk()
+    try:
+        world.play("""
+          at   | a       | b     | c
+          0    | start   | start | start
+          1    | send 5x |       |
+        """)
+        world.run(1.5)
+        world.cut("a", "bc")
+        body = config(6)
+        body["res"].append({**body["res"][-1], "hdr": {"name": "t"}})
+        world.call("b", "6", "config.replace", body=body)
+        world.run(2.5)
+        world.join()
+        order = {"svc": "t", "to_ver": "v2", "over_s": 9.0}
+        world.call("a", "known", "rollouts.start", body=order)
+        world.call("a", "unknown", "rollouts.start", body={**order, "svc": "nobody"})
+        assert world.version("a") == 5  # it has not heard yet
+        world.run(3.5)
+        assert world.answers["b", "6"][0] == world.answers["a", "known"][0] == 200
+        assert world.answers["a", "unknown"][0] == 400
+    finally:
+        world.close()
+
+
+@test("restarted while cut off, a bourse refuses nothing for good and confirms nothing")
+def _():
+    world = Desk()
+    try:
+        world.play("""
+          at  | a       | b     | c
+          0   | start   | start | start
+          1   | send 5x |       |
+          2   | cut bc, kill | send 6x |
+        """)
+        world.fresh = False
+        world.play("""
+          at  | a                                        | b
+          3   | start                                    | says 6x 200
+          3.1 | send 5x, read, state, order v2 9         |
+          4.5 | says 5x 503, says read 503, says state 503, says v2 503 |
+          5   | join                                     |
+          8   | read, send 5x, state                     |
+          9   | says read 200 00000006, says 5x 200 overtaken, says state 404 |
+        """)
+    finally:
+        world.close()
+
+
+@test("two contents under one number: the one that holds is confirmed, the other refused at every bourse")
+def _():
+    # A's change ended in doubt, B's won, A's operator sent again and was confirmed by B's.
+    played("""
+      at   | a             | b             | c
+      0    | start         | start         | start
+      1    | send 5x       |               |
+      2    | cut bc, send 7x |             |
+      2.1  |               | send 7y       |
+      3.5  | says 7x 503   | says 7y 200 taken |
+      3.6  | send 7x       | send 7x       | send 7x
+      4.5  | says 7x 503   | says 7x 412   | says 7x 412
+      5    | join          | send 9z       |
+      7    | send 7x       | send 7y       | read
+      8    | says 7x 412   | says 7y 200 overtaken | says read 200 00000009
+    """)
+
+
+@test("cut between prepare and accept, {share} of it done: no clear answer, and one content in the end")
+def _(share=each(0.3, 1.3, 2.3, 3.3)):
+    # The delay is 50 to 100 ms a way, so that the cut falls into the round after `share` of its ways.
+    world = Desk()
+    try:
+        world.play("""
+          at   | a       | b     | c
+          0    | start   | start | start
+          1    | send 5x |       |
+        """)
+        world.run(3.0)
+        world.delay = 0.05
+        world.say("a", "send 7x")
+        world.run(3.0 + 0.075 * share)
+        world.cut("a", "bc")
+        world.say("b", "send 7y")
+        world.run(5.0)
+        world.delay = 0.001
+        world.say("c", "send 7x")
+        world.say("b", "send 7y")
+        world.run(6.0)
+        first = world.answers["a", "7x"][0]
+        told = world.answers["c", "7x"][0], world.answers["b", "7y"][0]
+        assert told in ((200, 412), (412, 200)) and first in (0, 503, told[0]) and first != 412, (first, told)
+        world.join()
+        world.run(9.0)
+        world.say("a", "send 7x")
+        world.run(10.0)
+        assert world.answers["a", "7x"][0] == told[0]
+    finally:
+        world.close()
+
+
+@test("the same order eight at once at all bourses, answers lost: acknowledged or no clear answer, never 4xx")
+def _(order=each("send 7x", "order v2 14"), word=each("7x", "v2")):
+    for seed in range(6):
+        world = Desk(seed=seed)
+        try:
+            world.play("""
+              at   | a       | b     | c
+              0    | start   | start | start
+              1    | send 5x |       |
+            """)
+            world.run(2.0)
+            world.loss, statuses = 0.1, []
+            for _turn in range(3):
+                for name in "abcabcab":
+                    world.say(name, order)
+                world.run(world.loop.time() + 1.2)
+                statuses += [world.answers[name, word][0] for name in "abc"]
+            world.loss = 0.0
+            world.run(world.loop.time() + 2.0)
+            world.say("b", order)
+            world.run(world.loop.time() + 1.0)
+            assert set(statuses) <= {0, 200, 503} and world.answers["b", word][0] == 200, statuses
+            if word == "v2":  # never twice in force: one start, and no stage since
+                assert world.nodes["a"].board.get("rollout/s")["n"] == 1
+        finally:
+            world.close()
+
+
+async def by_board(self, step, key, peer):
+    """The mutation: reads from this bourse's own board."""
+    value = self.bourse.board.get(key)
+    if key != "config" or value is None:
+        return value
+    return {"ver": self.bourse.board.notes[key][0][0], "text": value, "past": []}
+
+
+@test("without the read of a majority {call} is answered from what a cut-off bourse last heard")
+def _(call=each("state", "read", "send 5x"), word=each("state", "read", "5x")):
+    guarded, Orders._read = Orders._read, by_board
+    try:
+        played(CUT_OFF.format(call=call, word=word, joined=200))
+    except AssertionError as wrong:
+        assert f"says 200 to {word}" in str(wrong)
+    else:
+        raise AssertionError("nothing seen")
+    finally:
+        Orders._read = guarded
+
+
+@test("a number stands for the content that was noted first, in force or overtaken")
+def _():
+    noted = held.ordered(held.ordered(None, 5, "x"), 9, "z")
+    assert [held.outcome(noted, *order) for order in ((9, "z"), (9, "y"), (5, "x"), (5, "y"), (10, "z"))] == [
+        held.TAKEN,
+        held.OTHER,
+        held.OVERTAKEN,
+        held.OTHER,
+        None,
+    ]
+    late = held.ordered(noted, 7, "first")  # raced: 9 came before it
+    assert late["text"] == "z" and held.ordered(late, 7, "second") is late
+    assert held.outcome(late, 7, "first") == held.OVERTAKEN and held.outcome(late, 7, "second") == held.OTHER
+
+
+@test("after a thousand orders the record is bounded, and no number below is confirmed for two by mistake")
+def _():
+    record = None
+    for version in range(1, 1001):
+        record = held.ordered(record, version, f"text {version}")
+    assert len(record["past"]) == held.MOST and len(json.dumps(record)) < 8000
+    assert held.outcome(record, 999, "text 999") == held.OVERTAKEN
+    assert held.outcome(record, 999, "another") == held.OTHER
+    assert held.outcome(record, 3, "another") == held.OVERTAKEN  # far behind: acknowledged, changes nothing
