Configurations are told, kept and voted on packed

Now the text is packed (zlib, base64) where it is taken and unpacked where it is read; disks of before are read as they are.

--- a/honeywood/system/bourse/app.py
+++ b/honeywood/system/bourse/app.py
@@ -65,11 +65,11 @@
     # operators
     async def replace(self, of, body, peer):
         sent = config.read(body, peer)
-        await self.bourse.replace(sent.version, body.decode(), peer)
+        await self.bourse.replace(sent.version, config.pack(body), peer)
         return {}
 
     async def read(self, of, body, peer):
-        return (await self.bourse.configuration(peer)).encode()
+        return config.unpack(await self.bourse.configuration(peer), peer)
 
     async def start(self, of, body, peer):
         order = read_json(body, "rollouts.start", peer)
--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -136,7 +136,7 @@
 
     async def order(self, svc, to_ver, over_s, peer):
         known = self.board.get(CONFIG)
-        if known is not None and svc not in config.read(known.encode()).services:
+        if known is not None and svc not in config.read(config.unpack(known)).services:
             raise Wrong("rollouts.start", f"svc {svc!r} is not known", peer)
         found = await self.register.change(
             ROLLOUT + svc, lambda held: rollouts.start(held, svc, to_ver, over_s, self.wall())
--- a/honeywood/system/stall/program.py
+++ b/honeywood/system/stall/program.py
@@ -92,7 +92,7 @@
     def hear(self, key, value):
         kind, _, name = key.partition("/")
         if kind == "config":
-            read = config.read(value.encode())
+            read = config.read(config.unpack(value))
             self.table, self.limits, self.config_at = Table(read), read.limits, self.config_at or self.clock()
             self.roster.most.clear()
             self.roster.most.update({name: service.max_conns for name, service in read.services.items()})
--- a/honeywood/system/terms/config.py
+++ b/honeywood/system/terms/config.py
@@ -1,8 +1,10 @@
 """A configuration as operators send it, checked whole before anything of it holds.
 
-The text is kept as it came and told back so; what is read here are its parts.
+The text is kept as it came, packed, and told back so; what is read here are its parts.
 """
 
+import zlib
+from binascii import a2b_base64, b2a_base64
 from dataclasses import dataclass
 
 from honeywood.system.terms.check import need, read_json
@@ -11,6 +13,8 @@
 STEP = "config.replace"
 SAFE, UNSAFE = "safe", "unsafe"
 KINDS = (SAFE, UNSAFE)
+PLAIN = "{"  # begins texts that disks of before packing hold; no packed one begins so
+MOST = 16 << 20  # bytes of an unpacked text
 FAR = 86400.0  # seconds; longer times in a route are taken for a slip
 
 
@@ -58,6 +62,26 @@
     limits: Limits
 
 
+def pack(raw):
+    """The bytes of config.replace as a short text: 1,400 routes are 300 KB as sent and cross links that
+    carry 300 KB a second."""
+    return b2a_base64(zlib.compress(raw, 6), newline=False).decode()
+
+
+def unpack(text, peer=""):
+    """The bytes that were packed; raises outcome.Wrong where they aren't whole."""
+    if text.startswith(PLAIN):
+        return text.encode()
+    try:
+        reader = zlib.decompressobj()
+        raw = reader.decompress(a2b_base64(text), MOST)
+    except (ValueError, zlib.error) as wrong:
+        raise Wrong(STEP, f"not whole: {wrong}", peer) from None
+    if not reader.eof:
+        raise Wrong(STEP, "not whole or too long", peer)
+    return raw
+
+
 def version(text, peer=""):
     """Eight hexadecimal digits as a number."""
     if not (isinstance(text, str) and len(text) == 8 and all(c in "0123456789abcdef" for c in text.lower())):
--- a/tests/system/test_terms.py
+++ b/tests/system/test_terms.py
@@ -230,3 +230,19 @@
             os.utime(path, ns=(at + 1, at + 1))
             asyncio.run(stall.reread())
             assert stall.bourses == (known or ["10.0.0.1", "10.0.0.2"])
+
+
+@test("a packed configuration comes back as sent, is short, and one that isn't whole is refused")
+def _():
+    # Seen on the grown sites: 1,000 routes went as 290 KB of text over links that carry 300 KB a second.
+    raw = json.dumps(config(7, routes=1400), separators=(",", ":")).encode()
+    packed = configs.pack(raw)
+    assert configs.unpack(packed) == raw and len(packed) < len(raw) / 8
+    assert configs.unpack(raw.decode()) == raw, "disks of before packing are read"
+    for part in (packed[: len(packed) // 2 & ~3], packed[:-5], packed[4:], "%", ""):
+        try:
+            configs.unpack(part, "peer")
+        except Wrong as wrong:
+            assert "not whole" in str(wrong)
+        else:
+            raise AssertionError(f"{len(part)} of {len(packed)} were taken")
