--- a/honeywood/system/bourse/app.py
+++ b/honeywood/system/bourse/app.py
@@ -64,15 +64,11 @@
 
     # operators
     async def replace(self, of, body, peer):
-        try:
-            text = body.decode()
-        except UnicodeDecodeError as wrong:
-            raise Wrong("config.replace", f"no UTF-8: {wrong}", peer) from None
-        found, ver = await self.bourse.orders.replace(config.read(body, peer).version, text, peer)
+        found, ver = await self.bourse.orders.replace(config.read(body, peer).version, body, peer)
         return {"outcome": found, "ver": f"{ver:08x}"}
 
     async def read(self, of, body, peer):
-        return (await self.bourse.orders.configuration(peer)).encode()
+        return config.unpack(await self.bourse.orders.configuration(peer), peer)
 
     async def start(self, of, body, peer):
         order = read_json(body, "rollouts.start", peer)
--- a/honeywood/system/bourse/orders.py
+++ b/honeywood/system/bourse/orders.py
@@ -32,25 +32,26 @@
         return found.value
 
     async def configuration(self, peer):
-        """The text of the newest configuration; 404 where a majority holds none."""
+        """The newest configuration, packed; 404 where a majority holds none."""
         value = await self._read(READ, CONFIG, peer)
         if value is None:
             raise Wrong(READ, "none yet", peer, 404)
         return value["text"]
 
-    async def replace(self, version, text, peer):
+    async def replace(self, version, raw, peer):
         """(outcome, version held) of an order; 412 where its number stands for another content."""
+        mark, text = held.digest(raw), config.pack(raw)
         told, found, value = self.bourse.board.notes.get(CONFIG), None, None
         if told is not None and told[0][0] >= version:  # likely a copy: a read is cheaper than a round
             value = await self._read(REPLACE, CONFIG, peer)
-            found = held.outcome(value, version, text)
+            found = held.outcome(value, version, mark)
         if found is None:
             value = await self._change(
-                REPLACE, CONFIG, lambda value: held.ordered(value, version, text), peer
+                REPLACE, CONFIG, lambda value: held.ordered(value, version, text, mark), peer
             )
-            found = held.outcome(value, version, text)
+            found = held.outcome(value, version, mark)
         if found != held.TAKEN:
-            self.say(found, ordered=f"{version:08x}", held=f"{value['ver']:08x}", digest=held.digest(text))
+            self.say(found, ordered=f"{version:08x}", held=f"{value['ver']:08x}", digest=mark)
         if found == held.OTHER:
             raise Wrong(REPLACE, f"{version:08x} stands for another content; take a higher one", peer, 412)
         return found, value["ver"]
@@ -58,7 +59,7 @@
     async def order(self, svc, to_ver, over_s, peer):
         """Begins a rollout, or finds that this order was taken before."""
         value = await self._read(START, CONFIG, peer)
-        if value is not None and svc not in config.read(value["text"].encode()).services:
+        if value is not None and svc not in config.read(config.unpack(value["text"])).services:
             raise Wrong(START, f"svc {svc!r} is not known", peer)
         await self._change(
             START,
--- a/tests/system/test_orders.py
+++ b/tests/system/test_orders.py
@@ -7,6 +7,7 @@
 
 from honeywood.system.bourse.orders import Orders
 from honeywood.system.terms import held
+from honeywood.system.terms.config import unpack
 
 CONTENTS = {"x": 1, "y": 2, "z": 3}  # contents under one number, by their routes
 
@@ -242,7 +243,8 @@
     value = self.bourse.board.get(key)
     if key != "config" or value is None:
         return value
-    return {"ver": self.bourse.board.notes[key][0][0], "text": value, "past": []}
+    mark = held.digest(unpack(value))
+    return {"ver": self.bourse.board.notes[key][0][0], "text": value, "digest": mark, "past": []}
 
 
 @test("without the read of a majority {call} is answered from what a cut-off bourse last heard")
@@ -260,7 +262,7 @@
 
 @test("a number stands for the content that was noted first, in force or overtaken")
 def _():
-    noted = held.ordered(held.ordered(None, 5, "x"), 9, "z")
+    noted = held.ordered(held.ordered(None, 5, "", "x"), 9, "the last", "z")
     assert [held.outcome(noted, *order) for order in ((9, "z"), (9, "y"), (5, "x"), (5, "y"), (10, "z"))] == [
         held.TAKEN,
         held.OTHER,
@@ -268,8 +270,8 @@
         held.OTHER,
         None,
     ]
-    late = held.ordered(noted, 7, "first")  # raced: 9 came before it
-    assert late["text"] == "z" and held.ordered(late, 7, "second") is late
+    late = held.ordered(noted, 7, "", "first")  # raced: 9 came before it
+    assert late["text"] == "the last" and held.ordered(late, 7, "", "second") is late
     assert held.outcome(late, 7, "first") == held.OVERTAKEN and held.outcome(late, 7, "second") == held.OTHER
 
 
@@ -277,8 +279,8 @@
 def _():
     record = None
     for version in range(1, 1001):
-        record = held.ordered(record, version, f"text {version}")
+        record = held.ordered(record, version, "", held.digest(f"{version}".encode()))
     assert len(record["past"]) == held.MOST and len(json.dumps(record)) < 8000
-    assert held.outcome(record, 999, "text 999") == held.OVERTAKEN
+    assert held.outcome(record, 999, held.digest(b"999")) == held.OVERTAKEN
     assert held.outcome(record, 999, "another") == held.OTHER
     assert held.outcome(record, 3, "another") == held.OVERTAKEN  # far behind: acknowledged, changes nothing
