--- a/honeywood/system/terms/held.py
+++ b/honeywood/system/terms/held.py
@@ -1,8 +1,9 @@
 """The configuration as the register keeps it, and what an order for one comes to. Pure.
 
 {"ver", "text", "digest", "past"}: the text is packed, the digest that of the bytes as they came; `past` lists
-[version, digest] of the orders before, those with the MOST highest numbers. A number stands for one content: the first that a majority noted, in force or overtaken. So of two
-contents under one number one is confirmed, and a copy of an order is known however often it comes.
+[version, digest] of the orders before, those with the MOST highest numbers. A number stands for one content:
+the first that a majority noted, in force or overtaken. So of two contents under one number one is confirmed,
+and a copy of an order is known however often it comes.
 """
 
 from _blake2 import blake2b  # hashlib would bring OpenSSL
