Emulator: the race of two contents is drawn; 412 is the answer to the one that lost

The orders that landed answer another content under a held number with 412, which the rule 'refused' allows for it alone. The test's patch reads the packed configuration.

--- a/honeywood/lab/market/faults.py
+++ b/honeywood/lab/market/faults.py
@@ -364,14 +364,15 @@
         ill,
         deaf,
         configure,
+        race,
         orders,
         copies,
         rollout_good,
         rollout_bad,
     )
 }
-# drawn once what they bring about is mended (issue 36, points 2 and 3); played by name till then
-BESIDE = {cause.__name__: cause for cause in (race, rollout_after, replace)}
+# drawn once what they bring about is mended (issue 36: late orders, members); played by name till then
+BESIDE = {cause.__name__: cause for cause in (rollout_after, replace)}
 
 
 async def cause(world, fault, begun):
--- a/honeywood/lab/market/rules.py
+++ b/honeywood/lab/market/rules.py
@@ -13,7 +13,7 @@
 served    at least half of what is owed is earned, whatever goes wrong
 number    under one number one content is confirmed, as long as no higher number has been sent
 refused   a proper order is never answered with a 4xx, first sent or again, whoever answers; of two contents
-          under one number the one that is not in force may be answered 409
+          under one number the one that is not in force may be answered 412
 acks      an order is acknowledged ack_s after it was sent, or after the core settled and all links were sound
 reads     a read that begins after an acknowledgement, or after another read ended, shows nothing older, at
           any bourse: of configurations the number, of rollouts the order and its end
@@ -23,7 +23,7 @@
 from bisect import bisect_left
 from collections import Counter, defaultdict
 
-CONFLICT = 409  # the answer to another content under a number that is held
+CONFLICT = 412  # the answer to another content under a number that is held
 PROMISES = (408, 421, 429, 503)
 BAD = 50  # bad answers after which a bad version must be stopped
 
--- a/honeywood/lab/market/world.py
+++ b/honeywood/lab/market/world.py
@@ -242,4 +242,7 @@
         for task in asyncio.all_tasks(self.loop):
             task.cancel()
         self.run(self.loop.time() + 0.01)
+        for task in asyncio.all_tasks(self.loop):  # those that waited for what has just ended
+            task.cancel()
+        self.run(self.loop.time() + 0.01)
         self.loop.close()
--- a/tests/system/test_market.py
+++ b/tests/system/test_market.py
@@ -20,6 +20,7 @@
 from honeywood.system.stall import carry, program
 from honeywood.system.stall.carry import Carrier
 from honeywood.system.stall.program import Stall
+from honeywood.system.terms import config
 from honeywood.system.terms.outcome import Wrong
 
 
@@ -100,7 +101,8 @@
 
 async def own_board(self, of, body, peer):
     """A configuration is read from this bourse's board."""
-    return (self.bourse.board.get("config") or '{"ver":"00000000"}').encode()
+    held = self.bourse.board.get("config")
+    return config.unpack(held) if held else b'{"ver":"00000000"}'
 
 
 async def own_state(self, of, body, peer, rollout=App.rollout):
