--- a/honeywood/lab/prove/power.py
+++ b/honeywood/lab/prove/power.py
@@ -1,7 +1,10 @@
-"""Power lost at every call of the register's files, life after life: what an ended put wrote is there.
+"""Trouble at every call of the register's files, life after life: what an ended put wrote is there.
 
-After each call the folder is looked at. When power goes, each file is what its last sync left, with every
-block that changed since there, missing or cut, as chance says, and removals may be undone.
+At each call power may go, the process may be killed (in a call that hangs, too), or the call be refused:
+before it did anything, half way as on a full disk, or after it did all. When power goes, each file is what
+its last sync left, with every block that changed since there, missing or cut, as chance says; a file whose
+folder was not synced since it was made may be gone, and removals not synced so may be undone, each by itself.
+A kill leaves all as it is, but sure of nothing that was not synced: a later loss of power may still take it.
 """
 
 import os
@@ -9,79 +12,49 @@
 import shutil
 import tempfile
 
+import lmdb
+
 from honeywood.system.ledger.disk import Disk
 from honeywood.system.ledger.files import Files
 
 BLOCK = 512  # bytes that are written whole or not at all, or not even that
 KEPT, GONE, MIXED = "all kept", "all gone", "mixed"  # what becomes of writes that were not synced
+POWER, KILL, HANG = "power", "kill", "hang"  # ends: after a call; in one that never comes back
+REFUSED, FULL, DOUBT = "refused", "full", "doubt"  # a call that is refused, and did nothing, half, or all
 
 
 class Lost(BaseException):
-    """Power is gone; no handler of the program's runs."""
-
-
-class Calls(Files):
-    """Files that lose power after their `last`-th call (None: never), and know what was synced by then."""
-
-    def __init__(self, folder, last=None):
-        self.folder, self.last, self.made, self.synced, self.opened = folder, last, 0, {}, []
-
-    def begin(self):
-        """What the folder holds when a life begins is on disk."""
-        self.synced = content(self.folder)
-
-    def called(self, synced=None):
-        if synced is not None:
-            with open(synced, "rb") as file:
-                self.synced[os.path.basename(synced)] = file.read()
-        self.made += 1
-        if self.last is not None and self.made >= self.last:
-            raise Lost
-
-    def open(self, path, read_only):
-        env = super().open(path, read_only)
-        if not read_only:
-            self.opened.append(env)
-            self.called()
-        return env
-
-    def commit(self, env, rows):
-        super().commit(env, rows)
-        self.called()
-
-    def sync(self, env):
-        super().sync(env)
-        self.called(env.path())
-
-    def write(self, path, text):
-        with open(path, "wb") as file:
-            file.write(text)
-        self.called()
-        self.called(path)
-
-    def remove(self, path):
-        super().remove(path)
-        self.called()
-
-    def lose(self, draw, how):
-        """Leaves the folder as power leaves it."""
-        for env in self.opened:
-            env.close()
-        now = content(self.folder)
-        for name in {*now, *self.synced}:
-            left = survives(self.synced.get(name), now.get(name), draw, how)
-            path = os.path.join(self.folder, name)
+    """The process is gone; no handler of the program's runs."""
+
+
+class Platter:
+    """What is sure to outlive a loss of power: files as of their last syncs, and the names that are sure."""
+
+    def __init__(self):
+        self.files, self.names = {}, set()
+
+    def content(self, folder):
+        if not os.path.isdir(folder):
+            return {}
+        return {name: open(os.path.join(folder, name), "rb").read() for name in os.listdir(folder)}
+
+    def power(self, folder, draw, how):
+        """Leaves the folder as a loss of power leaves it."""
+        now = self.content(folder)
+        for name in sorted({*now, *self.files}):
+            path, synced = os.path.join(folder, name), self.files.get(name)
+            left = survives(synced, now.get(name), draw, how)
+            if name in now and name not in self.names and (how == GONE or how == MIXED and draw.random() < 0.5):
+                left = None  # made, and its folder not synced
+            if name not in now and name not in self.names:
+                left = None  # made and removed
             if left is not None:
                 with open(path, "wb") as file:
                     file.write(left)
             elif os.path.exists(path):
                 os.unlink(path)
-
-
-def content(folder):
-    if not os.path.isdir(folder):
-        return {}
-    return {name: open(os.path.join(folder, name), "rb").read() for name in os.listdir(folder)}
+        self.files = self.content(folder)
+        self.names = set(self.files)
 
 
 def survives(synced, now, draw, how):
@@ -106,65 +79,175 @@
     return bytes(found[:length])
 
 
-def life(folder, draw, held, last, how, disk=Disk):
-    """One life on `folder`: {key: rows that may be read}, and the calls it made. `held` are those allowed
-    when it begins; every row read must be among them. Power goes after the `last`-th call."""
-    calls = Calls(folder, last)
-    calls.begin()
-    doubt = {}
+class Calls(Files):
+    """Files whose calls meet what `plan`, a dict by the call's number, says."""
+
+    def __init__(self, folder, platter, plan):
+        self.folder, self.platter, self.plan, self.made, self.opened = folder, platter, plan, 0, []
+
+    def call(self, work, half=lambda: None, grows=True, refusal=OSError):
+        """Does `work`, or what the plan says; `half` is what a full disk does of it. What doesn't grow a file
+        does as well on a full disk."""
+        self.made += 1
+        what = self.plan.get(self.made)
+        if what == REFUSED:
+            raise refusal("refused")
+        if what == HANG:
+            raise Lost
+        if what == FULL and grows:
+            half()
+            raise refusal("no room")
+        found = work()
+        if what in (POWER, KILL):
+            raise Lost
+        if what == DOUBT:
+            raise refusal("refused, though done")
+        return found
+
+    def open(self, path, read_only):
+        if read_only:
+            return super().open(path, True)
+
+        def opened():
+            self.opened.append(Files.open(self, path, False))
+            return self.opened[-1]
+
+        return self.call(opened, opened, refusal=lmdb.DiskError)
+
+    def commit(self, env, rows):
+        some = dict(list(rows.items())[: len(rows) // 2])
+        self.call(
+            lambda: Files.commit(self, env, rows),
+            lambda: Files.commit(self, env, some),
+            refusal=lmdb.DiskError,
+        )
+
+    def sync(self, env):
+        def synced():
+            Files.sync(self, env)
+            self.synced(env.path())
+
+        self.call(synced, grows=False, refusal=lmdb.DiskError)
+
+    def synced(self, path):
+        with open(path, "rb") as file:
+            self.platter.files[os.path.basename(path)] = file.read()
+
+    def write(self, path, text):
+        def written(text=text):
+            with open(path, "wb") as file:
+                file.write(text)
+
+        self.call(written, lambda: written(text[: len(text) // 2]))
+        self.call(lambda: self.synced(path), grows=False)
+
+    def remove(self, path):
+        self.call(lambda: Files.remove(self, path), grows=False)
+
+    def settle(self, path):
+        def settled():
+            if not os.path.isdir(path):
+                return self.synced(path)
+            self.platter.names = set(os.listdir(path))
+            for name in {*self.platter.files} - self.platter.names:
+                del self.platter.files[name]
+
+        self.call(settled, grows=False)
+
+    def close(self):
+        for env in self.opened:
+            env.close()
+
+
+def drawn(draw, within=30, ends=(POWER, KILL, HANG)):
+    """A plan: refusals one by one, or a disk that is full for some calls, and an end."""
+    last, plan = draw.randrange(1, within), {}
+    for _ in range(draw.choice((0, 0, 1, 1, 2, 4))):
+        plan[draw.randrange(1, within)] = draw.choice((REFUSED, FULL, DOUBT))
+    if draw.random() < 0.3:  # done but refused, and its file can't be removed
+        begin = draw.randrange(1, within)
+        plan.update({begin: DOUBT, begin + 1: REFUSED, begin + 2: REFUSED})
+    if draw.random() < 0.3:
+        begin = draw.randrange(1, within)
+        plan.update({call: draw.choice((FULL, FULL, REFUSED)) for call in range(begin, begin + 9)})
+    plan[last] = draw.choice(ends)
+    return plan
+
+
+def life(folder, draw, states, platter, plan, how, disk=Disk):
+    """One life on `folder`: the states that may be found after it, and how many calls it made. What is found
+    must be one of `states`: all that ended puts wrote, with at most one later attempt that was refused."""
+    calls = Calls(folder, platter, plan)
+    wanted = states
     try:
-        opened = disk(folder, calls)
+        opened = begun(folder, calls, disk)
         found = opened.rows()
-        for key, fit in held.items():
-            assert found.get(key) in fit, f"{key}: {str(found.get(key))[:60]} is none of {str(fit)[:160]}"
-        sure = dict(found)
-        for _ in range(draw.randrange(1, 5)):
-            rows = {f"k{draw.randrange(3)}": [draw.random(), "x" * draw.choice((1, 40, 700, 5000))]}
-            doubt = rows
-            opened.put(rows)
-            sure.update(rows)
-            doubt = {}
-        calls.called()
+        assert found in states, f"{short(found)} is none of {[short(state) for state in states]}"
+        wanted = [found]
+        for _ in range(draw.randrange(1, 7)):
+            rows = {
+                f"k{draw.randrange(3)}": draw.choice((None, [draw.random(), "x" * size]))
+                for size in draw.sample((1, 40, 700, 5000), draw.randrange(1, 3))
+            }
+            after = {key: row for key, row in {**wanted[0], **rows}.items() if row is not None}
+            wanted.append(after)
+            try:
+                opened.put(rows)
+            except OSError:
+                continue  # it may be found, until a later one has ended
+            wanted = [after]
+        opened.close()
     except Lost:
         pass
-    else:
-        if last is None:
-            opened.close()
-            return {key: [row] for key, row in sure.items()}, calls.made
-    allowed = {key: [row] for key, row in sure.items()}
-    for key, row in doubt.items():
-        allowed[key] = [*allowed.get(key, [None]), row]
-    calls.lose(draw, how)
-    return allowed, calls.made
-
-
-def history(seed, lives=4, disk=Disk):
-    """Lives one after the other, power lost in each but the last; AssertionError where a row is lost."""
+    calls.close()
+    if plan.get(calls.made) == POWER:
+        platter.power(folder, draw, how)
+    return wanted, calls.made
+
+
+def begun(folder, calls, disk):
+    """The disk, opened again and again where that is refused."""
+    while True:
+        try:
+            return disk(folder, calls)
+        except OSError:
+            continue
+
+
+def short(state):
+    return {key: row and row[0] for key, row in state.items()}
+
+
+def history(seed, lives=5, disk=Disk, plans=drawn):
+    """Lives one after the other, each ended by its plan, the last one whole; AssertionError where a row is
+    lost. How many calls there were that met trouble."""
     draw, folder = random.Random(seed), tempfile.mkdtemp()
-    held, lost = {}, 0
+    states, platter, met = [{}], Platter(), 0
     try:
         for turn in range(lives):
-            last = draw.randrange(1, 30) if turn < lives - 1 else None
-            held, made = life(
-                os.path.join(folder, "d"), draw, held, last, draw.choice((KEPT, GONE, MIXED)), disk
-            )
-            lost += last is not None
-        return lost
+            plan = plans(draw) if turn < lives - 1 else {}
+            how = draw.choice((KEPT, GONE, MIXED))
+            states, made = life(os.path.join(folder, "d"), draw, states, platter, plan, how, disk)
+            met += sum(call <= made for call in plan)
+        return met
     finally:
         shutil.rmtree(folder, ignore_errors=True)
 
 
-def every_call(seed, how, disk=Disk):
-    """One life of a script, with power lost after each of its calls in turn; how many calls there are."""
+def every_call(seed, how, what=POWER, disk=Disk):
+    """One life of a script, with `what` at each of its calls in turn, power lost at the end of the life where
+    it is not at that call; how many calls there are."""
     last = 0
     while True:
         last += 1
         draw, folder = random.Random(seed), tempfile.mkdtemp()
         try:
-            path = os.path.join(folder, "d")
-            held, _ = life(path, draw, {}, None, how, disk)
-            held, made = life(path, draw, held, last, how, disk)
-            life(path, draw, held, None, how, disk)
+            path, platter = os.path.join(folder, "d"), Platter()
+            states, _ = life(path, draw, [{}], platter, {}, how, disk)
+            states, made = life(path, draw, states, platter, {last: what}, how, disk)
+            if what != POWER:
+                platter.power(path, draw, how)
+            life(path, draw, states, platter, {}, how, disk)
         finally:
             shutil.rmtree(folder, ignore_errors=True)
         if made < last:
--- a/honeywood/system/ledger/files.py
+++ b/honeywood/system/ledger/files.py
@@ -1,23 +1,30 @@
-"""The calls that a disk is used by, each of them a moment at which power may go."""
+"""The calls that a disk is used by, each of them a moment at which power may go or the call be refused."""
 
 import os
 
 import lmdb
 
 MAP = 64 << 20  # bytes that each file may grow to
+PIECE = 1 << 16  # bytes read at a time
 
 
 class Files:
-    """lmdb's files and small ones beside them."""
+    """lmdb's files, small ones beside them, and their folder. All raise OSError or lmdb.Error."""
 
     def open(self, path, read_only):
-        return lmdb.open(path, map_size=MAP, subdir=False, lock=False, readonly=read_only, readahead=False)
+        """An environment that syncs only when it is told to."""
+        return lmdb.open(
+            path, map_size=MAP, subdir=False, lock=False, readonly=read_only, readahead=False, sync=False
+        )
 
     def commit(self, env, rows):
-        """Writes rows of bytes; nothing of it is sure before a sync."""
+        """Writes rows of bytes, or removes those that are None; nothing of it is sure before a sync."""
         with env.begin(write=True) as writing:
             for key, raw in rows.items():
-                writing.put(key, raw)
+                if raw is None:
+                    writing.delete(key)
+                else:
+                    writing.put(key, raw)
 
     def sync(self, env):
         env.sync(True)
@@ -32,3 +39,11 @@
     def remove(self, path):
         """A removal may be lost with power, and the file come back: nothing rests on it."""
         os.unlink(path)
+
+    def settle(self, path):
+        """What a file that was found holds, or which files a folder has, on disk when this ends."""
+        place = os.open(path, os.O_RDONLY)
+        try:
+            os.fsync(place)
+        finally:
+            os.close(place)
--- a/tests/system/test_disk.py
+++ b/tests/system/test_disk.py
@@ -1,10 +1,26 @@
-"""The register's files: what a put that ended wrote is found by every later open, whenever power went."""
+"""The register's files: what a put that ended wrote is found by every later open, whatever met the calls."""
+
+import os
+import random
+import tempfile
 
 from ward import each, test
 
 from honeywood.lab.prove import power
-from honeywood.lab.prove.power import GONE, KEPT, MIXED, every_call, history
+from honeywood.lab.prove.power import (
+    DOUBT,
+    FULL,
+    GONE,
+    HANG,
+    KEPT,
+    MIXED,
+    REFUSED,
+    Platter,
+    every_call,
+    history,
+)
 from honeywood.system.ledger.disk import Disk
+from honeywood.system.ledger.files import Files
 
 
 @test("power is lost at every call in turn, what was not synced {how}")
@@ -12,13 +28,118 @@
     assert sum(every_call(seed, how) for seed in range(8)) > 60
 
 
-@test("and at a call by chance in life after life: nothing that a put had ended is lost")
+@test("every call in turn is met by {what}, and then power is lost, what was not synced {how}")
+def _(what=each(HANG, REFUSED, FULL, DOUBT), how=each(MIXED, GONE, MIXED, GONE)):
+    assert sum(every_call(seed, how, what) for seed in range(8)) > 60
+
+
+@test("and at calls by chance in life after life: nothing that a put had ended is lost")
 def _():
     # A torn lmdb file opens, and then puts end with MDB_CORRUPTED, rows are gone, or reading ends the program
     # by an assertion of lmdb's: without the sums beside the files this test does not even end. Removals that
     # were lost are played too: seen by a hunt, a mark of an opening that had come back with power made two
     # machines put their newer file aside, and with it the version that had been acknowledged last.
-    assert sum(history(seed) for seed in range(150)) > 300
+    assert sum(history(seed) for seed in range(300)) > 1500
+
+
+@test("a row that was refused after its bytes were down isn't found in the place of the one that ended then")
+def _():
+    # Both attempts carried one number: the left file, come back with power, won by its name.
+    with tempfile.TemporaryDirectory() as folder:
+        platter, refused = Platter(), "written, then refused"
+
+        class Once(power.Calls):
+            left = []
+
+            def remove(self, path):
+                with open(path, "rb") as file:
+                    self.left.append((path, file.read()))
+                super().remove(path)
+
+            def write(self, path, text):
+                super().write(path, text)
+                if self.plan.pop(refused, None):
+                    raise OSError(5, "refused")
+
+        calls = Once(folder, platter, {})
+        disk = Disk(folder, calls)
+        disk.put({"k": "first"})
+        disk.put({"k": "second"})
+        calls.plan[refused] = True
+        try:
+            disk.put({"k": "refused"})
+        except OSError:
+            disk.put({"k": "ended"})
+        disk.close()
+        for path, content in calls.left:  # the removals are lost with power
+            with open(path, "wb") as file:
+                file.write(content)
+        assert Disk(folder).rows() == {"k": "ended"} and calls.left
+
+
+@test("what an open found is still there when power is lost right after it")
+def _():
+    # Whoever wrote it may have been killed before it synced; a restarted disk told others of a row that it
+    # then lost: its answer had counted for a majority.
+    for seed in range(30):
+        with tempfile.TemporaryDirectory() as folder:
+            draw, platter = random.Random(seed), Platter()
+            calls = power.Calls(folder, platter, {6 + seed % 5: HANG})
+            try:
+                disk = Disk(folder, calls)
+                for put in range(3):
+                    disk.put({"k": put})
+            except power.Lost:
+                calls.close()
+            found = Disk(folder, power.Calls(folder, platter, {})).rows()
+            platter.power(folder, draw, GONE)
+            assert Disk(folder).rows() == found
+
+
+@test("a full disk refuses, holds what it held, leaves nothing behind and goes on when there is room")
+def _():
+    # Each refused put left a file behind that took up room itself.
+    class Full(Files):
+        full = False
+
+        def write(self, path, text):
+            if self.full:
+                raise OSError(28, "no room")
+            super().write(path, text)
+
+    with tempfile.TemporaryDirectory() as folder:
+        calls = Full()
+        disk = Disk(folder, calls)
+        for put in range(3):
+            disk.put({"k": put})
+        calls.full, refused = True, 0
+        for _ in range(20):
+            try:
+                disk.put({"k": "x" * 10_000})
+            except OSError:
+                refused += 1
+        assert refused == 20 and disk.rows() == {"k": 2} and len(os.listdir(folder)) <= 4
+        calls.full = False
+        disk.put({"l": 1})
+        disk.close()
+        assert Disk(folder).rows() == {"k": 2, "l": 1}
+
+
+def size(folder):
+    return sum(os.path.getsize(os.path.join(folder, name)) for name in os.listdir(folder))
+
+
+@test("after thousands of changes and rows that came and went the files are as small as after ten")
+def _():
+    with tempfile.TemporaryDirectory() as folder:
+        disk, sizes, draw = Disk(folder), [], random.Random(1)
+        for put in range(3000):
+            disk.put({"k": "x" * draw.randrange(60_000), f"m{put}": "y" * 200, f"m{put - 40}": None})
+            if put in (50, 2999):
+                sizes.append(size(folder))
+        disk.close()
+        assert sizes[1] < 2 * sizes[0] and sizes[1] < 1 << 20, sizes
+        assert len(Disk(folder).rows()) == 41
 
 
 class Alone(Disk):
@@ -27,22 +148,50 @@
     last = property(lambda self: {}, lambda self, rows: None)
 
 
+class Same(Disk):
+    """Numbers only those attempts that ended."""
+
+    def put(self, rows):
+        try:
+            super().put(rows)
+        except OSError:
+            self.at -= 1
+            raise
+
+
+class Unsettled(Disk):
+    def _settle(self, name):
+        pass
+
+
 class Unsynced(power.Calls):
     def sync(self, env):
-        self.called()
+        self.call(lambda: None)
+
+
+class Nameless(power.Calls):
+    def settle(self, path):
+        if not os.path.isdir(path):
+            super().settle(path)
 
 
 @test("without {guard} a row is lost")
 def _(
-    guard=each("the rows of the write before", "the sync"),
-    disk=each(Alone, Disk),
-    calls=each(power.Calls, Unsynced),
+    guard=each(
+        "the rows of the write before",
+        "the sync",
+        "a number for each attempt",
+        "a sync of what was found",
+        "a sync of the folder",
+    ),
+    disk=each(Alone, Disk, Same, Unsettled, Disk),
+    calls=each(power.Calls, Unsynced, power.Calls, power.Calls, Nameless),
 ):
     # Mutations: histories that can't see them would prove nothing.
     lost, guarded = 0, power.Calls
     power.Calls = calls
     try:
-        for seed in range(300):
+        for seed in range(3000):
             try:
                 history(seed, disk=disk)
             except AssertionError:
@@ -51,3 +200,5 @@
     finally:
         power.Calls = guarded
     assert lost
+
+
