--- a/honeywood/lab/market/world.py
+++ b/honeywood/lab/market/world.py
@@ -82,6 +82,8 @@
 
     def put(self, rows):
         self.mine.update(json.loads(json.dumps(rows)))
+        for key in [key for key, row in rows.items() if row is None]:
+            del self.mine[key]
 
 
 class Wire:
--- a/honeywood/lab/prove/power.py
+++ b/honeywood/lab/prove/power.py
@@ -44,10 +44,9 @@
         for name in sorted({*now, *self.files}):
             path, synced = os.path.join(folder, name), self.files.get(name)
             left = survives(synced, now.get(name), draw, how)
-            if name in now and name not in self.names and (how == GONE or how == MIXED and draw.random() < 0.5):
-                left = None  # made, and its folder not synced
-            if name not in now and name not in self.names:
-                left = None  # made and removed
+            lost = how == GONE or how == MIXED and draw.random() < 0.5
+            if name not in self.names and (lost or name not in now):
+                left = None  # made, and its folder not synced; or made and removed so
             if left is not None:
                 with open(path, "wb") as file:
                     file.write(left)
--- a/honeywood/system/bourse/register.py
+++ b/honeywood/system/bourse/register.py
@@ -15,6 +15,7 @@
 BESIDE = (BORN, MEMBERS, LIVES, NOTES)
 WITHIN = 0.8  # seconds a peer has for one step
 PAUSE = 0.02  # seconds, by chance up to twice, after a ballot that lost
+REOPEN = 0.3  # seconds until a disk that couldn't be opened is tried again
 TURNS = 8  # ballots before a change gives up
 
 
@@ -62,9 +63,18 @@
         return {**self.rows.get(LIVES, {}), **({self.settings.ip: own} if own > FIRST else {})}
 
     # starting
+    async def _opened(self):
+        """The disk; one that can't be read or synced now is opened later, not taken for an empty one."""
+        while True:
+            try:
+                return await self._on_disk(self.make_disk, self.settings.datadir)
+            except OSError as wrong:
+                self.say("disk not opened", 5.0, why=str(wrong))
+                await asyncio.sleep(REOPEN)
+
     async def open(self):
         """Opens the disk: sound if it has taken part before or all begins anew; else it was lost."""
-        self.disk = await self._on_disk(self.make_disk, self.settings.datadir)
+        self.disk = await self._opened()
         self.rows = await self._on_disk(self.disk.rows)
         if BORN in self.rows:
             self.sound, self.members = True, self.rows.get(MEMBERS, [])
--- a/tests/system/test_disk.py
+++ b/tests/system/test_disk.py
@@ -4,6 +4,7 @@
 import random
 import tempfile
 
+from timeline import World
 from ward import each, test
 
 from honeywood.lab.prove import power
@@ -19,6 +20,7 @@
     every_call,
     history,
 )
+from honeywood.system.bourse.register import BORN
 from honeywood.system.ledger.disk import Disk
 from honeywood.system.ledger.files import Files
 
@@ -142,6 +144,27 @@
         assert len(Disk(folder).rows()) == 41
 
 
+@test("a bourse that starts while its disk refuses opens it later, and has lost nothing")
+def _():
+    world = World()
+    try:
+        world.play("""
+          at   | a     | b     | c
+          0    | start | start | start
+          1    | put 5 |       |
+          2    | refuse, kill |  |
+        """)
+        world.fresh = False
+        world.start("a")
+        world.run(3.0)
+        assert "a" not in world.nodes
+        world.disk("a", 1.0)
+        world.run(5.0)
+        assert world.version("a") == 5 and world.nodes["a"].register.rows[BORN] == 1
+    finally:
+        world.close()
+
+
 class Alone(Disk):
     """Writes to its two files in turn without the rows of the write before."""
 
