Rollouts: copies of orders are known, time is that of steady clocks; leases begin at the asking

Cause: rollouts.start knew the held record alone, so an order for a reverted version was acknowledged and nothing came of it, and a late copy of v2 led back to it after v3. Elapsed time was the time of day of whichever bourse looked, less that of whoever ordered: an hour ahead ended a trial at once. An answer read after a freeze made a lease of 1.6 s (bourse) or 3 s (front) of a contact twenty seconds old, and an order that had lain in a thawed bourse's socket began a rollout that nobody waited for. A front that started beside a cut-off bourse called itself ready by its configuration. Ruled out: telling a new order from a copy by its content (they are alike) or by a wall clock; a longer lease counted from the sending with asks held 1 s (2.2 + 3 s is above rollback_s). Change: the record carries 'lasted' and 'past' (16 orders within ack_s + 1 s); whoever decides adds for how long it, or a front that tells counts, has known 'n'. Leases count from the asking, asks between bourses are held 0.5 s. Orders older than 1 s, or read within 1 s of a gap of 0.5 s, get 503. A front is ready by what it heard from a bourse that hears a majority, or after contact_s, said in the log.

--- a/honeywood/system/bourse/app.py
+++ b/honeywood/system/bourse/app.py
@@ -73,14 +73,15 @@
     async def start(self, of, body, peer):
         order = read_json(body, "rollouts.start", peer)
         svc, to_ver = (need(order, key, str, "rollouts.start") for key in ("svc", "to_ver"))
-        await self.bourse.orders.order(
-            svc, to_ver, need(order, "over_s", float, "rollouts.start", least=0.001), peer
-        )
-        return {}
+        over_s = need(order, "over_s", float, "rollouts.start", least=0.001)
+        return self.told(await self.bourse.orders.order(svc, to_ver, over_s, peer))
 
     async def rollout(self, of, body, peer):
-        record = await self.bourse.orders.rollout(of, peer)
-        return {"state": record["state"], "to_ver": record["to_ver"]}
+        return self.told(await self.bourse.orders.rollout(of, peer))
+
+    @staticmethod
+    def told(record):
+        return {key: record[key] for key in ("state", "to_ver")}
 
     # our own
     async def news(self, of, body, peer):
--- a/honeywood/system/bourse/orders.py
+++ b/honeywood/system/bourse/orders.py
@@ -7,6 +7,9 @@
 from honeywood.system.terms.outcome import Wrong
 
 CONFIG, ROLLOUT = "config", "rollout/"  # keys of the register
+FRESH = 1.0  # seconds after which whoever sent an order has gone on; what is older begins nothing
+TICK, FROZEN = 0.1, 0.5  # seconds between looks at the clock; a gap that is taken for a freeze
+AGAIN = 1.0  # seconds besides `ack_s` in which an order may arrive once more: its last try may take so long
 READ, ROLLOUT_READ, REPLACE, START = "config.read", "rollouts.read", "config.replace", "rollouts.start"
 
 
@@ -15,7 +18,21 @@
 
     def __init__(self, bourse):
         self.register, self.publish, self.say = bourse.register, bourse.publish, bourse.say
-        self.bourse = bourse
+        self.bourse, self.clock = bourse, bourse.clock
+        self.ticked, self.thawed = self.clock(), self.clock() - FRESH
+
+    async def tick(self):
+        now = self.clock()
+        if now - self.ticked > FROZEN:
+            self.thawed = now
+            self.say("frozen", gap_s=round(now - self.ticked, 1))
+        self.ticked = now
+
+    @property
+    def late(self):
+        """Whether what comes now may have lain unread: this process stood still until just now."""
+        now = self.clock()
+        return now - self.ticked > FROZEN or now - self.thawed < FRESH
 
     async def _read(self, step, key, peer):
         found = await self.register.read(key)
@@ -57,17 +74,23 @@
         return found, value["ver"]
 
     async def order(self, svc, to_ver, over_s, peer):
-        """Begins a rollout, or finds that this order was taken before."""
+        """The record once a rollout has begun, or that in which this order was taken before."""
+        came, again_s = self.clock(), self.bourse.settings.bounds["ack_s"] + AGAIN
+        if self.late:
+            raise Wrong(START, "this bourse stood still; the order may be an old one", peer, 503)
         value = await self._read(START, CONFIG, peer)
         if value is not None and svc not in config.read(config.unpack(value["text"])).services:
             raise Wrong(START, f"svc {svc!r} is not known", peer)
-        await self._change(
-            START,
-            ROLLOUT + svc,
-            lambda value: rollouts.start(value, svc, to_ver, over_s, self.bourse.wall()),
-            peer,
-        )
-        self.say("rollout ordered", svc=svc, to_ver=to_ver, over_s=over_s)
+
+        def begun(value):
+            if self.clock() - came > FRESH:
+                raise Wrong(START, "too late; it is no longer waited for", peer, 503)
+            since = 0.0 if value is None else self.bourse.since(value)
+            return rollouts.start(value, svc, to_ver, over_s, since, again_s)
+
+        value = await self._change(START, ROLLOUT + svc, begun, peer)
+        self.say("rollout ordered", svc=svc, to_ver=to_ver, over_s=over_s, n=value["n"], state=value["state"])
+        return value
 
     async def rollout(self, svc, peer):
         """The record of the service's rollout; 404 where a majority holds none."""
--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -6,10 +6,10 @@
 
 from honeywood.system.bourse.app import App
 from honeywood.system.bourse.machines import Machines
-from honeywood.system.bourse.orders import CONFIG, ROLLOUT, Orders
+from honeywood.system.bourse.orders import CONFIG, ROLLOUT, TICK, Orders
 from honeywood.system.bourse.register import Register
 from honeywood.system.cart.door import Doors
-from honeywood.system.crier.mouth import HOLD, Ear, Mouth
+from honeywood.system.crier.mouth import Ear, Mouth
 from honeywood.system.crier.ring import order
 from honeywood.system.ledger.disk import Disk
 from honeywood.system.program import COUNTS, Program
@@ -19,7 +19,8 @@
 
 LOOK = 0.1  # seconds between looks at rollouts
 SURVEY = 1.0  # seconds between looks at the register
-HEARD = 1.6  # seconds for which an ask is a sign of life (asks are held 1 s)
+NEAR = 0.5  # seconds that another bourse holds an ask while there is nothing new
+HEARD = 1.6  # seconds from its sending for which an ask that was answered shows contact
 FRONT_LOST = 3.0  # seconds after which a front that asks no more shares nothing
 SPREAD = 0.15  # seconds by which bourses act after each other
 TELL = 0.8  # seconds in which enough others must know of a leaving before it is acknowledged
@@ -40,7 +41,7 @@
         self.ear = Ear(self.mouth, self.caller, self.who)
         self.fronts, self.others, self.reached, self.verdicts, self.told = {}, {}, {}, {}, 0
         self.bourses, self.waits = [ip for ip, _ in s.seeds], []
-        self.asking = set()
+        self.asking, self.known_at = set(), {}
 
     def config_held(self):
         held = self.board.notes.get(CONFIG)
@@ -69,6 +70,8 @@
             self.found([name])
         elif kind == "beat":
             self.machines.alive(self.clock(), name, None)
+        elif kind == "rollout":
+            self.known_at[name] = value["n"], self.clock()
 
     @property
     def joined(self):
@@ -125,8 +128,9 @@
 
     # loops
     async def listen(self, ip):
-        if (await self.ear.ask(ip, self.settings.bourse_port, HOLD)).ok:
-            self.reached[ip] = self.clock()
+        asked = self.clock()  # an answer may have lain here unread while this process was frozen
+        if (await self.ear.ask(ip, self.settings.bourse_port, NEAR)).ok:
+            self.reached[ip] = asked
 
     def meet(self):
         """A loop for each other bourse that is known."""
@@ -167,7 +171,8 @@
             if verdict is None or verdict.n != record["n"]:
                 verdict = self.verdicts[record["svc"]] = Verdict(record["n"])
             rows, votes, left = self.counted(record)
-            changes = verdict.look(self.clock(), self.wall() - record["began"], record, rows, votes, left)
+            lasted = record["lasted"] + self.since(record)
+            changes = verdict.look(self.clock(), lasted, record, rows, votes, left)
             if changes is None:
                 continue
             rank = order(self.register.members, record["svc"]).index(self.settings.ip)
@@ -177,13 +182,21 @@
             found = await self.register.change(
                 key,
                 lambda held, record=record, changes=changes: rollouts.advance(
-                    held, record["to_ver"], record["n"], **changes
+                    held, record["to_ver"], record["n"], self.since(record), **changes
                 ),
             )
             if found.ok:
                 self.publish(key, found.value)
                 self.say("rollout", svc=record["svc"], to_ver=record["to_ver"], why=verdict.why, **changes)
 
+    def since(self, record):
+        """For how many seconds the record's `n` has been known at least: here, or at a front, whose steady
+        clocks go on where all bourses begin anew."""
+        n, at = self.known_at.get(record["svc"], (0, 0.0))
+        known = [self.clock() - at] if n == record["n"] else []
+        told = [note["known"].get(record["svc"], (0, 0.0)) for _, note in self.board.under("count/")]
+        return max([*known, *(seconds for n, seconds in told if n == record["n"])], default=0.0)
+
     def counted(self, record):
         """All fronts' counts, those of fronts that have died too; of the fronts that share in the traffic
         their votes on this stage, and whether all follow it and have nothing out where it leaves."""
@@ -232,5 +245,6 @@
         self.loop(self.keep, SURVEY)
         self.loop(self.watch, 0.5)
         self.loop(self.steer, LOOK)
+        self.loop(self.orders.tick, TICK)
         self.loop(self.keep_notes, NOTING)
         self.loop(self.count, COUNTS)
--- a/honeywood/system/scales/record.py
+++ b/honeywood/system/scales/record.py
@@ -1,31 +1,42 @@
 """A rollout as the register keeps it: a plain object, changed only from active to done or to reverted.
 
-{"svc", "to_ver", "over_s", "began", "state", "stage", "n"}: `began` is the time of day (seconds) of
-the order, `n` rises with each change, so that news of it win by it.
+{"svc", "to_ver", "over_s", "state", "stage", "n", "lasted", "past"}: `n` rises with each change, so that news
+of it win by it. `lasted` is for how many seconds the order had been held at the last change; whoever looks
+adds for how long it has known that `n` (`since`, by a steady clock), so no clock's time of day is in it, and
+whoever came later sees less, never more. `past` lists [to_ver, over_s, seconds since its order, at the last
+change] of the orders before.
 """
 
 ACTIVE, DONE, REVERTED = "active", "done", "reverted"
 TRIAL, FULL = "trial", "full"
+MOST = 16  # orders remembered
 
 
-def start(held, svc, to_ver, over_s, now):
-    """The record after an order, given the one held or None: an order for what is held changes nothing."""
-    if held is not None and held["to_ver"] == to_ver:
+def start(held, svc, to_ver, over_s, since=0.0, again_s=6.0):
+    """The record after an order, given the one held or None. `again_s` is for how long (seconds) the same
+    order may arrive once more. Nothing changes by one for the version that is held, unless it was reverted
+    and the order is a new one, nor by the copy of one that another has followed."""
+    first = {"svc": svc, "to_ver": to_ver, "over_s": over_s, "state": ACTIVE, "stage": TRIAL, "lasted": 0.0}
+    if held is None:
+        return {**first, "n": 1, "past": ()}
+    past = tuple(order for order in _aged(held["past"], since) if order[2] <= again_s)
+    lasted, copy = held["lasted"] + since, over_s == held["over_s"]
+    if to_ver == held["to_ver"] and (held["state"] != REVERTED or copy and lasted <= again_s):
         return held
-    n = 1 if held is None else held["n"] + 1
-    return {
-        "svc": svc,
-        "to_ver": to_ver,
-        "over_s": over_s,
-        "began": now,
-        "state": ACTIVE,
-        "stage": TRIAL,
-        "n": n,
-    }
-
-
-def advance(held, to_ver, n, **changes):
-    """The record after a step taken from its `n`: whoever comes late, or after an end, changes nothing."""
+    if any((to_ver, over_s) == order[:2] for order in past):
+        return held
+    past += ((held["to_ver"], held["over_s"], lasted),)
+    return {**first, "n": held["n"] + 1, "past": past[-MOST:]}
+
+
+def advance(held, to_ver, n, since=0.0, **changes):
+    """The record after a step taken from its `n`, known for `since` seconds: whoever comes late, or after an
+    end, changes nothing."""
     if held is None or held["to_ver"] != to_ver or held["n"] != n or held["state"] != ACTIVE:
         return held
-    return {**held, **changes, "n": n + 1}
+    aged = {"lasted": held["lasted"] + since, "past": _aged(held["past"], since)}
+    return {**held, **changes, **aged, "n": n + 1}
+
+
+def _aged(past, since):
+    return tuple((to_ver, over_s, age + since) for to_ver, over_s, age in past)
--- a/honeywood/system/scales/stage.py
+++ b/honeywood/system/scales/stage.py
@@ -110,16 +110,18 @@
 
     def told(self, now):
         """What bourses are told: counts as rows [svc, class, version, failed, ended, bins], this front's
-        votes {svc: [n, vote]}, and {svc: [n, requests still out at machines that the stage leaves]}."""
+        votes {svc: [n, vote]}, {svc: [n, requests still out at machines that the stage leaves]}, and for how
+        many seconds each has been known."""
         rows = [[*place, c.failed, c.ended, c.bins] for place, c in self.counts.items()]
-        votes, left = {}, {}
+        votes, left, known = {}, {}, {}
         for svc, record in self.records.items():
             if record["state"] == ACTIVE:
                 if svc not in self.voters or self.voters[svc].n != record["n"]:
                     self.voters[svc] = Voter(record["n"], now, self.fronts())
+                known[svc] = [record["n"], round(now - self.voters[svc].began, 2)]
                 votes[svc] = [record["n"], self.voters[svc].vote(now, record, rows)]
             left[svc] = [record["n"], self.behind(svc) + self.doubted(record)]
-        return {"rows": rows, "votes": votes, "left": left}
+        return {"rows": rows, "votes": votes, "left": left, "known": known}
 
     @property
     def active(self):
--- a/honeywood/system/stall/program.py
+++ b/honeywood/system/stall/program.py
@@ -43,7 +43,7 @@
         self.mouth, self.tasks = Mouth(self.life, self.hear), set()
         self.ear = Ear(self.mouth, self.caller, self.who)
         self.sure = Ear(self.mouth, self.caller, self.who, self.own)
-        self.bourses, self.told, self.turn = [ip for ip, _ in s.seeds], 0, 0
+        self.bourses, self.told, self.turn, self.met_majority = [ip for ip, _ in s.seeds], 0, 0, False
 
     def config_held(self):
         return f"{self.table.version:08x}" if self.table else None
@@ -136,9 +136,10 @@
         self.turn += 1
         ring = order(self.bourses, self.settings.node)
         for ip in ring[self.turn % len(ring) :] + ring[: self.turn % len(ring)]:
+            asked = self.clock()  # an answer may have lain here unread while this process was frozen
             reply = await self.sure.ask(ip, self.settings.bourse_port, 0.0)
             if reply.ok and reply.value.get("joined"):
-                self.stage.heard_at = self.clock()
+                self.stage.heard_at, self.met_majority = asked, True
                 return await asyncio.sleep(SURE_ROLLOUT if self.stage.active else SURE)
         self.say("no bourse answers", 5.0)
 
@@ -146,6 +147,10 @@
     def ready(self):
         if self.stopping.is_set() or self.table is None:
             return False
+        if not self.met_majority:  # the configuration may be that of a bourse cut off from the others
+            if self.clock() - self.config_at < self.settings.bounds["contact_s"]:
+                return False
+            self.say("ready without a bourse that hears a majority", 5.0)
         served = {svc for routes in self.table.hosts.values() for r in routes.values() for svc, _ in r.split}
         return served <= set(self.roster.services) or self.clock() - self.config_at > SETTLE
 
--- a/tests/system/test_orders.py
+++ b/tests/system/test_orders.py
@@ -5,9 +5,11 @@
 from timeline import World, config
 from ward import each, test
 
+from honeywood.lab.market.boot import BOUNDS
 from honeywood.system.bourse.orders import Orders
 from honeywood.system.terms import held
 from honeywood.system.terms.config import unpack
+from honeywood.system.terms.outcome import Done
 
 CONTENTS = {"x": 1, "y": 2, "z": 3}  # contents under one number, by their routes
 
@@ -238,6 +240,105 @@
             world.close()
 
 
+@test("an order that lay unread while its bourse stood still begins nothing; the next one is taken")
+def _():
+    # Its operator had gone on: what a thawed bourse finds in its sockets may be twenty seconds old.
+    world = Desk()
+    try:
+        world.play("""
+          at  | a       | b     | c
+          0   | start   | start | start
+          1   | send 5x |       |
+        """)
+        world.run(2.0)
+        world.say("a", "order v2 14")
+        world.loop.now += 20.0  # all stand still, with the order in a's socket
+        world.run(22.5)
+        assert world.answers["a", "v2"][0] == 503 and not world.nodes["b"].board.get("rollout/s")
+        world.run(24.0)
+        world.say("a", "order v2 14")
+        world.run(25.0)
+        assert world.answers["a", "v2"][0] == 200
+    finally:
+        world.close()
+
+
+@test("an order whose rounds take longer than its operator waits begins nothing")
+def _():
+    for seed in range(4):
+        world = Desk(seed=seed)
+        try:
+            world.play("""
+              at  | a       | b     | c
+              0   | start   | start | start
+              1   | send 5x |       |
+            """)
+            world.run(2.0)
+            world.delay = 0.25  # 0.25 to 0.5 s a way: read and prepare take a second or more
+            world.loop.create_task(world.nodes["a"].orders.order("s", "v2", 14.0, "op"))
+            world.run(5.0)
+            world.delay = 0.001
+            world.run(8.0)
+            assert not world.nodes["b"].board.get("rollout/s")
+        finally:
+            world.close()
+
+
+@test("an answer that lay unread shows no contact: thawed, neither bourse nor front takes itself for joined")
+def _():
+    # What was asked before a freeze of twenty seconds was answered then; read now, it made a lease of 1.6 s.
+    world = Desk(fronts="f")
+    try:
+        for name in "abcf":
+            world.start(name)
+        world.run(2.0)
+        bourse, front = world.nodes["a"], world.nodes["f"]
+        for task in front.loops:
+            task.cancel()
+
+        async def old(ip, port, hold):
+            world.loop.now += 20.0  # all stand still while the answer lies there
+            return Done({"joined": True})
+
+        bourse.ear.ask = front.sure.ask = old
+        world.loop.run_until_complete(bourse.listen("b"))
+        assert not bourse.joined
+        now = world.loop.now
+        world.loop.run_until_complete(front.make_sure())
+        assert front.stage.heard_at == now
+    finally:
+        world.close()
+
+
+@test("a front that starts beside a cut-off bourse serves its configuration, and is ready after contact_s")
+def _():
+    # It took the old configuration of a bourse cut off from the others and called itself ready by it.
+    world = Desk(fronts="fg", bounds={**BOUNDS, "contact_s": 3.0})
+    try:
+        for name in "abcf":
+            world.start(name)
+        world.run(1.0)
+        world.say("a", "send 5x")
+        world.run(2.0)
+        world.say("a", "beat m ready")
+        world.run(3.0)
+        assert world.nodes["f"].ready  # with a majority: as soon as it has heard
+        world.cut("a", "bc")
+        world.cut("g", "bc")
+        world.say("b", "send 6x")
+        world.run(6.0)
+        world.start("g")
+        world.run(7.0)
+        assert world.version("g") == 5 and not world.nodes["g"].ready
+        world.run(10.0)
+        assert world.nodes["g"].ready
+        world.join()
+        world.run(12.0)
+        assert world.version("g") == 6 and world.nodes["g"].met_majority
+    finally:
+        world.close()
+
+
 async def by_board(self, step, key, peer):
     """The mutation: reads from this bourse's own board."""
     value = self.bourse.board.get(key)
--- a/tests/system/test_rollouts.py
+++ b/tests/system/test_rollouts.py
@@ -281,3 +281,110 @@
             assert len(told) == 1, f"seed {seed}: {told}"
         finally:
             world.close()
+
+
+def played(*steps, again_s=6.0):
+    """A record after [(seconds since the step before, order or state)]; an order is (version, over_s)."""
+    held = None
+    for since, step in steps:
+        if isinstance(step, tuple):
+            held = record.start(held, "s", *step, since, again_s)
+        else:
+            held = record.advance(held, held["to_ver"], held["n"], since, state=step)
+    return held
+
+
+V2, V3 = ("v2", 14.0), ("v3", 14.0)
+
+
+@test("{what}: {to_ver} {state} after {n} changes")
+def _(
+    what=each(
+        "the same order again, under way",
+        "again, done",
+        "a copy, reverted meanwhile",
+        "a new order for the version that was reverted",
+        "another order for it, soon after",
+        "a late copy of an order that another followed",
+        "a new order for an earlier version",
+        "a copy of the order before the last",
+        "an order that is new",
+    ),
+    steps=each(
+        ((0, V2), (3, V2)),
+        ((0, V2), (9, "done"), (20, V2)),
+        ((0, V2), (3, "reverted"), (2, V2)),
+        ((0, V2), (3, "reverted"), (20, V2)),
+        ((0, V2), (3, "reverted"), (1, ("v2", 20.0))),
+        ((0, V2), (2, V3), (3, V2)),
+        ((0, V2), (2, V3), (9, "done"), (1, V2)),
+        ((0, V2), (1, V3), (1, ("v4", 14.0)), (2, V2)),
+        ((0, V2), (9, "reverted"), (1, V3)),
+    ),
+    to_ver=each("v2", "v2", "v2", "v2", "v2", "v3", "v2", "v4", "v3"),
+    state=each("active", "done", "reverted", "active", "active", "active", "active", "active", "active"),
+    n=each(1, 2, 2, 3, 3, 2, 4, 3, 3),
+):
+    # Only the record held was known: an order for the version that was reverted was acknowledged and nothing
+    # came of it, and a late second copy of v2 led back to it after v3 was ordered.
+    held = played(*steps)
+    assert (held["to_ver"], held["state"], held["n"]) == (to_ver, state, n)
+
+
+@test("a hundred orders in a row leave a bounded record, and each copy within the time is known")
+def _():
+    held = None
+    for n in range(100):
+        held = record.start(held, "s", f"v{n}", 14.0, 0.1)
+        assert len(held["past"]) <= record.MOST
+        if n:
+            assert record.start(held, "s", f"v{n - 1}", 14.0, 0.1) is held
+
+
+@test("a bourse whose time of day is {skew} s off neither ends a rollout nor delays it")
+def _(skew=each(3600.0, -3600.0)):
+    # Time was told by `wall() - began`: an hour ahead, a trial was over at once; an hour behind, never.
+    world = World(fronts="fg")
+    try:
+        for name in "abc":
+            world.skew[name] = 0.0 if name == "a" else skew
+        for name in "abcfg":
+            world.start(name)
+        world.play("""
+          at  | a              | b
+          2   | put 5          |
+          2.5 | beat m ready   |
+          3   | order v2 6     |
+        """)
+        world.run(6.0)
+        held = world.nodes["a"].board.get("rollout/s")
+        assert (held["state"], held["stage"]) == (record.ACTIVE, record.TRIAL), held
+        world.run(10.0)
+        assert world.nodes["a"].board.get("rollout/s")["state"] == record.DONE
+    finally:
+        world.close()
+
+
+@test("all bourses begin anew during a trial: fronts' steady clocks tell for how long it has lasted")
+def _():
+    world = World(fronts="fg")
+    try:
+        for name in "abcfg":
+            world.start(name)
+        world.play("""
+          at  | a              | b
+          2   | put 5          |
+          2.5 | beat m ready   |
+          3   | order v2 10    |
+        """)
+        world.run(8.0)
+        world.fresh = False
+        for name in "abc":
+            world.kill(name)
+        world.run(8.5)
+        for name in "abc":
+            world.start(name)
+        world.run(13.6)
+        assert world.nodes["a"].board.get("rollout/s")["state"] == record.DONE
+    finally:
+        world.close()
