--- a/honeywood/system/bourse/register.py
+++ b/honeywood/system/bourse/register.py
@@ -15,6 +15,7 @@
 BESIDE = (BORN, MEMBERS, LIVES, NOTES)
 WITHIN = 0.8  # seconds a peer has for one step
 PAUSE = 0.02  # seconds, by chance up to twice, after a ballot that lost
+REOPEN = 0.3  # seconds until a disk that couldn't be opened is tried again
 TURNS = 8  # ballots before a change gives up
 
 
@@ -62,9 +63,18 @@
         return {**self.rows.get(LIVES, {}), **({self.settings.ip: own} if own > FIRST else {})}
 
     # starting
+    async def _opened(self):
+        """The disk; one that can't be read or synced now is opened later, not taken for an empty one."""
+        while True:
+            try:
+                return await self._on_disk(self.make_disk, self.settings.datadir)
+            except OSError as wrong:
+                self.say("disk not opened", 5.0, why=str(wrong))
+                await asyncio.sleep(REOPEN)
+
     async def open(self):
         """Opens the disk: sound if it has taken part before or all begins anew; else it was lost."""
-        self.disk = await self._on_disk(self.make_disk, self.settings.datadir)
+        self.disk = await self._opened()
         self.rows = await self._on_disk(self.disk.rows)
         if BORN in self.rows:
             self.sound, self.members = True, self.rows.get(MEMBERS, [])
@@ -124,7 +134,12 @@
                 },
                 "lives": self._lives(),
             }
-        key, ballot = need(ask, "key", str, PATH), need(ask, "ballot", list, PATH)
+        key = need(ask, "key", str, PATH)
+        if op == "read":
+            _, accepted, value = self.rows.get(key) or (None, acceptor.NEVER, None)
+            known = accepted == ask.get("known")  # the asker has this value, and it may be large
+            return {"accepted": accepted, "value": None if known else value, "lives": self._lives()}
+        ballot = need(ask, "ballot", list, PATH)
         async with self.lock:
             row = self.rows.get(key)
             if op == "prepare":
@@ -175,6 +190,25 @@
             await asyncio.sleep(PAUSE * (1 + self.random.random()))
         return Failed("register", "other changes came first", "", 503)
 
+    async def read(self, key):
+        """Done with the value of one key that a majority agreed on at some moment since the call (or None);
+        one in doubt is settled by a round."""
+        if not (self.sound and self.members):
+            return Failed("register", "this disk takes no part yet", "", 503)
+        mine, replies = self.rows.get(key) or [acceptor.NEVER, acceptor.NEVER, None], {}
+
+        def take(ip, reply):
+            replies[ip] = reply
+            return len(current(replies)) >= self.majority
+
+        if not await self._ask_all({"op": "read", "key": key, "known": mine[1]}, take):
+            return Failed("register", "no majority answers", "", 503)
+        told = [
+            {**row, "value": mine[2]} if row["accepted"] == mine[1] else row for row in current(replies)
+        ]
+        sure, value = agreed(told, self.majority)
+        return Done(value) if sure else await self.change(key, lambda held: held)
+
     async def survey(self):
         """Done with all values that a majority agrees on, by key; those in doubt are settled by a round."""
         if not (self.sound and self.members):
--- a/tests/system/test_rollouts.py
+++ b/tests/system/test_rollouts.py
@@ -15,9 +15,10 @@
 class Fleet:
     """Fronts that share a service's requests, with the real rules; news take `lag` seconds."""
 
-    def __init__(self, bad, seed, fronts=12, per_s=400.0, classes=1, lag=0.4):
+    def __init__(self, bad, seed, fronts=12, per_s=400.0, classes=1, lag=0.4, paces=(1.0,)):
         from honeywood.system.porter.roster import Roster
 
+        self.paces = paces  # times of machines beside each other, in turn
         self.draw, self.bad, self.rate, self.lag = random.Random(seed), bad, per_s, lag
         self.routes = [
             Route(f"r{n}", "h", f"/{n}/", "safe", 0.6, 0.25, 0, 2, (("s", 1.0),)) for n in range(classes)
@@ -51,6 +52,7 @@
         stage.sent(now, ask, machine)
         failed, took = self.draw.random() < 0.003, 0.06 * self.draw.lognormvariate(0, 0.5)
         if machine.ver == "v2":
+            took *= self.paces[int(machine.id[1:]) % len(self.paces)]
             load = self.loads.setdefault(machine.id, [])
             load[:] = [end for end in load if end > now]
             failed, took = self.bad(self.draw, now, route, failed, took, len(load))
@@ -59,6 +61,8 @@
             self.bads += failed or took > 0.25
             if self.bads >= 50 and self.fiftieth is None:
                 self.fiftieth = now
+        elif len(self.paces) > 1:
+            took *= self.draw.choice(self.paces)
         if took > 0.6:
             failed, took = True, 0.6
         stage.ended(now, ask, machine, "failed" if failed else "good", took)
@@ -145,6 +149,27 @@
         assert fleet.end < 13.0
 
 
+PACES = (1 / 0.7, 1.0, 1.0, 1 / 1.5)  # the users' machines of one service, as they differ
+
+
+@test("a good version on trial at the slow machines of its service, shifted by {shift}, is done")
+def _(shift=each(0, 1, 2, 3)):
+    # Found by own days: few machines are on trial, and where these were the slow ones of a service whose
+    # machines differ in speed, a good version went back for its slow answers.
+    for seed in range(6):
+        fleet = Fleet(good, seed, classes=2, paces=PACES[shift:] + PACES[:shift]).run()
+        assert fleet.record["state"] == record.DONE, f"seed {seed}: {fleet.record}"
+
+
+@test("a version with {bad.__name__} on machines of differing speed is reverted, whichever are tried")
+def _(bad=each(errors, slow, under_load)):
+    for seed in range(12):
+        shift = seed % 4
+        fleet = Fleet(bad, seed, classes=3, paces=PACES[shift:] + PACES[:shift]).run()
+        assert fleet.record["state"] == record.REVERTED, f"seed {seed}: {fleet.record}"
+        assert fleet.trial <= 0.1 * fleet.total + 50, f"seed {seed}: {fleet.trial} of {fleet.total}"
+
+
 @test("old machines are kept until enough requests have met the new version, or time is nearly over")
 def _():
     # Found by the emulator (day 83): a version was done with eight answers, the slow ones still out.
@@ -281,3 +306,110 @@
             assert len(told) == 1, f"seed {seed}: {told}"
         finally:
             world.close()
+
+
+def played(*steps, again_s=6.0):
+    """A record after [(seconds since the step before, order or state)]; an order is (version, over_s)."""
+    held = None
+    for since, step in steps:
+        if isinstance(step, tuple):
+            held = record.start(held, "s", *step, since, again_s)
+        else:
+            held = record.advance(held, held["to_ver"], held["n"], since, state=step)
+    return held
+
+
+V2, V3 = ("v2", 14.0), ("v3", 14.0)
+
+
+@test("{what}: {to_ver} {state} after {n} changes")
+def _(
+    what=each(
+        "the same order again, under way",
+        "again, done",
+        "a copy, reverted meanwhile",
+        "a new order for the version that was reverted",
+        "another order for it, soon after",
+        "a late copy of an order that another followed",
+        "a new order for an earlier version",
+        "a copy of the order before the last",
+        "an order that is new",
+    ),
+    steps=each(
+        ((0, V2), (3, V2)),
+        ((0, V2), (9, "done"), (20, V2)),
+        ((0, V2), (3, "reverted"), (2, V2)),
+        ((0, V2), (3, "reverted"), (20, V2)),
+        ((0, V2), (3, "reverted"), (1, ("v2", 20.0))),
+        ((0, V2), (2, V3), (3, V2)),
+        ((0, V2), (2, V3), (9, "done"), (1, V2)),
+        ((0, V2), (1, V3), (1, ("v4", 14.0)), (2, V2)),
+        ((0, V2), (9, "reverted"), (1, V3)),
+    ),
+    to_ver=each("v2", "v2", "v2", "v2", "v2", "v3", "v2", "v4", "v3"),
+    state=each("active", "done", "reverted", "active", "active", "active", "active", "active", "active"),
+    n=each(1, 2, 2, 3, 3, 2, 4, 3, 3),
+):
+    # Only the record held was known: an order for the version that was reverted was acknowledged and nothing
+    # came of it, and a late second copy of v2 led back to it after v3 was ordered.
+    held = played(*steps)
+    assert (held["to_ver"], held["state"], held["n"]) == (to_ver, state, n)
+
+
+@test("a hundred orders in a row leave a bounded record, and each copy within the time is known")
+def _():
+    held = None
+    for n in range(100):
+        held = record.start(held, "s", f"v{n}", 14.0, 0.1)
+        assert len(held["past"]) <= record.MOST
+        if n:
+            assert record.start(held, "s", f"v{n - 1}", 14.0, 0.1) is held
+
+
+@test("a bourse whose time of day is {skew} s off neither ends a rollout nor delays it")
+def _(skew=each(3600.0, -3600.0)):
+    # Time was told by `wall() - began`: an hour ahead, a trial was over at once; an hour behind, never.
+    world = World(fronts="fg")
+    try:
+        for name in "abc":
+            world.skew[name] = 0.0 if name == "a" else skew
+        for name in "abcfg":
+            world.start(name)
+        world.play("""
+          at  | a              | b
+          2   | put 5          |
+          2.5 | beat m ready   |
+          3   | order v2 6     |
+        """)
+        world.run(6.0)
+        held = world.nodes["a"].board.get("rollout/s")
+        assert (held["state"], held["stage"]) == (record.ACTIVE, record.TRIAL), held
+        world.run(10.0)
+        assert world.nodes["a"].board.get("rollout/s")["state"] == record.DONE
+    finally:
+        world.close()
+
+
+@test("all bourses begin anew during a trial: fronts' steady clocks tell for how long it has lasted")
+def _():
+    world = World(fronts="fg")
+    try:
+        for name in "abcfg":
+            world.start(name)
+        world.play("""
+          at  | a              | b
+          2   | put 5          |
+          2.5 | beat m ready   |
+          3   | order v2 10    |
+        """)
+        world.run(8.0)
+        world.fresh = False
+        for name in "abc":
+            world.kill(name)
+        world.run(8.5)
+        for name in "abc":
+            world.start(name)
+        world.run(13.6)
+        assert world.nodes["a"].board.get("rollout/s")["state"] == record.DONE
+    finally:
+        world.close()
