What must stand for a while begins anew after a gap; halves of code units are refused

And JSON with half of a surrogate pair was read, agreed on and acknowledged as a configuration whose table no front could build; a beat with 10**400 slots ended each choice. Ruled out: a shorter lease instead; counts would still be as old as the standstill. Change: scales/verdict.Standing begins anew after 1.5 s without a look; a bourse that isn't joined steers nothing, and one that is late for its turn looks again; read_json takes whole text only; slots have a bound. A bourse that is no member ranks itself in a rollout's turns instead of raising.

--- a/honeywood/system/bourse/machines.py
+++ b/honeywood/system/bourse/machines.py
@@ -6,6 +6,7 @@
 
 STEP = "instances.heartbeat"
 LAST = 1 << 53  # a stamp above all beats': a life that has left doesn't come back
+MANY = 1 << 20  # slots that a machine may have at the most
 MISSED = 3.4  # beats' times after which a silent machine is taken for lost
 
 
@@ -23,7 +24,7 @@
         "port": port,
         "zone": need(body, "zone", str, STEP, ""),
         "ver": need(body, "ver", str, STEP, ""),
-        "slots": need(body, "slots", int, STEP, 1, least=1),
+        "slots": need(body, "slots", int, STEP, 1, least=1, most=MANY),
         "state": state,
         "cold": max(0.0, need(body, "cold_left_s", float, STEP, 0.0)),
     }
--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -22,6 +22,7 @@
 NEAR = 0.5  # seconds that another bourse holds an ask while there is nothing new
 HEARD = 1.6  # seconds from its sending for which an ask that was answered shows contact
 FRONT_LOST = 3.0  # seconds after which a front that asks no more shares nothing
+LATE = 0.5  # seconds beyond a bourse's turn after which what it decided before is looked at again
 SPREAD = 0.15  # seconds by which bourses act after each other
 TELL = 0.8  # seconds in which enough others must know of a leaving before it is acknowledged
 KEPT = 0.2  # seconds that an acknowledgement waits for this disk besides
@@ -161,7 +162,10 @@
             self.board.put(key, [int(self.life, 16), self.told], alive)
 
     async def steer(self):
-        """Brings rollouts on or back."""
+        """Brings rollouts on or back. Whoever has not heard enough others lately decides nothing: what it
+        knows of fronts' counts may be as old as its cut or its standstill."""
+        if not self.joined:
+            return
         for key, record in self.board.under(ROLLOUT):
             if record["state"] != rollouts.ACTIVE:
                 self.verdicts.pop(record["svc"], None)
@@ -174,9 +178,12 @@
             changes = verdict.look(self.clock(), lasted, record, rows, votes, left)
             if changes is None:
                 continue
-            rank = order(self.register.members, record["svc"]).index(self.settings.ip)
-            await asyncio.sleep(rank * SPREAD)
-            if self.board.get(key) != record:
+            ring = order({*self.register.members, self.settings.ip}, record["svc"])
+            wait = ring.index(self.settings.ip) * SPREAD
+            decided = self.clock()
+            await asyncio.sleep(wait)
+            late = self.clock() - decided - wait > LATE or not self.joined
+            if late or self.board.get(key) != record:
                 continue
             found = await self.register.change(
                 key,
--- a/honeywood/system/scales/verdict.py
+++ b/honeywood/system/scales/verdict.py
@@ -13,6 +13,7 @@
 LATEST = 0.7  # part of it after which votes and outcomes that are still missing are waited for no more
 LAST = 0.9  # part of it after which a version that few have met is done all the same
 LEFT = 0.4  # seconds that all fronts must have left the earlier machines before they are stopped
+GAP = 1.5  # seconds between two looks above which nothing is known of the time between them
 ON, BACK = "on", "back"
 
 
@@ -60,22 +61,40 @@
     return found
 
 
+class Standing:
+    """For how long something has been so at every look. A process that stood still or was cut off saw nothing
+    of the time between: after a gap it begins anew."""
+
+    def __init__(self):
+        self.since = self.looked = None
+
+    def look(self, now, so):
+        """The seconds that it has been so, or -1 where it isn't."""
+        if not so:
+            self.since = None
+        elif self.since is None or now - self.looked > GAP:
+            self.since = now
+        self.looked = now
+        return -1.0 if self.since is None else now - self.since
+
+
 class Suspicion:
     """A rejection by the sorted cut that must stand for CONFIRM seconds. `level` is that of the cut."""
 
     def __init__(self, level=Q):
-        self.level, self.since, self.why = level, None, ""
+        self.level, self.standing, self.why = level, Standing(), ""
+
+    @property
+    def stands(self):
+        """Whether the last look rejected."""
+        return self.standing.since is not None
 
     def confirmed(self, now, rows, svc, to_ver):
         found = tests(*pooled(rows, svc, to_ver))
-        if not sorted_cut([p for p, *_ in found], self.level):
-            self.since = None
-            return False
-        self.since, self.why = (
-            now if self.since is None else self.since,
-            "{1} of {2}, p {0:.2g}".format(*min(found)),
-        )
-        return now - self.since >= CONFIRM
+        rejected = sorted_cut([p for p, *_ in found], self.level)
+        if rejected:
+            self.why = "{1} of {2}, p {0:.2g}".format(*min(found))
+        return self.standing.look(now, bool(rejected)) >= CONFIRM
 
 
 class Voter:
@@ -88,36 +107,33 @@
     @property
     def doubts(self):
         """Whether a rejection stands or has stood for long enough."""
-        return self.back or self.suspicion.since is not None
+        return self.back or self.suspicion.stands
 
     def vote(self, now, record, rows):
         self.back = self.back or self.suspicion.confirmed(now, rows, record["svc"], record["to_ver"])
         if self.back:
             return BACK
         tried = ended(rows, record["svc"], record["to_ver"])
-        return ON if self.suspicion.since is None and (tried >= LEAST or now - self.began >= SHORT) else None
+        return ON if not self.suspicion.stands and (tried >= LEAST or now - self.began >= SHORT) else None
 
 
 class Verdict:
     """One bourse's look at one stage of a rollout."""
 
     def __init__(self, n):
-        self.n, self.suspicion, self.all_left_at, self.why = n, Suspicion(), None, ""
+        self.n, self.suspicion, self.all_left, self.why = n, Suspicion(), Standing(), ""
 
     def look(self, now, elapsed, record, rows, votes, left):
         """The changes to make to an active record, or None. `elapsed` seconds since the order, `votes` of the
         fronts that share in the traffic, `left` whether all have left the earlier machines at this stage."""
         if self.suspicion.confirmed(now, rows, record["svc"], record["to_ver"]) or BACK in votes:
-            self.why = self.suspicion.why if self.suspicion.since is not None else "a front's vote"
+            self.why = self.suspicion.why if self.suspicion.stands else "a front's vote"
             return {"state": REVERTED}
-        if self.suspicion.since is not None:  # until it is confirmed or gone, no more than the trial's part
+        if self.suspicion.stands:  # until it is confirmed or gone, no more than the trial's part
             return {"stage": TRIAL} if record["stage"] == FULL else None
         part, met = elapsed / record["over_s"], ended(rows, record["svc"], record["to_ver"])
         if record["stage"] == TRIAL:
             on = part >= WATCHED and votes and all(vote == ON for vote in votes) and met >= LEAST_TRIAL
             return {"stage": FULL} if on or part >= LATEST else None
         left = left and (part >= LAST or met >= LEAST)
-        self.all_left_at = (now if self.all_left_at is None else self.all_left_at) if left else None
-        if self.all_left_at is not None and now - self.all_left_at >= LEFT:
-            return {"state": DONE}
-        return None
+        return {"state": DONE} if self.all_left.look(now, left) >= LEFT else None
--- a/honeywood/system/terms/check.py
+++ b/honeywood/system/terms/check.py
@@ -51,7 +51,10 @@
 def read_json(raw, where, peer=""):
     """A JSON object out of bytes: whole, no key twice, no NaN, no bottomless nesting."""
     try:
-        value = json.loads(raw, object_pairs_hook=_pairs, parse_constant=_number)
+        text = raw.decode()
+        value = json.loads(text, object_pairs_hook=_pairs, parse_constant=_number)
+        if "\\ud" in text or "\\uD" in text:  # half a pair is no text: whoever writes it down later would fail
+            json.dumps(value, ensure_ascii=False).encode()
     except (ValueError, RecursionError) as wrong:
         raise Wrong(where, f"no JSON: {wrong}", peer) from None
     if not isinstance(value, dict):
--- a/tests/system/test_rollouts.py
+++ b/tests/system/test_rollouts.py
@@ -8,7 +8,7 @@
 from honeywood.system.porter.gate import Ask
 from honeywood.system.scales import record
 from honeywood.system.scales.stage import Stage
-from honeywood.system.scales.verdict import Verdict
+from honeywood.system.scales.verdict import Verdict, Voter
 from honeywood.system.terms.config import Route
 
 
@@ -185,6 +185,30 @@
         assert [step["state"] for step in told if step][:1] == ([state] if state else []), (count, told)
 
 
+@test("what must stand for a while begins anew after a gap: {what}")
+def _(
+    what=each("all have left", "the pool rejects", "a front rejects", "looked at all the while"),
+    failed=each(0, 12, 12, 0),
+    times=each((10.0, 30.0), (10.0, 30.0), (10.0, 30.0), (10.0, 10.3, 10.6)),
+    wanted=each(None, None, None, {"state": record.DONE}),
+):
+    # Found by review: a bourse frozen for 20 s took its look before and its look after for one long look, and
+    # told a version done, or sent one back, on counts as old as its standstill.
+    held = {**record.start(None, "s", "v2", 14.0), "stage": record.FULL if not failed else record.TRIAL}
+    rows = [["s", "r", "v2", failed, 60, [60.0, *[0.0] * 8]], ["s", "r", "v1", 0, 4000, [4000.0, *[0.0] * 8]]]
+    verdict, voter = Verdict(1), Voter(1, 0.0, 1)
+    for now in times:
+        if what == "a front rejects":
+            found = voter.vote(now, held, rows)
+        else:
+            found = verdict.look(now, 5.0 if failed else now, held, rows, [], not failed)
+    assert found == wanted
+    if failed:  # and it does stand when it is looked at again
+        assert voter.vote(now, held, rows) is None and verdict.look(now, 5.0, held, rows, [], False) is None
+        assert voter.vote(now + 1.1, held, rows) == "back"
+        assert verdict.look(now + 1.1, 5.0, held, rows, [], False) == {"state": record.REVERTED}
+
+
 @test("a front that doubts a version in full stage says that it has not left the earlier machines")
 def _():
     # Otherwise these would be stopped with its requests on them.
--- a/tests/system/test_terms.py
+++ b/tests/system/test_terms.py
@@ -9,6 +9,7 @@
 from ward import each, test
 
 from honeywood.lab.market.boot import boot
+from honeywood.system.bourse import machines
 from honeywood.system.terms import config as configs
 from honeywood.system.terms import settings as files
 from honeywood.system.terms.outcome import Wrong
@@ -120,6 +121,32 @@
     assert refused(raw)
 
 
+@test("half of a pair of code units is no text, however it is written: {how}")
+def _(how=each("escaped", "escaped in capitals", "raw")):
+    # Found by review: such a host was read, agreed on and acknowledged, and no front could build its table: each
+    # went by the older version for good. A whole pair, and an escaped backslash, are text.
+    def hosted(text):
+        return json.dumps(config(7, routes=1)).encode().replace(b'"vhost": "', b'"vhost": "' + text)
+
+    halves = {"escaped": rb"\ud800", "escaped in capitals": rb"\uD800", "raw": b"\xed\xa0\x80"}
+    assert refused(hosted(halves[how]))
+    assert refused(hosted(rb"\ud83d\ude00")) is None and refused(hosted(rb"\\ud800")) is None
+
+
+@test("a beat with more slots than any machine has is refused")
+def _():
+    # Found by review: a whole number too large for a fraction ended each request's choice of a machine.
+    sent = {"svc": "s", "addr": "10.0.0.1:80", "seq": 1, "state": "ready"}
+    assert machines.beat("i-1", {**sent, "slots": 6}, "")[1]["slots"] == 6
+    for slots in (10**400, 0, 1 << 21):
+        try:
+            machines.beat("i-1", {**sent, "slots": slots}, "")
+        except Wrong as wrong:
+            assert "slots" in wrong.failed.why
+        else:
+            raise AssertionError(f"{slots} slots were taken")
+
+
 @test("a hundred thousand routes are read whole or refused, never half")
 def _():
     sent = config(7, routes=100000)
