A version that is ordered anew is counted anew; versions that were sent back stay closed

Cause: fronts dropped their counts only with another version, so a version ordered again after its return was sent back by the counts of the trial before; bourses pooled what fronts had told before the order, dead fronts too. A version that was sent back became an earlier version again with the next order, and got all its traffic share while its machines still stood. Change: the record carries the n of its order and the versions that were sent back.

--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -198,8 +198,9 @@
         return max([*known, *(seconds for n, seconds in told if n == record["n"])], default=0.0)
 
     def counted(self, record):
-        """All fronts' counts, those of fronts that have died too; of the fronts that share in the traffic
-        their votes on this stage, and whether all follow it and have nothing out where it leaves."""
+        """All fronts' counts since the order, those of fronts that have died too; of the fronts that share
+        in the traffic their votes on this stage, and whether all follow it and have nothing out where it
+        leaves."""
         told = sorted(self.board.heard("count/"), key=lambda one: one[2])
         notes, last = [note for _, note, _ in told], {}
         for key, note, _ in told:  # the life last heard of is the one that lives, whatever its clock said
@@ -208,7 +209,12 @@
         votes = [last[node]["votes"].get(record["svc"]) if node in last else None for node in alive]
         left = [last[node]["left"].get(record["svc"]) if node in last else None for node in alive]
         return (
-            [row for note in notes for row in note["rows"]],
+            [
+                row
+                for note in notes
+                if note["known"].get(record["svc"], (0, 0.0))[0] >= record["order"]
+                for row in note["rows"]
+            ],
             [vote[1] if vote and vote[0] == record["n"] else None for vote in votes],
             bool(left) and all(one == [record["n"], 0] for one in left),
         )
--- a/honeywood/system/scales/record.py
+++ b/honeywood/system/scales/record.py
@@ -1,10 +1,11 @@
 """A rollout as the register keeps it: a plain object, changed only from active to done or to reverted.
 
-{"svc", "to_ver", "over_s", "state", "stage", "n", "lasted", "past"}: `n` rises with each change, so that news
-of it win by it. `lasted` is for how many seconds the order had been held at the last change; whoever looks
-adds for how long it has known that `n` (`since`, by a steady clock), so no clock's time of day is in it, and
-whoever came later sees less, never more. `past` lists [to_ver, over_s, seconds since its order, at the last
-change] of the orders before.
+{"svc", "to_ver", "over_s", "state", "stage", "n", "order", "lasted", "past", "back"}: `n` rises with each
+change, so that news of it win by it; `order` is the `n` of its order, counts from before it say nothing.
+`lasted` is for how many seconds the order had been held at the last change; whoever looks adds for how long
+it has known that `n` (`since`, by a steady clock), so no clock's time of day is in it, and whoever came later
+sees less, never more. `past` lists [to_ver, over_s, seconds since its order, at the last change] of the orders
+before, `back` the versions that were sent back and not ordered since.
 """
 
 ACTIVE, DONE, REVERTED = "active", "done", "reverted"
@@ -18,7 +19,7 @@
     and the order is a new one, nor by the copy of one that another has followed."""
     first = {"svc": svc, "to_ver": to_ver, "over_s": over_s, "state": ACTIVE, "stage": TRIAL, "lasted": 0.0}
     if held is None:
-        return {**first, "n": 1, "past": ()}
+        return {**first, "n": 1, "order": 1, "past": (), "back": ()}
     past = tuple(order for order in _aged(held["past"], since) if order[2] <= again_s)
     lasted, copy = held["lasted"] + since, over_s == held["over_s"]
     if to_ver == held["to_ver"] and (held["state"] != REVERTED or copy and lasted <= again_s):
@@ -26,7 +27,9 @@
     if any((to_ver, over_s) == order[:2] for order in past):
         return held
     past += ((held["to_ver"], held["over_s"], lasted),)
-    return {**first, "n": held["n"] + 1, "past": past[-MOST:]}
+    back = (*held["back"], *([held["to_ver"]] if held["state"] == REVERTED else []))
+    back = tuple(ver for ver in back if ver != to_ver)[-MOST:]
+    return {**first, "n": held["n"] + 1, "order": held["n"] + 1, "past": past[-MOST:], "back": back}
 
 
 def advance(held, to_ver, n, since=0.0, **changes):
--- a/honeywood/system/scales/stage.py
+++ b/honeywood/system/scales/stage.py
@@ -31,7 +31,7 @@
     def hear(self, record):
         if record["svc"] not in self.records or record["n"] > self.records[record["svc"]]["n"]:
             held = self.records.get(record["svc"])
-            if held is None or held["to_ver"] != record["to_ver"]:  # a version's trial begins with its order
+            if held is None or held["order"] != record["order"]:  # a version's trial begins with its order
                 self.counts = {key: count for key, count in self.counts.items() if key[0] != record["svc"]}
             self.records[record["svc"]] = record
 
@@ -44,6 +44,10 @@
             first = min((v for v, n in vers.items() if n == most), default=ver)
             return ESTABLISHED if ver == first else ON_TRIAL
         named = ver == record["to_ver"]
+        if ver in record["back"]:  # sent back before this order; better than nothing where no other is there
+            vers = {m.ver for m in self.roster.services.get(svc, ())}
+            if vers - {record["to_ver"], *record["back"]}:
+                return CLOSED
         if record["state"] == REVERTED:
             return CLOSED if named else ESTABLISHED
         if record["state"] == DONE or record["stage"] == FULL and not self.doubted(record):
--- a/tests/system/test_rollouts.py
+++ b/tests/system/test_rollouts.py
@@ -413,3 +413,52 @@
         assert world.nodes["a"].board.get("rollout/s")["state"] == record.DONE
     finally:
         world.close()
+
+
+@test("a version that is ordered anew is counted anew: what was counted before its order says nothing of it")
+def _():
+    # Counts were dropped with another version only: those of the trial before sent it back at once.
+    fleet = Fleet(good, 0)
+    _, stage = fleet.fronts[0]
+    for n in range(60):
+        ask, id = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0), "m" if n < 30 else "n1"
+        stage.ended(1.0, ask, stage.roster.machines[id], "good" if n < 30 else "failed", 0.05)
+    assert stage.told(2.0)["rows"]
+    sent_back = record.advance(fleet.record, "v2", 1, 3.0, state=record.REVERTED)
+    again = record.start(sent_back, "s", "v2", 14.0, 20.0)
+    stage.hear(again)  # of the return it may never have heard
+    told = stage.told(30.0)
+    assert told["rows"] == [] and told["votes"]["s"] == [3, None] and told["known"]["s"][0] == 3
+
+
+@test("a bourse counts no rows that a front told before it had heard of the order")
+def _():
+    # A front that died, or has not heard yet, told counts of the trial before.
+    world = World()
+    try:
+        world.start("a")
+        world.run(0.5)
+        bourse = world.nodes["a"]
+        held = record.start(played((0, V2), (3, "reverted")), "s", "v2", 14.0, 20.0)
+        row = ["s", "r", "v2", 9, 9, []]
+        for front, n in (("before", 1), ("after", 3)):
+            told = {"rows": [[*row, front]], "votes": {}, "left": {}, "known": {"s": [n, 1.0]}}
+            bourse.board.put(f"count/{front}/1", [1], told)
+        assert bourse.counted(held)[0] == [[*row, "after"]]
+    finally:
+        world.close()
+
+
+@test("machines of a version that was sent back get nothing in a later rollout, unless there are no others")
+def _():
+    # On `reverted` they are drained some seconds afterwards: v3, ordered meanwhile, made v2 an earlier
+    # version again, and all its failures were served.
+    fleet = Fleet(good, 0)
+    roster, stage = fleet.fronts[0]
+    stage.hear(played((0, V2), (3, "reverted"), (1, V3)))
+    roster.hear(0.0, "o", machine("o", "v3"))
+    assert [stage.standing("s", ver) for ver in ("v1", "v2", "v3")] == ["established", "closed", "trial"]
+    roster.hear(0.0, "m", {**machine("m", "v1"), "state": "gone"})
+    assert stage.standing("s", "v2") == "established"
+    stage.hear(played((0, V2), (3, "reverted"), (1, V3), (9, "done"), (1, V2)))
+    assert stage.standing("s", "v2") == "trial"
