--- a/honeywood/lab/market/world.py
+++ b/honeywood/lab/market/world.py
@@ -40,7 +40,7 @@
     def __init__(self, world, node):
         self.world, self.node, self.links = world, node, {}
 
-    async def call(self, ip, port, path, body, within):
+    async def call(self, ip, port, path, body, within, again=False):
         answer = self.world.carry(self.node, ip, path, json.dumps(body))
         try:
             async with asyncio.timeout(within):
