--- a/honeywood/system/scales/record.py
+++ b/honeywood/system/scales/record.py
@@ -4,8 +4,8 @@
 change, so that news of it win by it; `order` is the `n` of its order, counts from before it say nothing.
 `lasted` is for how many seconds the order had been held at the last change; whoever looks adds for how long
 it has known that `n` (`since`, by a steady clock), so no clock's time of day is in it, and whoever came later
-sees less, never more. `past` lists [to_ver, over_s, seconds since its order, at the last change] of the orders
-before, `back` the versions that were sent back and not ordered since.
+sees less, never more. `past` lists [to_ver, over_s, seconds since its order, at the last change] of earlier
+orders, `back` the versions that were sent back and not ordered since.
 """
 
 ACTIVE, DONE, REVERTED = "active", "done", "reverted"
