A stopping front answers what it has begun behind another request before it ends the connection

Cause: a safe request behind another on its connection is passed on at once; on SIGTERM the answer in front of it said 'connection: close', and the connection ended with requests at machines. Test: at work behind another when the stall stops; both of its cases fail without the mend.

--- a/honeywood/system/cart/door.py
+++ b/honeywood/system/cart/door.py
@@ -64,6 +64,17 @@
         else:
             super().timeout_keep_alive_handler()
 
+    @property
+    def begun(self):
+        """Whether a request that stands behind another has been begun: it may be at a machine, and an answer
+        before it that ends the connection would cut it off."""
+        return any(cycle.scope.get("early") is not None for cycle, _ in self.pipeline)
+
+    def shutdown(self):
+        """uvicorn's way to end a connection, left to the last answer where requests behind have begun."""
+        if not self.begun:
+            super().shutdown()
+
     def wait(self, within):
         self.patience.cancel()
         self.patience = self.loop.call_later(within, self.too_slow)
@@ -112,6 +123,7 @@
         if not self.url.startswith(b"/") or b"#" in self.url:
             raise Refused
         self.scope["target"], self.scope["left"] = self.url, self.transport.is_closing
+        self.scope["behind"] = lambda: self.begun
         super().on_headers_complete()
         ids = [(name, value) for name, value in self.headers if name == CALL_ID]
         if ids:  # put here, so that no application forgets it
--- a/honeywood/system/stall/app.py
+++ b/honeywood/system/stall/app.py
@@ -30,7 +30,8 @@
         early = scope.get("early")
         found = await (early if early is not None else self.client(scope, receive))
         headers = found.headers
-        if self.stall.stopping.is_set():
+        behind = scope.get("behind", bool)  # what has begun behind this one is answered before the end
+        if self.stall.stopping.is_set() and not behind():
             headers = [*headers, (b"connection", b"close")]
         if found.rest is None:
             return await answer(send, found.status, headers, found.body)
--- a/tests/system/test_calls.py
+++ b/tests/system/test_calls.py
@@ -521,6 +521,26 @@
     assert visitor.ids == [b"a1"] and market.ran == {b"a1": 1} and visitor.closing
 
 
+@test("requests at work behind another when the stall stops, {how}, are answered before the connection ends")
+def _(how=each("told so", "and closes its doors")):
+    # The answer in front said `connection: close`: what stood behind it was at machines by then, and was cut.
+    def slowly(line, id):
+        line.loop.call_later(0.1, line.say, good(id))
+
+    market = Market(script=slowly)
+    visitor = Visitor(market)
+    whole = b"".join(REQUEST % (b"GET", id, b"") for id in (b"a1", b"a2", b"a3"))
+    market.loop.call_soon(visitor.say, whole)
+    visitor.run(0.05)
+    market.stall.stopping.set()
+    if "closes" in how:
+        visitor.protocol.shutdown()
+    visitor.say(REQUEST % (b"GET", b"a4", b""))
+    visitor.run(1.0)
+    assert visitor.ids == [b"a1", b"a2", b"a3"] and visitor.closing
+    assert market.ran == {b"a1": 1, b"a2": 1, b"a3": 1}
+
+
 @test("idle_s {before}, then {after}: a connection that rests is there after {at} s: {there}")
 def _(
     before=each(5, 5, 5, 5, 15, 15),
