--- a/honeywood/lab/market/world.py
+++ b/honeywood/lab/market/world.py
@@ -41,7 +41,7 @@
         self.world, self.node, self.links = world, node, {}
 
     async def call(self, ip, port, path, body, within, again=False):
-        answer = self.world.carry(self.node, ip, path, json.dumps(body))
+        answer = self.world.carry(self.node, ip, path, json.dumps(body), again)
         try:
             async with asyncio.timeout(within):
                 return await answer
@@ -128,10 +128,10 @@
         self.cuts.clear()
 
     # the net; what is under way in it belongs to no process
-    def carry(self, source, target, path, raw):
+    def carry(self, source, target, path, raw, again=True):
         """One call over the net: a future of Done; the answer may be lost though the call was not."""
         answer = self.loop.create_future()
-        self.loop.create_task(self._carry(answer, source, target, path, raw), context=Context())
+        self.loop.create_task(self._carry(answer, source, target, path, raw, again), context=Context())
         return answer
 
     def _late(self, name, size):
--- a/honeywood/system/cart/link.py
+++ b/honeywood/system/cart/link.py
@@ -73,7 +73,7 @@
         """Reply or Broken, by `until` on the loop's clock; then the link is `fit` for another, or ended. An
         answer over `hold` bytes is passed on as it comes. Whoever cancels this ends the connection."""
         loop, stream = asyncio.get_running_loop(), self.stream
-        if not (stream.fit and stream.quiet):
+        if not stream.fit:
             return Broken("the connection had ended", False)
         stream.begin()
         self.used += 1
@@ -135,8 +135,8 @@
 
     @property
     def fit(self):
-        """Whether another exchange may begin on it: nothing came while it rested, nor waits unread."""
-        return self.stream.fit and self.line.is_idle() and self.stream.quiet
+        """Whether another exchange may begin on it."""
+        return self.stream.fit and self.line.is_idle()
 
     def close(self):
         self.stream.give_up("closed")
--- a/tests/system/test_calls.py
+++ b/tests/system/test_calls.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import json
+import socket
 from collections import Counter
 from random import Random
 from unittest.mock import patch
@@ -17,6 +18,7 @@
 from honeywood.system.cart.call import Caller
 from honeywood.system.cart.door import Door, Doors
 from honeywood.system.porter import answers
+from honeywood.system.porter.answers import PROMISES
 from honeywood.system.porter.gate import Ask
 from honeywood.system.stall import carry
 from honeywood.system.stall.program import Stall
@@ -125,6 +127,7 @@
     def __init__(self, kind="safe", script=None, every=False):
         self.loop, self.kind, self.script, self.every = Loop(self.serve), kind, script, every
         self.still = 0.0  # seconds for which the stall stood still
+        self.still_out = []  # ids refused while a machine had them
         self.served = False  # whether nothing keeps a request from being served
         asyncio.set_event_loop(self.loop)
         quiet = type("Quiet", (Stall,), {"say": lambda *said, **more: None})
@@ -152,6 +155,8 @@
         given = route, b"POST", b"/p0/x", list(fields.items()), fields, b"body"
         answer = await stall.carrier.carry(*given)
         self.answers[id] = answer.status, answer.body, self.loop.time() - began
+        if answer.status in PROMISES and any(one.open for one in stall.roster.machines.values()):
+            self.still_out.append(id)
         return answer.status
 
     def play(self, *ids, every=0.0):
@@ -180,8 +185,10 @@
                 found.append(f"{id} got {status} though nothing of it was lost")
             if status == 200 and body != id[-2:]:
                 found.append(f"{id} got {body}")
-            if status in (408, 421, 429, 503) and self.ran[id]:
+            if status in PROMISES and self.ran[id]:
                 found.append(f"{id} was refused and ran")
+            if id in self.still_out:
+                found.append(f"{id} was refused with a machine at work")
             if took > max(TIMEOUT, self.still + 3 * STEP) + 0.001:
                 found.append(f"{id} was held for {took}")
         for held in self.stall.roster.machines.values():
@@ -305,6 +312,23 @@
             yield market, (b"a1", b"a2")
 
 
+def hedges(kind):
+    """A machine that answers late, well or with a refusal, and one asked besides that refuses at once."""
+    for late in range(40, 700, 20):
+        for first in (good, FULL.__mod__, None):
+            market = Market(kind)
+
+            def script(line, id, late=late, first=first, market=market):
+                if id == b"a1" or market.ran[id] > 1:
+                    market.ran[id] -= id != b"a1"
+                    return line.say(good(id) if id == b"a1" else FULL % id)
+                market.ran[id] -= first not in (good, None)
+                return first and line.loop.call_later(late / 1000, line.say, first(id))
+
+            market.script, market.every = script, True
+            yield market, (b"a1", b"a2")
+
+
 ENDLESS = b"HTTP/1.1 200 OK\r\nX-Try-Id: a1\r\nX-Seal: s\r\n\r\na1"
 FAMILIES = {
     "answers cut": lambda kind: cuts(good(b"a1"), kind),
@@ -315,6 +339,7 @@
     "strays": strays,
     "strays at rest": rests,
     "silences": silences,
+    "hedges": hedges,
 }
 
 
@@ -368,6 +393,29 @@
         assert found(family, "unsafe")[0]
 
 
+@test("a kernel that holds {what} unread: the request leaves {leaves}")
+def _(what=each("nothing", "bytes", "the end"), leaves=each(True, False, False)):
+    # What a program that stood still or was busy has not heard of yet isn't taken for the next answer.
+    loop, (one, other) = Loop(None), socket.socketpair()
+    with one, other:
+        line = stream.Stream()
+        line.connection_made(Line(loop, line))
+        line.transport._extra["socket"] = one
+        other.send(b"x") if what == "bytes" else other.shutdown(socket.SHUT_WR) if what == "the end" else None
+
+        async def work():
+            line.begin()
+            await line.write(b"GET")
+            task = loop.create_task(line.read(1))
+            await asyncio.sleep(STEP)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        loop.run_until_complete(work())
+        assert line.flushed == leaves
+    loop.close()
+
+
 class Office:
     """A caller and a peer that answers each call with its number; `script(line, id, n)` plays one of them."""
 
