--- a/honeywood/system/terms/check.py
+++ b/honeywood/system/terms/check.py
@@ -22,7 +22,7 @@
         or not isinstance(value, (int, float) if kind is float else kind)
     ):
         raise Wrong(where, f"{key} must be {kind.__name__}, not {type(value).__name__}")
-    if number and not isfinite(value):
+    if isinstance(value, float) and not isfinite(value):
         raise Wrong(where, f"{key} must be finite")
     if number and not (-inf if least is None else least) <= value <= (inf if most is None else most):
         raise Wrong(where, f"{key} is out of bounds: {value}")
@@ -53,7 +53,7 @@
     try:
         text = raw.decode()
         value = json.loads(text, object_pairs_hook=_pairs, parse_constant=_number)
-        if "\\ud" in text or "\\uD" in text:  # half a pair is no text: whoever writes it down later would fail
+        if "\\ud" in text or "\\uD" in text:  # half a pair is no text: it can't be written down
             json.dumps(value, ensure_ascii=False).encode()
     except (ValueError, RecursionError) as wrong:
         raise Wrong(where, f"no JSON: {wrong}", peer) from None
--- a/tests/system/test_terms.py
+++ b/tests/system/test_terms.py
@@ -123,7 +123,7 @@
 
 @test("half of a pair of code units is no text, however it is written: {how}")
 def _(how=each("escaped", "escaped in capitals", "raw")):
-    # Found by review: such a host was read, agreed on and acknowledged, and no front could build its table: each
+    # Found by review: such a host was read, agreed on and acknowledged; no front could build its table, each
     # went by the older version for good. A whole pair, and an escaped backslash, are text.
     def hosted(text):
         return json.dumps(config(7, routes=1)).encode().replace(b'"vhost": "', b'"vhost": "' + text)
