Notes of machines that left are bounded on boards and a row each on disk; late ones change nothing

Cause: a machine's note and its beats stood on every board for ever, and all notes in one row that was written anew with each change. Now a life that is over (left, or silent) is told of for 120 s, at most 2,000 of them; then its notes go from boards and disks. Of one that left, the board remembers 8 bytes and takes nothing more. A front that heard no bourse with a majority for 60 s doubts its machines when it hears one again: it asks for all anew and takes for lost whom nobody tells of, since nobody tells of what was dropped. On disk each note is a row; what changed is written, one write at a time and one waiting, so that a hanging disk queues no more behind it.

Found besides: leaving at a bourse that had not heard of the machine was acknowledged and told to nobody.

--- a/honeywood/system/bourse/machines.py
+++ b/honeywood/system/bourse/machines.py
@@ -1,5 +1,6 @@
 """What machines tell of themselves, as notes. Pure."""
 
+from honeywood.system.crier.past import Past
 from honeywood.system.porter.roster import DRAINING, GONE, LOST, READY
 from honeywood.system.terms.check import address, need
 from honeywood.system.terms.outcome import Wrong
@@ -33,23 +34,27 @@
     """Machines at one bourse: notes only of what has changed; the rest are signs of life."""
 
     def __init__(self, board, beat_s):
-        self.board, self.silence, self.heard = board, MISSED * beat_s, {}
+        self.board, self.silence, self.heard, self.past = board, MISSED * beat_s, {}, Past(board)
+        self.changed = lambda id, note: None  # told of each note on the board that changes
 
     def beat(self, now, id, stamp, value):
         """Takes a beat; whether it tells that the machine leaves service."""
+        held = self.board.get(f"machine/{id}")
+        if held is not None and held["state"] == GONE:
+            return value["state"] == DRAINING  # a beat that comes after its machine has left
         self.alive(now, id, stamp)
         self.board.put(f"beat/{id}", stamp, None)
-        held = self.board.get(f"machine/{id}")
-        if held is None or any(held[key] != value[key] for key in value if key != "cold"):
+        if held is None or any(held.get(key) != value[key] for key in value if key != "cold"):
             self.board.put(f"machine/{id}", stamp, value)
         return value["state"] == DRAINING
 
-    def notes(self):
-        """What an earlier life would want to know: [id, stamp, value] of each machine."""
-        return [
-            [key.partition("/")[2], self.board.notes[key][0], value]
-            for key, value in self.board.under("machine/")
-        ]
+    def hear(self, now, id, value):
+        """A note of a machine has come to the board, from here or from others."""
+        self.past.hear(now, id, value["state"])
+        if value["state"] == GONE:
+            self.heard.pop(id, None)
+            self.board.drop(f"beat/{id}")
+        self.changed(id, [self.board.notes[f"machine/{id}"][0], value])
 
     def recall(self, notes):
         """Takes what an earlier life kept: any newer note wins, and who doesn't beat is lost as ever."""
@@ -60,18 +65,26 @@
         self.heard[id] = now, stamp
 
     def leave(self, id):
-        held = self.board.get(f"machine/{id}")
-        if held is not None:
-            self.board.put(f"machine/{id}", [LAST, 0], {**held, "state": GONE})
-            self.board.drop(f"beat/{id}")
-        self.heard.pop(id, None)
+        """Also of one that is not known here: others may know it."""
+        self.board.put(f"machine/{id}", [LAST, 0], {"state": GONE})
 
     def look(self, now):
-        """Takes for lost whoever has been silent for long; its next beat brings it back."""
-        for key, value in self.board.under("machine/"):
-            id = key.partition("/")[2]
-            at, stamp = self.heard.setdefault(id, (now, None))
-            if value["state"] in (READY, DRAINING) and now - at > self.silence:
+        """Takes for lost whoever has been silent for long; its next beat brings it back. Forgets lives that
+        were over long ago."""
+        for id in self.past.look(now):
+            self.changed(id, None)
+        known = {key.partition("/")[2]: value for key, value in self.board.under("machine/")}
+        for id in self.heard.keys() - known:
+            del self.heard[id]
+        for key, _ in self.board.under("beat/"):
+            if key.partition("/")[2] not in known:
+                self.board.drop(key)
+        for id, value in known.items():
+            if value["state"] not in (READY, DRAINING):
+                continue
+            at, _ = self.heard.setdefault(id, (now, None))
+            if now - at > self.silence:
                 last = self.board.notes.get(f"beat/{id}")
-                held = self.board.notes[key][0]
-                self.board.put(key, [max(held[0], last[0][0] if last else 0), 1], {**value, "state": LOST})
+                held = self.board.notes[f"machine/{id}"][0]
+                stamp = [max(held[0], last[0][0] if last else 0), 1]
+                self.board.put(f"machine/{id}", stamp, {**value, "state": LOST})
--- /dev/null
+++ b/honeywood/system/bourse/notes.py
@@ -0,0 +1,34 @@
+"""Notes of machines on this bourse's disk, a row each: written when they change, one write at a time."""
+
+import asyncio
+
+from honeywood.system.terms.outcome import Wrong
+
+
+class Notes:
+    """`write` puts {id: note or None} on disk, or raises outcome.Wrong. While it does, at most one more write
+    waits, with all that changes meanwhile: a disk that hangs leaves nothing queued behind it but that."""
+
+    def __init__(self, write):
+        self.write, self.changed, self.writing, self.waiting = write, {}, None, None
+
+    def change(self, id, note):
+        self.changed[id] = note
+
+    async def keep(self):
+        """Ends when what has changed by now is on disk; raises outcome.Wrong where the disk refuses."""
+        if self.waiting is None:
+            self.waiting = asyncio.ensure_future(self._write(self.writing))
+        await asyncio.shield(self.waiting)
+
+    async def _write(self, before):
+        if before is not None and not before.done():
+            await asyncio.wait((before,))
+        self.writing, self.waiting = self.waiting, None
+        changed, self.changed = self.changed, {}
+        try:
+            if changed:
+                await self.write(changed)
+        except Wrong:
+            self.changed = {**changed, **self.changed}
+            raise
--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -6,6 +6,7 @@
 
 from honeywood.system.bourse.app import App
 from honeywood.system.bourse.machines import Machines
+from honeywood.system.bourse.notes import Notes
 from honeywood.system.bourse.orders import CONFIG, ROLLOUT, TICK, Orders
 from honeywood.system.bourse.register import Register
 from honeywood.system.cart.door import Doors
@@ -37,7 +38,8 @@
         self.board = self.mouth.board
         self.register = Register(s, self.caller, self.random, self.say, disk)
         self.orders = Orders(self)
-        self.machines = Machines(self.board, s.beat_s)
+        self.machines, self.notes = Machines(self.board, s.beat_s), Notes(self.register.keep_notes)
+        self.machines.changed = self.notes.change
         self.ear = Ear(self.mouth, self.caller, self.who)
         self.fronts, self.others, self.reached, self.verdicts, self.told = {}, {}, {}, {}, 0
         self.bourses, self.waits = [ip for ip, _ in s.seeds], []
@@ -70,6 +72,8 @@
             self.found([name])
         elif kind == "beat":
             self.machines.alive(self.clock(), name, None)
+        elif kind == "machine":
+            self.machines.hear(self.clock(), name, value)
         elif kind == "rollout":
             self.known_at[name] = value["n"], self.clock()
 
@@ -100,7 +104,8 @@
 
     async def keep_notes(self):
         try:
-            await self.register.keep_notes(self.machines.notes())
+            if self.register.sound:
+                await self.notes.keep()
         except Wrong as wrong:
             self.say("notes not kept", 5.0, why=str(wrong))
 
--- a/honeywood/system/bourse/register.py
+++ b/honeywood/system/bourse/register.py
@@ -11,8 +11,8 @@
 PATH = "/register"
 BORN, MEMBERS = "born", "members"  # rows beside the registers: this disk's life; whose disks count;
 LIVES = "lives"  # what is known of others' later lives;
-NOTES = "notes"  # this bourse's notes of machines, which no other counts on
-BESIDE = (BORN, MEMBERS, LIVES, NOTES)
+NOTES = "note/"  # before an id: this bourse's note of a machine, which no other counts on
+BESIDE = (BORN, MEMBERS, LIVES)
 WITHIN = 0.8  # seconds a peer has for one step
 PAUSE = 0.02  # seconds, by chance up to twice, after a ballot that lost
 REOPEN = 0.3  # seconds until a disk that couldn't be opened is tried again
@@ -44,18 +44,24 @@
         except OSError as wrong:
             raise Wrong(PATH, f"the disk refuses: {wrong}", self.settings.ip, 503) from None
         self.rows.update(rows)
+        for key in [key for key, row in rows.items() if row is None]:
+            del self.rows[key]
 
     async def keep_notes(self, notes):
-        """Puts notes aside for this disk's next life; those of an earlier one are in `notes`."""
-        if self.sound and notes != self.notes:
-            await self._keep({NOTES: notes})
+        """Puts notes of machines, {id: [stamp, value] or None}, aside for this disk's next life."""
+        if not self.sound:
+            raise Wrong(PATH, "this disk was lost and is not rebuilt", self.settings.ip, 503)
+        await self._keep({NOTES + id: note for id, note in notes.items()})
 
     @property
     def notes(self):
-        return self.rows.get(NOTES, [])
+        """Those of an earlier life: [id, stamp, value] of each machine."""
+        return [[key[len(NOTES) :], *row] for key, row in self.rows.items() if key.startswith(NOTES)]
 
     def _registers(self):
-        return {key: row for key, row in self.rows.items() if key not in BESIDE}
+        return {
+            key: row for key, row in self.rows.items() if key not in BESIDE and not key.startswith(NOTES)
+        }
 
     def _lives(self):
         """How often each disk has begun anew, as far as this one knows, where that was more than once."""
--- a/honeywood/system/crier/board.py
+++ b/honeywood/system/crier/board.py
@@ -4,21 +4,34 @@
 Each board counts its own changes, so that whoever asks again is told only what is new since.
 """
 
+from array import array
+
+from _blake2 import blake2b  # hashlib would bring OpenSSL
+
+DOUBTED = [-1]  # the stamp of what may be out of date: below all others
+FORGOTTEN = 1 << 14  # names that are remembered as never to be heard of again, the newest
 PRIVATE = ("beat/", "count/")  # for bourses only
 LARGE = ("config",)  # notes that are worth saying which of them one holds, so that they come once
 
 
+def _short(name):
+    return int.from_bytes(blake2b(name.encode(), digest_size=8).digest(), "big")
+
+
 class Board:
     """Notes by key. `life` tells boards apart whose counts began anew."""
 
     def __init__(self, life, told=lambda key, value: None):
         self.life, self.told, self.notes, self.rev = life, told, {}, 0
+        self.forgotten = array("Q")
 
     def put(self, key, stamp, value):
         """Takes a note if its stamp is above the one held; whether it did."""
         held = self.notes.get(key)
         if held is not None and held[0] >= stamp:
             return False
+        if held is None and self.forgotten and _short(key.partition("/")[2]) in self.forgotten:
+            return False
         self.rev += 1
         self.notes[key] = stamp, value, self.rev
         self.told(key, value)
@@ -29,9 +42,28 @@
         return None if held is None else held[1]
 
     def drop(self, key):
-        """Forgets a note that nobody may bring back."""
+        """Forgets a note; whoever tells it brings it back."""
         self.notes.pop(key, None)
 
+    def forget(self, kinds, name, for_good):
+        """Forgets the notes of `name`; for good: none of it is taken any more, however late it comes."""
+        for kind in kinds:
+            self.drop(kind + name)
+        if for_good:
+            self.forgotten.append(_short(name))
+            if len(self.forgotten) > FORGOTTEN:
+                del self.forgotten[: FORGOTTEN // 8]
+
+    def doubt(self, prefix):
+        """Takes what is held under `prefix` for doubtful: whoever tells it next confirms it."""
+        for key, (_, value, at) in self.notes.items():
+            if key.startswith(prefix):
+                self.notes[key] = DOUBTED, value, at
+
+    def doubted(self, prefix):
+        """The keys under `prefix` that nobody has told since they were doubted."""
+        return [key for key in self.notes if key.startswith(prefix) and self.notes[key][0] is DOUBTED]
+
     def under(self, prefix):
         """The keys and values of notes whose keys begin so."""
         return [(key, value) for key, (_, value, _) in self.notes.items() if key.startswith(prefix)]
--- /dev/null
+++ b/honeywood/system/crier/past.py
@@ -0,0 +1,36 @@
+"""Lives of machines that are over: told of for a while, then forgotten. Pure.
+
+Who left said so and its id is never given again: once its notes are dropped, none that comes late is taken.
+Who fell silent may come back; after a while its notes are dropped too, and its next beat makes it known anew.
+"""
+
+from honeywood.system.porter.roster import GONE, LOST
+
+KEEP = 120.0  # seconds for which a life that is over is told of: above any late beat's, and CUT by far
+CUT = 60.0  # seconds without a bourse that hears a majority after which a front doubts what it knows
+MOST = 2000  # lives that are over and told of; beyond them the oldest are dropped sooner
+
+
+class Past:
+    """The lives on a board that are over, the one that ended first in front."""
+
+    def __init__(self, board):
+        self.board, self.over = board, {}
+
+    def hear(self, now, id, state):
+        """A note on the board says that a machine is in `state`."""
+        self.over.pop(id, None)
+        if state in (GONE, LOST):
+            self.over[id] = now, state
+
+    def look(self, now):
+        """Drops what is old or too many; the ids that were dropped."""
+        dropped = []
+        while self.over:
+            id, (at, state) = next(iter(self.over.items()))
+            if now - at < KEEP and len(self.over) <= MOST:
+                break
+            del self.over[id]
+            self.board.forget(("machine/", "beat/"), id, for_good=state == GONE)
+            dropped.append(id)
+        return dropped
--- a/honeywood/system/stall/program.py
+++ b/honeywood/system/stall/program.py
@@ -6,10 +6,11 @@
 from honeywood.system.cart.door import Doors
 from honeywood.system.cart.link import Link
 from honeywood.system.crier.mouth import HOLD, Ear, Mouth
+from honeywood.system.crier.past import CUT, Past
 from honeywood.system.crier.ring import order, parents
 from honeywood.system.porter.budget import Budget
 from honeywood.system.porter.gate import Gate
-from honeywood.system.porter.roster import Roster
+from honeywood.system.porter.roster import LOST, Roster
 from honeywood.system.porter.routes import Table
 from honeywood.system.program import COUNTS, Program
 from honeywood.system.scales.stage import Stage
@@ -20,6 +21,7 @@
 
 SURE, SURE_ROLLOUT = 0.4, 0.2  # seconds between asks that make sure of the news; while a version is on trial
 AGAIN = 0.1  # seconds after which bourses that didn't answer are asked again
+DOUBTS = 10.0  # seconds in which bourses have told again all that they know
 TIDY = 0.5  # seconds between looks at idle connections
 TOLD_IN = 2.2  # seconds in which the platform has noticed a front that isn't ready (two misses of 1 s)
 MANY = 32  # fronts that share what all may do, until bourses have told how many there are
@@ -41,6 +43,7 @@
             self.clock, self.random, s.zone, self.roster, self.gate, self.stage, self.links, self.budget_of
         )
         self.mouth, self.tasks = Mouth(self.life, self.hear), set()
+        self.past, self.doubted_at = Past(self.mouth.board), None
         self.ear = Ear(self.mouth, self.caller, self.who)
         self.sure = Ear(self.mouth, self.caller, self.who, self.own)
         self.bourses, self.told, self.turn, self.met_majority = [ip for ip, _ in s.seeds], 0, 0, False
@@ -100,6 +103,7 @@
                 self.doors.keep(read.limits.idle_s)
             self.say("configuration")
         elif kind == "machine":
+            self.past.hear(self.clock(), name, value["state"])
             machine, left = self.roster.hear(self.clock(), name, value)
             if left and machine is not None:
                 self.links.drop(machine)
@@ -139,6 +143,8 @@
             asked = self.clock()  # an answer may have lain here unread while this process was frozen
             reply = await self.sure.ask(ip, self.settings.bourse_port, 0.0)
             if reply.ok and reply.value.get("joined"):
+                if asked - self.stage.heard_at > CUT:
+                    self.doubt()
                 self.stage.heard_at, self.met_majority = asked, True
                 return await asyncio.sleep(SURE_ROLLOUT if self.stage.active else SURE)
         self.say("no bourse answers", 5.0)
@@ -154,8 +160,22 @@
         served = {svc for routes in self.table.hosts.values() for r in routes.values() for svc, _ in r.split}
         return served <= set(self.roster.services) or self.clock() - self.config_at > SETTLE
 
+    def doubt(self):
+        """After so long a cut that news of machines that left may have been dropped meanwhile: asks for all
+        anew, and takes for lost whichever machine nobody tells of."""
+        self.mouth.board.doubt("machine/")
+        self.ear.known.clear()
+        self.sure.known.clear()
+        self.doubted_at = self.clock()
+
     async def tidy(self):
+        now, board = self.clock(), self.mouth.board
         self.links.tidy(self.roster.machines.values())
+        self.past.look(now)
+        if self.doubted_at is not None and now - self.doubted_at > DOUBTS:
+            self.doubted_at = None
+            for key in board.doubted("machine/"):
+                board.put(key, [0], {**board.get(key), "state": LOST})
 
     async def count(self):
         """A line of what was done since the start, and of what stands now."""
