--- a/honeywood/system/bourse/machines.py
+++ b/honeywood/system/bourse/machines.py
@@ -51,8 +51,9 @@
     def hear(self, now, id, value):
         """A note of a machine has come to the board, from here or from others."""
         self.past.hear(now, id, value["state"])
-        if value["state"] == GONE:
+        if value["state"] in (GONE, LOST):
             self.heard.pop(id, None)
+        if value["state"] == GONE:
             self.board.drop(f"beat/{id}")
         self.changed(id, [self.board.notes[f"machine/{id}"][0], value])
 
