Long register answers come in parts, each checked, and go on where a link or a peer gave up

One pull answered with everything within a step's 0.8 s: on a link of 100,000 bytes a second a wiped bourse never caught up on a configuration of 1,400 routes, each answer thrown away and asked for again. Now pulls and surveys are told in parts of 32 kB, each with its sum, the whole with its mark; what was heard of a pull stays when a part fails, and the next pull goes on there: to the one who asks it is one answer that was long on its way.

Open: at 100,000 a bourse that was killed (not wiped) still waits for the news' answers in pieces and for its survey's repair, which carries the value in a step of 0.8 s.

--- a/honeywood/system/bourse/app.py
+++ b/honeywood/system/bourse/app.py
@@ -89,4 +89,4 @@
         return {**found, "joined": self.bourse.joined}
 
     async def register(self, of, body, peer):
-        return await self.bourse.register.serve(read_json(body, register.PATH, peer), peer)
+        return await self.bourse.telling(read_json(body, register.PATH, peer), peer)
--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -9,6 +9,7 @@
 from honeywood.system.bourse.notes import Notes
 from honeywood.system.bourse.orders import CONFIG, ROLLOUT, TICK, Orders
 from honeywood.system.bourse.register import Register
+from honeywood.system.bourse.whole import Telling, Whole
 from honeywood.system.cart.door import Doors
 from honeywood.system.crier.mouth import Ear, Mouth
 from honeywood.system.crier.ring import order
@@ -36,7 +37,8 @@
         s, self.random = self.settings, random or Random()
         self.app, self.mouth = App(self), Mouth(self.life, self.hear, self.met)
         self.board = self.mouth.board
-        self.register = Register(s, self.caller, self.random, self.say, disk)
+        self.register = Register(s, Whole(self.caller), self.random, self.say, disk)
+        self.telling = Telling(self.register.serve, self.clock)
         self.orders = Orders(self)
         self.machines, self.notes = Machines(self.board, s.beat_s), Notes(self.register.keep_notes)
         self.machines.changed = self.notes.change
--- /dev/null
+++ b/honeywood/system/ledger/parts.py
@@ -0,0 +1,85 @@
+"""Long answers in parts, so that none is longer than a slow link carries in one step's time. Pure.
+
+Who asks says what it has of an answer, and is told what comes next of that same answer: to whoever asks, all
+parts together are one answer that was long on its way. Each part is checked by its sum, the whole by its
+mark. An answer that is no longer kept, or was never begun, begins anew.
+"""
+
+import json
+import zlib
+
+from _blake2 import blake2b  # hashlib would bring OpenSSL
+
+PART = 1 << 15  # characters of a part
+OPEN = 8  # answers that are kept to be gone on with; of more, the oldest goes
+KEPT = 10.0  # seconds for which one is kept after it was begun
+
+
+def _mark(text):
+    return blake2b(text.encode(), digest_size=16).hexdigest()
+
+
+class Teller:
+    """Answers that are being told."""
+
+    def __init__(self):
+        self.open = {}
+
+    def go_on(self, now, question, have):
+        """The next part of what the one who asks `question` has begun to hear, or None. `have` is [mark,
+        characters], or empty."""
+        begun, marked, text = self.open.get(question, (0.0, None, ""))
+        if not have or have[0] != marked or now - begun > KEPT:
+            return None
+        return self._part(marked, text, have[1])
+
+    def begin(self, now, question, answer):
+        """The answer, or where it is long its first part."""
+        text = json.dumps(answer, separators=(",", ":"))
+        if len(text) <= PART:
+            return answer
+        self.open.pop(question, None)
+        self.open[question] = now, _mark(text), text
+        while len(self.open) > OPEN:
+            del self.open[next(iter(self.open))]
+        return self._part(_mark(text), text, 0)
+
+    @staticmethod
+    def _part(marked, text, at):
+        part = text[at : at + PART]
+        return {"part": part, "at": at, "of": len(text), "mark": marked, "sum": zlib.crc32(part.encode())}
+
+
+class Hearer:
+    """Answers that are being heard, each by its question."""
+
+    def __init__(self):
+        self.open = {}
+
+    def have(self, question):
+        """What is said when asking: [mark, characters], or nothing yet."""
+        marked, text = self.open.get(question, (None, ""))
+        return [marked, len(text)] if marked else []
+
+    def take(self, question, answer):
+        """Takes an answer or a part of one: the whole answer once it is there, else None. A part that is
+        damaged or doesn't go on where the last one ended changes nothing, a first one begins anew."""
+        if "part" not in answer:
+            self.open.pop(question, None)
+            return answer
+        marked, text = self.open.get(question, (None, ""))
+        part, at = answer["part"], answer["at"]
+        if zlib.crc32(part.encode()) != answer["sum"]:
+            return None
+        if at == 0:
+            text = ""
+        elif answer["mark"] != marked or at != len(text):
+            return None
+        text += part
+        self.open[question] = answer["mark"], text
+        while len(self.open) > OPEN:
+            del self.open[next(iter(self.open))]
+        if len(text) < answer["of"]:
+            return None
+        del self.open[question]
+        return json.loads(text) if _mark(text) == answer["mark"] else None
