--- a/honeywood/system/bourse/whole.py
+++ b/honeywood/system/bourse/whole.py
@@ -24,23 +24,24 @@
     def __init__(self, caller):
         self.caller, self.hearer, self.calls = caller, Hearer(), 0
 
-    async def call(self, ip, port, path, body, within):
+    async def call(self, ip, port, path, body, within, again=False):
         if body.get("op") not in LONG:
-            return await self.caller.call(ip, port, path, body, within)
+            return await self.caller.call(ip, port, path, body, within, again=again)
         self.calls += 1
         key = _question(ip, body) if body["op"] == "pull" else self.calls
         try:
-            return await self._parts(key, ip, port, path, body, within)
+            return await self._parts(key, ip, port, path, body, within, again)
         finally:
             if body["op"] != "pull":
                 self.hearer.open.pop(key, None)
 
-    async def _parts(self, key, ip, port, path, body, within):
+    async def _parts(self, key, ip, port, path, body, within, again):
         loop = asyncio.get_running_loop()
         until = loop.time() + max(MOST, within)
         while (left := until - loop.time()) > 0:
             have = self.hearer.have(key)
-            reply = await self.caller.call(ip, port, path, {**body, HAVE: have}, min(STEP, within, left))
+            asked, step = {**body, HAVE: have}, min(STEP, within, left)
+            reply = await self.caller.call(ip, port, path, asked, step, again=again)
             if not reply.ok:
                 return reply
             whole = self.hearer.take(key, reply.value)
--- a/tests/system/test_parts.py
+++ b/tests/system/test_parts.py
@@ -142,7 +142,7 @@
         value, fails = ["x" * (3 * PART)], [False]
 
         class Peer:
-            async def call(self, ip, port, path, body, within):
+            async def call(self, ip, port, path, body, within, again):
                 if body["have"] and fails[0]:
                     return whole.Failed(path, "silence", ip, 503)
                 return Done(await telling(dict(body), "a"))
