--- /dev/null
+++ b/honeywood/system/bourse/orders.py
@@ -0,0 +1,100 @@
+"""What operators read and order. Every answer rests on a round or read of the register that began after the
+call came, so on a majority just then; without one it is a 503, which sends the caller on to another bourse.
+Only what can't be read is refused without asking."""
+
+from honeywood.system.scales import record as rollouts
+from honeywood.system.terms import config, held
+from honeywood.system.terms.outcome import Wrong
+
+CONFIG, ROLLOUT = "config", "rollout/"  # keys of the register
+FRESH = 1.0  # seconds after which whoever sent an order has gone on; what is older begins nothing
+TICK, FROZEN = 0.1, 0.5  # seconds between looks at the clock; a gap that is taken for a freeze
+AGAIN = 1.0  # seconds besides `ack_s` in which an order may arrive once more: its last try may take so long
+READ, ROLLOUT_READ, REPLACE, START = "config.read", "rollouts.read", "config.replace", "rollouts.start"
+
+
+class Orders:
+    """The operators' calls of one bourse: `publish` tells all of what a majority's disks hold."""
+
+    def __init__(self, bourse):
+        self.register, self.publish, self.say = bourse.register, bourse.publish, bourse.say
+        self.bourse, self.clock = bourse, bourse.clock
+        self.ticked, self.thawed = self.clock(), self.clock() - FRESH
+
+    async def tick(self):
+        now = self.clock()
+        if now - self.ticked > FROZEN:
+            self.thawed = now
+            self.say("frozen", gap_s=round(now - self.ticked, 1))
+        self.ticked = now
+
+    @property
+    def late(self):
+        """Whether what comes now may have lain unread: this process stood still until just now."""
+        now = self.clock()
+        return now - self.ticked > FROZEN or now - self.thawed < FRESH
+
+    async def _read(self, step, key, peer):
+        found = await self.register.read(key)
+        if not found.ok:
+            raise Wrong(step, found.why, peer, 503)
+        self.publish(key, found.value)
+        return found.value
+
+    async def _change(self, step, key, change, peer):
+        found = await self.register.change(key, change)
+        if not found.ok:
+            raise Wrong(step, found.why, peer, 503)
+        self.publish(key, found.value)
+        return found.value
+
+    async def configuration(self, peer):
+        """The newest configuration, packed; 404 where a majority holds none."""
+        value = await self._read(READ, CONFIG, peer)
+        if value is None:
+            raise Wrong(READ, "none yet", peer, 404)
+        return value["text"]
+
+    async def replace(self, version, raw, peer):
+        """(outcome, version held) of an order; 412 where its number stands for another content."""
+        mark, text = held.digest(raw), config.pack(raw)
+        told, found, value = self.bourse.board.notes.get(CONFIG), None, None
+        if told is not None and told[0][0] >= version:  # likely a copy: a read is cheaper than a round
+            value = await self._read(REPLACE, CONFIG, peer)
+            found = held.outcome(value, version, mark)
+        if found is None:
+            value = await self._change(
+                REPLACE, CONFIG, lambda value: held.ordered(value, version, text, mark), peer
+            )
+            found = held.outcome(value, version, mark)
+        if found != held.TAKEN:
+            self.say(found, ordered=f"{version:08x}", held=f"{value['ver']:08x}", digest=mark)
+        if found == held.OTHER:
+            raise Wrong(REPLACE, f"{version:08x} stands for another content; take a higher one", peer, 412)
+        return found, value["ver"]
+
+    async def order(self, svc, to_ver, over_s, peer):
+        """The record once a rollout has begun, or that in which this order was taken before."""
+        came, again_s = self.clock(), self.bourse.settings.bounds["ack_s"] + AGAIN
+        if self.late:
+            raise Wrong(START, "this bourse stood still; the order may be an old one", peer, 503)
+        value = await self._read(START, CONFIG, peer)
+        if value is not None and svc not in config.read(config.unpack(value["text"])).services:
+            raise Wrong(START, f"svc {svc!r} is not known", peer)
+
+        def begun(value):
+            if self.clock() - came > FRESH:
+                raise Wrong(START, "too late; it is no longer waited for", peer, 503)
+            since = 0.0 if value is None else self.bourse.since(value)
+            return rollouts.start(value, svc, to_ver, over_s, since, again_s)
+
+        value = await self._change(START, ROLLOUT + svc, begun, peer)
+        self.say("rollout ordered", svc=svc, to_ver=to_ver, over_s=over_s, n=value["n"], state=value["state"])
+        return value
+
+    async def rollout(self, svc, peer):
+        """The record of the service's rollout; 404 where a majority holds none."""
+        value = await self._read(ROLLOUT_READ, ROLLOUT + svc, peer)
+        if value is None:
+            raise Wrong(ROLLOUT_READ, f"no rollout of {svc!r}", peer, 404)
+        return value
--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -6,29 +6,29 @@
 
 from honeywood.system.bourse.app import App
 from honeywood.system.bourse.machines import Machines
+from honeywood.system.bourse.orders import CONFIG, ROLLOUT, TICK, Orders
 from honeywood.system.bourse.register import Register
 from honeywood.system.cart.door import Doors
-from honeywood.system.crier.mouth import HOLD, Ear, Mouth
+from honeywood.system.crier.mouth import Ear, Mouth
 from honeywood.system.crier.ring import order
 from honeywood.system.ledger.disk import Disk
 from honeywood.system.ledger.members import replacement
 from honeywood.system.program import COUNTS, Program
 from honeywood.system.scales import record as rollouts
 from honeywood.system.scales.verdict import Verdict
-from honeywood.system.terms import config
 from honeywood.system.terms.outcome import Wrong
 
 LOOK = 0.1  # seconds between looks at rollouts, and at whether this disk is where it counts
 MISSED = 3.0  # times contact_s and sync_s together that a member is silent before a spare takes its place
 SURVEY = 1.0  # seconds between looks at the register
-HEARD = 1.6  # seconds for which an ask is a sign of life (asks are held 1 s)
+NEAR = 0.5  # seconds that another bourse holds an ask while there is nothing new
+HEARD = 1.6  # seconds from its sending for which an ask that was answered shows contact
 FRONT_LOST = 3.0  # seconds after which a front that asks no more shares nothing
 SPREAD = 0.15  # seconds by which bourses act after each other
 TELL = 0.8  # seconds in which enough others must know of a leaving before it is acknowledged
 KEPT = 0.2  # seconds that an acknowledgement waits for this disk besides
 NOTING = 0.5  # seconds between looks at whether notes of machines have changed
 IDLE = 15.0  # seconds an idle caller keeps its connection
-CONFIG, ROLLOUT = "config", "rollout/"
 
 
 class Bourse(Program):
@@ -38,11 +38,13 @@
         self.app, self.mouth = App(self), Mouth(self.life, self.hear, self.met)
         self.board = self.mouth.board
         self.register = Register(s, self.caller, self.random, self.say, disk)
+        self.orders = Orders(self)
         self.machines = Machines(self.board, s.beat_s)
         self.ear = Ear(self.mouth, self.caller, self.who)
         self.fronts, self.others, self.reached, self.verdicts, self.told = {}, {}, {}, {}, 0
         self.bourses, self.waits = [ip for ip, _ in s.seeds], []
-        self.asking, self.since, self.began = set(), {}, self.clock()
+        self.asking, self.known_at = set(), {}
+        self.contact, self.began = {}, self.clock()  # since when each other bourse has been in contact
 
     def config_held(self):
         held = self.board.notes.get(CONFIG)
@@ -71,6 +73,8 @@
             self.found([name])
         elif kind == "beat":
             self.machines.alive(self.clock(), name, None)
+        elif kind == "rollout":
+            self.known_at[name] = value["n"], self.clock()
 
     @property
     def joined(self):
@@ -117,49 +121,7 @@
         finally:
             self.waits.remove(wait)
 
-    # operators
-    async def replace(self, version, text, peer):
-        held = self.board.notes.get(CONFIG)
-        if held is not None and held[0][0] >= version:
-            return
-        found = await self.register.change(
-            CONFIG, lambda now: {"ver": version, "text": text} if now is None or now["ver"] < version else now
-        )
-        if not found.ok:
-            raise Wrong("config.replace", found.why, peer, 503)
-        self.publish(CONFIG, found.value)
-
-    async def configuration(self, peer):
-        found = await self.register.survey()
-        if not found.ok or not found.value.get(CONFIG):
-            raise Wrong("config.read", "none yet" if found.ok else found.why, peer, 404 if found.ok else 503)
-        self.publish(CONFIG, found.value[CONFIG])
-        return found.value[CONFIG]["text"]
-
-    async def order(self, svc, to_ver, over_s, peer):
-        known = self.board.get(CONFIG)
-        if known is not None and svc not in config.read(config.unpack(known)).services:
-            raise Wrong("rollouts.start", f"svc {svc!r} is not known", peer)
-        found = await self.register.change(
-            ROLLOUT + svc, lambda held: rollouts.start(held, svc, to_ver, over_s, self.wall())
-        )
-        if not found.ok:
-            raise Wrong("rollouts.start", found.why, peer, 503)
-        self.publish(ROLLOUT + svc, found.value)
-        self.say("rollout ordered", svc=svc, to_ver=to_ver, over_s=over_s)
-
-    async def rollout(self, svc, peer):
-        value = self.board.get(ROLLOUT + svc)
-        if value is None:
-            found = await self.register.survey()
-            if not found.ok:
-                raise Wrong("rollouts.read", found.why, peer, 503)
-            value = found.value.get(ROLLOUT + svc)
-            if value is None:
-                raise Wrong("rollouts.read", f"no rollout of {svc!r}", peer, 404)
-            self.publish(ROLLOUT + svc, value)
-        return value
-
+    # the register's values
     def publish(self, key, value):
         """Tells of what a majority's disks hold."""
         if key == CONFIG and value is not None:
@@ -169,11 +131,11 @@
 
     # loops
     async def listen(self, ip):
-        if (await self.ear.ask(ip, self.settings.bourse_port, HOLD)).ok:
-            now = self.clock()
-            if now - self.reached.get(ip, -HEARD) >= HEARD:
-                self.since[ip] = now
-            self.reached[ip] = now
+        asked = self.clock()  # an answer may have lain here unread while this process was frozen
+        if (await self.ear.ask(ip, self.settings.bourse_port, NEAR)).ok:
+            if asked - self.reached.get(ip, -HEARD) >= HEARD:
+                self.contact[ip] = asked
+            self.reached[ip] = asked
 
     def meet(self):
         """A loop for each other bourse that is known."""
@@ -189,10 +151,10 @@
         now, s = self.clock(), self.settings
         heard = {
             ip: max(self.reached.get(ip, self.began), self.others.get(ip, (self.began, 0))[0])
-            for ip in {*self.register.members, *self.since}
+            for ip in {*self.register.members, *self.contact}
         }
         soon, late = s.bounds["contact_s"], MISSED * (s.bounds["contact_s"] + s.bounds["sync_s"])
-        found = replacement(self.register.here, s.ip, heard, self.since, now, soon, late)
+        found = replacement(self.register.here, s.ip, heard, self.contact, now, soon, late)
         if found:
             await self.register.replace(*found)
 
@@ -225,7 +187,8 @@
             if verdict is None or verdict.n != record["n"]:
                 verdict = self.verdicts[record["svc"]] = Verdict(record["n"])
             rows, votes, left = self.counted(record)
-            changes = verdict.look(self.clock(), self.wall() - record["began"], record, rows, votes, left)
+            lasted = record["lasted"] + self.since(record)
+            changes = verdict.look(self.clock(), lasted, record, rows, votes, left)
             if changes is None:
                 continue
             ranks = order(self.register.members, record["svc"])
@@ -236,13 +199,21 @@
             found = await self.register.change(
                 key,
                 lambda held, record=record, changes=changes: rollouts.advance(
-                    held, record["to_ver"], record["n"], **changes
+                    held, record["to_ver"], record["n"], self.since(record), **changes
                 ),
             )
             if found.ok:
                 self.publish(key, found.value)
                 self.say("rollout", svc=record["svc"], to_ver=record["to_ver"], why=verdict.why, **changes)
 
+    def since(self, record):
+        """For how many seconds the record's `n` has been known at least: here, or at a front, whose steady
+        clocks go on where all bourses begin anew."""
+        n, at = self.known_at.get(record["svc"], (0, 0.0))
+        known = [self.clock() - at] if n == record["n"] else []
+        told = [note["known"].get(record["svc"], (0, 0.0)) for _, note in self.board.under("count/")]
+        return max([*known, *(seconds for n, seconds in told if n == record["n"])], default=0.0)
+
     def counted(self, record):
         """All fronts' counts, those of fronts that have died too; of the fronts that share in the traffic
         their votes on this stage, and whether all follow it and have nothing out where it leaves."""
@@ -294,5 +265,6 @@
         self.loop(self.keep, SURVEY)
         self.loop(self.watch, 0.5)
         self.loop(self.steer, LOOK)
+        self.loop(self.orders.tick, TICK)
         self.loop(self.keep_notes, NOTING)
         self.loop(self.count, COUNTS)
--- a/honeywood/system/bourse/register.py
+++ b/honeywood/system/bourse/register.py
@@ -21,6 +21,9 @@
 LONGEST = 0.16  # seconds
 FOUND = 0.3  # seconds by which the seeds found after each other
 NONE_YET = Failed("register", "this disk knows of no members yet", "", 503)
+NO_MAJORITY = Failed("register", "no majority answers", "", 503)
+OTHERS_FIRST = Failed("register", "other changes came first", "", 503)
+REOPEN = 0.3  # seconds until a disk that couldn't be opened is tried again
 
 
 class Register:
@@ -82,9 +85,18 @@
         return {**self.rows.get(LIVES, {}), **({self.settings.ip: own} if own > FIRST else {})}
 
     # where this disk counts
+    async def _opened(self):
+        """The disk; one that can't be read or synced now is opened later, not taken for an empty one."""
+        while True:
+            try:
+                return await self._on_disk(self.make_disk, self.settings.datadir)
+            except OSError as wrong:
+                self.say("disk not opened", 5.0, why=str(wrong))
+                await asyncio.sleep(REOPEN)
+
     async def open(self):
         """Opens the disk: sound if it has taken part before or all begins anew; else it was lost."""
-        self.disk = await self._on_disk(self.make_disk, self.settings.datadir)
+        self.disk = await self._opened()
         self.rows = await self._on_disk(self.disk.rows)
         if BORN in self.rows:
             self.sound, self.here = True, self.rows[MEMBERS]
@@ -248,19 +260,13 @@
             raise Wrong(PATH, "this disk was lost and is not rebuilt", peer, 503)
         if op == "pull":
             return await self._told_all(ask)
+        epoch = need(ask, "epoch", int, PATH)
+        if op in ("survey", "read"):
+            return self._fenced(epoch) or {**self._held(op, ask), "lives": self._lives()}
+        key, ballot = need(ask, "key", str, PATH), need(ask, "ballot", list, PATH)
         async with self.lock:
-            if not members.takes(self.here, self.settings.ip, need(ask, "epoch", int, PATH)):
-                return {"fenced": self.here["next"] or self.here}
-            if op == "survey":
-                known = need(ask, "known", dict, PATH)
-                return {
-                    "rows": {
-                        key: {"accepted": row[1], "value": None if known.get(key) == row[1] else row[2]}
-                        for key, row in self._registers().items()
-                    },
-                    "lives": self._lives(),
-                }
-            key, ballot = need(ask, "key", str, PATH), need(ask, "ballot", list, PATH)
+            if fenced := self._fenced(epoch):
+                return fenced
             row = self.rows.get(key)
             if op == "prepare":
                 row, reply = acceptor.prepare(row, ballot)
@@ -272,6 +278,25 @@
                 await self._keep({key: row})
             return {**reply, "lives": self._lives()}
 
+    def _fenced(self, epoch):
+        """The answer to a step of an epoch that isn't this disk's, or that is over."""
+        if members.takes(self.here, self.settings.ip, epoch):
+            return None
+        return {"fenced": self.here["next"] or self.here}
+
+    def _held(self, op, ask):
+        """What this disk holds; values that the asker has are left out, since they may be large."""
+        if op == "read":
+            _, accepted, value = self.rows.get(need(ask, "key", str, PATH)) or (None, acceptor.NEVER, None)
+            return {"accepted": accepted, "value": None if accepted == ask.get("known") else value}
+        known = need(ask, "known", dict, PATH)
+        return {
+            "rows": {
+                key: {"accepted": row[1], "value": None if known.get(key) == row[1] else row[2]}
+                for key, row in self._registers().items()
+            }
+        }
+
     async def _told_all(self, ask):
         """All rows (`bare`: just who follows), once a lost disk's new life is noted and the seal asked for is
         on this disk."""
@@ -325,7 +350,7 @@
         loop, pause = asyncio.get_running_loop(), PAUSE
         until = loop.time() + PATIENCE
         while self.sound and self.here:
-            here, lost = self.here, "no majority answers"
+            here, lost = self.here, NO_MAJORITY
             self.count = max(self.count, (self.rows.get(key) or [acceptor.NEVER])[0][0]) + 1
             turn = Round([self.count, self.settings.ip], members.majority(here), change)
             body = {"op": "prepare", "key": key, "ballot": turn.ballot, "epoch": here["epoch"]}
@@ -334,28 +359,47 @@
                 if await self._ask_all(here["members"], body, turn.accepted):
                     return Done(turn.value)
             if turn.refused != acceptor.NEVER:
-                self.count, lost = max(self.count, turn.refused[0]), "other changes came first"
+                self.count, lost = max(self.count, turn.refused[0]), OTHERS_FIRST
             if loop.time() >= until:
-                return Failed("register", lost, "", 503)
+                return lost
             await asyncio.sleep(pause * (1 + self.random.random()))
             pause = min(2 * pause, LONGEST)
         return NONE_YET
 
-    async def survey(self):
-        """Done with all values that a majority agrees on, by key; those in doubt are settled by a round."""
+    async def read(self, key):
+        """Done with the value of one key that a majority agreed on at some moment since the call (or None);
+        one in doubt is settled by a round."""
         if not self.sound or self.epoch == members.START:
             return NONE_YET
-        here = self.here
-        known, replies = {key: row[1] for key, row in self._registers().items()}, {}
+        here, mine = self.here, self.rows.get(key) or [acceptor.NEVER, acceptor.NEVER, None]
+        replies = await self._replies(here, {"op": "read", "key": key, "known": mine[1]})
+        if not replies:
+            return NO_MAJORITY
+        told = [{**row, "value": mine[2]} if row["accepted"] == mine[1] else row for row in replies]
+        sure, value = agreed(told, members.majority(here))
+        return Done(value) if sure else await self.change(key, lambda held: held)
+
+    async def _replies(self, here, ask):
+        """The replies of a majority of an epoch's members, or none."""
+        replies = {}
 
         def take(ip, reply):
             replies[ip] = reply
             return len(current(replies)) >= members.majority(here)
 
-        ask = {"op": "survey", "known": known, "epoch": here["epoch"]}
-        if not await self._ask_all(here["members"], ask, take):
-            return Failed("register", "no majority answers", "", 503)
-        found, replies = {}, [reply["rows"] for reply in current(replies)]
+        ask = {**ask, "epoch": here["epoch"]}
+        return current(replies) if await self._ask_all(here["members"], ask, take) else []
+
+    async def survey(self):
+        """Done with all values that a majority agrees on, by key; those in doubt are settled by a round."""
+        if not self.sound or self.epoch == members.START:
+            return NONE_YET
+        here = self.here
+        known = {key: row[1] for key, row in self._registers().items()}
+        replies = await self._replies(here, {"op": "survey", "known": known})
+        if not replies:
+            return NO_MAJORITY
+        found, replies = {}, [reply["rows"] for reply in replies]
         for key in {key for rows in replies for key in rows}:
             told = [rows.get(key, {"accepted": acceptor.NEVER, "value": None}) for rows in replies]
             sure, value = agreed(told, members.majority(here))
--- a/honeywood/system/scales/stage.py
+++ b/honeywood/system/scales/stage.py
@@ -16,6 +16,7 @@
 BANKED = 1.5  # attempts that a class may have earned and not used
 YOUNG = 3.0  # seconds: machines that started since say nothing of their version (the design's)
 LEASE = 3.0  # seconds a stage holds at a front that hears no bourse; then the earlier version alone
+UNLIKE = 1.5  # times that a slow machine of a service takes beside the usual one, whatever its version
 ESTABLISHED, ON_TRIAL, CLOSED = "established", "trial", "closed"
 
 
@@ -105,21 +106,25 @@
         if record is None or record["state"] != ACTIVE or meaning == NOT_RUN or now < machine.warm_at:
             return
         place = ask.service, ask.route.name, machine.ver
+        if machine.ver == record["to_ver"]:  # few are tried, and these may be the slow ones of the service
+            took /= UNLIKE
         counts = self.counts.setdefault(place, Counts())
         counts.add(1, meaning != GOOD, 1, bisect_left(EDGES, took / ask.route.timeout))
 
     def told(self, now):
         """What bourses are told: counts as rows [svc, class, version, failed, ended, bins], this front's
-        votes {svc: [n, vote]}, and {svc: [n, requests still out at machines that the stage leaves]}."""
+        votes {svc: [n, vote]}, {svc: [n, requests still out at machines that the stage leaves]}, and for how
+        many seconds each has been known."""
         rows = [[*place, c.failed, c.ended, c.bins] for place, c in self.counts.items()]
-        votes, left = {}, {}
+        votes, left, known = {}, {}, {}
         for svc, record in self.records.items():
             if record["state"] == ACTIVE:
                 if svc not in self.voters or self.voters[svc].n != record["n"]:
                     self.voters[svc] = Voter(record["n"], now, self.fronts())
+                known[svc] = [record["n"], round(now - self.voters[svc].began, 2)]
                 votes[svc] = [record["n"], self.voters[svc].vote(now, record, rows)]
             left[svc] = [record["n"], self.behind(svc) + self.doubted(record)]
-        return {"rows": rows, "votes": votes, "left": left}
+        return {"rows": rows, "votes": votes, "left": left, "known": known}
 
     @property
     def active(self):
