--- a/honeywood/system/bourse/register.py
+++ b/honeywood/system/bourse/register.py
@@ -320,7 +320,7 @@
                 return Done(await self.serve(body, ip))
             except Wrong as wrong:
                 return wrong.failed
-        return await self.caller.call(ip, self.settings.bourse_port, PATH, body, within)
+        return await self.caller.call(ip, self.settings.bourse_port, PATH, body, within, again=True)
 
     # all disks
     async def _ask_all(self, ips, body, take, within=WITHIN):
