--- a/tests/system/test_past.py
+++ b/tests/system/test_past.py
@@ -167,3 +167,56 @@
         assert len(writes) == 2 and len(writes[1]) == 50 and isinstance(done[0], Wrong) and done[-1] is None
 
     asyncio.run(play())
+
+
+@test("a beat that was overtaken changes nothing, at whichever bourse it comes")
+def _():
+    world = begun()
+    try:
+        for name, state in zip("abc", ("ready", "ready", "draining")):
+            world.say(name, f"beat m {state}")
+            world.run(world.loop.time() + 1.0)
+        world.beats["m"] = 0  # the first two come once more, late
+        for name in "bc":
+            world.say(name, "beat m ready")
+            world.run(world.loop.time() + 1.0)
+            assert all(world.state(one, "m") == "draining" for one in "abcf")
+    finally:
+        world.close()
+
+
+@test("what a bourse's disk says of a machine is older than what others know: it changes nothing")
+def _():
+    world, seen = begun(), []
+    try:
+        world.say("a", "beat m ready")
+        world.say("a", "beat n ready")
+        world.run(2.5)
+        world.kill("a")
+        world.say("b", "beat m draining")
+        leave(world, "b", "n")
+        world.run(4.0)
+        world.fresh = False
+        world.start("a")
+        world.run(6.0, lambda: seen.append((world.state("f", "m"), world.state("b", "n"))))
+        assert set(seen) == {("draining", "gone")}
+        assert world.state("a", "m") == "draining" and world.state("a", "n") == "gone"
+    finally:
+        world.close()
+
+
+@test("a bourse whose clock was set back tells and is told as before")
+def _():
+    world = begun()
+    try:
+        world.say("a", "beat m ready")
+        world.run(2.0)
+        world.kill("a")
+        world.fresh, world.skew["a"] = False, -3600.0
+        world.start("a")
+        world.run(4.0)
+        world.say("a", "beat m draining")
+        world.run(5.0)
+        assert "m/draining" in world.acked and all(world.state(one, "m") == "draining" for one in "abcf")
+    finally:
+        world.close()
