--- a/honeywood/system/crier/board.py
+++ b/honeywood/system/crier/board.py
@@ -9,6 +9,7 @@
 from _blake2 import blake2b  # hashlib would bring OpenSSL
 
 DOUBTED = [-1]  # the stamp of what may be out of date: below all others
+LIVES = ("machine/", "beat/")  # notes of lives that end and are forgotten
 FORGOTTEN = 1 << 14  # names that are remembered as never to be heard of again, the newest
 PRIVATE = ("beat/", "count/")  # for bourses only
 LARGE = ("config",)  # notes that are worth saying which of them one holds, so that they come once
@@ -30,8 +31,9 @@
         held = self.notes.get(key)
         if held is not None and held[0] >= stamp:
             return False
-        if held is None and self.forgotten and _short(key.partition("/")[2]) in self.forgotten:
-            return False
+        if held is None and self.forgotten and key.startswith(LIVES):
+            if _short(key.partition("/")[2]) in self.forgotten:
+                return False
         self.rev += 1
         self.notes[key] = stamp, value, self.rev
         self.told(key, value)
@@ -45,9 +47,9 @@
         """Forgets a note; whoever tells it brings it back."""
         self.notes.pop(key, None)
 
-    def forget(self, kinds, name, for_good):
-        """Forgets the notes of `name`; for good: none of it is taken any more, however late it comes."""
-        for kind in kinds:
+    def forget(self, name, for_good):
+        """Forgets the notes of a life; for good: none of it is taken any more, however late it comes."""
+        for kind in LIVES:
             self.drop(kind + name)
         if for_good:
             self.forgotten.append(_short(name))
--- a/honeywood/system/crier/past.py
+++ b/honeywood/system/crier/past.py
@@ -31,6 +31,6 @@
             if now - at < KEEP and len(self.over) <= MOST:
                 break
             del self.over[id]
-            self.board.forget(("machine/", "beat/"), id, for_good=state == GONE)
+            self.board.forget(id, for_good=state == GONE)
             dropped.append(id)
         return dropped
--- a/tests/system/test_past.py
+++ b/tests/system/test_past.py
@@ -130,8 +130,9 @@
     assert len(board.notes) < 2 * (MOST + 600) and len(rows) < MOST + 600 and len(machines.heard) < 600
     assert 1000 < len(board.forgotten) <= FORGOTTEN
     for life in range(20_000):
-        board.forget((), f"j-{life}", True)
+        board.forget(f"j-{life}", True)
     assert len(board.forgotten) <= FORGOTTEN and not board.put("machine/j-19999", [1, 0], BEAT)
+    assert board.put("rollout/j-19999", [1], {})  # a service of that name is none of it
 
 
 @test("what comes back is no longer over")
