--- a/tests/system/test_parts.py
+++ b/tests/system/test_parts.py
@@ -75,9 +75,9 @@
 
     rate = 3e5
 
-    async def carry(self, source, target, path, raw):
+    async def carry(self, source, target, path, raw, *more):
         await asyncio.sleep(len(raw) / self.rate)
-        found = await super().carry(source, target, path, raw)
+        found = await super().carry(source, target, path, raw, *more)
         await asyncio.sleep(len(json.dumps(found.value)) / self.rate)
         return found
 
