--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -80,7 +80,14 @@
         """Whether enough other bourses answer this one, there and back, that nothing told here is lost:
         one that is cut off in one direction still hears others ask."""
         now = self.clock()
-        return sum(now - at < HEARD for at in self.reached.values()) >= self.settings.bear
+        return self._enough(ip for ip, at in self.reached.items() if now - at < HEARD)
+
+    def _enough(self, others):
+        """Whether so many members are among the `others` that one stays, itself counted if it is one, when as
+        many as may be are lost. While none are known, any bourse counts."""
+        members, s = self.register.members, self.settings
+        some = sum(ip in members or not members for ip in others)
+        return some + (s.ip in members or not members) > s.bear
 
     # machines
     async def beat(self, id, stamp, value):
@@ -111,7 +118,7 @@
         rev, until, wait = self.board.rev, self.clock() + TELL, asyncio.Event()
         self.waits.append(wait)
         try:
-            while sum(at >= rev for _, at in self.others.values()) < self.settings.bear:
+            while not self._enough(ip for ip, (_, at) in self.others.items() if at >= rev):
                 wait.clear()
                 async with asyncio.timeout(until - self.clock()):
                     await wait.wait()
--- a/tests/system/test_register.py
+++ b/tests/system/test_register.py
@@ -420,3 +420,21 @@
 def _():
     for seed in range(20):
         removed(seed)
+
+
+@test("contact with a spare is none with a majority: no leaving is acknowledged by the two of them")
+def _():
+    # A spare's notes count for nothing: it may go in any number, and a majority may never hear of it.
+    world = World("abcd")
+    try:
+        world.play(REPLACED.replace("kill", ""))
+        world.fresh = False
+        world.play("""
+          at   | a                  | b                 | c | d
+          2    |                    |                   |   | start
+          4    | cut bc             |                   |   |
+          6    | beat m1 draining   | beat m2 draining  |   |
+          7.5  | acked m1/draining not | acked m2/draining |   |
+        """)
+    finally:
+        world.close()
