--- a/honeywood/lab/market/faults.py
+++ b/honeywood/lab/market/faults.py
@@ -215,23 +215,32 @@
 def leave(world, name):
     world.book.disturb(world.loop.time(), name, True)
     world.wipe(name)
+    world.gone.add(name)
     world.bourses = tuple(other for other in world.bourses if other != name)
 
 
 async def replace(world, fault):
     """A bourse goes for good and a new machine comes in its place, with an empty disk; sync_s after its start
-    as many others as may be lost lose their disks."""
-    leave(world, lost(world, fault)[0])
+    as many others as may be lost lose their disks, or are replaced in turn."""
+    await exchange(world, lost(world, fault)[0])
+    names = [world.bourses[(int(fault.x * 8) + n) % (len(world.bourses) - 1)] for n in range(world.bear)]
+    if fault.x < 0.5:
+        return await down(world, names, AGAIN_S, True, names)
+    for name in names:
+        await exchange(world, name)
+
+
+async def exchange(world, name):
+    """Another machine in place of `name`, until it has had its time to take part."""
+    leave(world, name)
     await asyncio.sleep(AGAIN_S)
     world.spares += 1
-    name = f"b{len(world.bourses) + world.spares + 9}"
-    world.seeds[name], before = list(world.bourses)[:3], world.bourses
-    world.bourses += (name,)
-    world.start(name)
-    world.book.disturb(world.loop.time(), name, True)
+    spare = f"c{world.spares}"
+    world.seeds[spare] = list(world.bourses)[:3]
+    world.bourses += (spare,)
+    world.start(spare)
+    world.book.disturb(world.loop.time(), spare, True)
     await asyncio.sleep(world.bounds["sync_s"])
-    names = [before[(int(fault.x * len(before)) + n) % len(before)] for n in range(world.bear)]
-    await down(world, names, AGAIN_S, True, names)
 
 
 async def crash(world, fault):
--- a/honeywood/lab/market/process.py
+++ b/honeywood/lab/market/process.py
@@ -56,7 +56,7 @@
             self.arrived, self.due = deque(), []
             self.loop.take(ready)
         elif pace != FROZEN:
-            self._pump()
+            self.pumping = self.loop.call_soon(self._pump, context=Context())
 
     def end(self):
         """All that it had under way ends where it stands."""
--- a/honeywood/lab/market/world.py
+++ b/honeywood/lab/market/world.py
@@ -62,11 +62,14 @@
         self.random, self.delay, self.loss = random.Random(seed), 0.001, 0.0
         self.fresh, self.skew = True, {}  # seconds by which a node's time of day is off
         self.seeds, self.held, self.copies = {}, {}, 0.0  # a node's own seeds; its pace; share of calls twice
+        self.gone = set()  # machines that were removed for good
         self.raised = []  # what handlers raised that nobody should
         self.rates, self.sent_at = {}, {}  # bytes a second that a node's link takes; when it is free again
 
     # programs
     def start(self, name):
+        if name in self.gone:
+            return
         seeds = [f"{bourse}:82" for bourse in self.seeds.get(name, self.bourses[:3])]
         zone = self.zones.get(name, "z")
         text = boot(name, zone, seeds, self.fresh, self.bear, bounds=self.bounds)
