--- a/honeywood/lab/market/process.py
+++ b/honeywood/lab/market/process.py
@@ -94,7 +94,7 @@
 
 
 class _Ranked:
-    """Sets keep what is in them by its hash, which is its address: by ranks a day comes out alike each time."""
+    """Sets keep what is in them by hash, which is the address: by ranks a day comes out alike each time."""
 
     ranks = count()
 
