--- a/honeywood/lab/market/faults.py
+++ b/honeywood/lab/market/faults.py
@@ -231,7 +231,8 @@
 
 
 async def exchange(world, name):
-    """Another machine in place of `name`, until it has had its time to take part."""
+    """Another machine in place of `name`, until it has had its time to take part: sync_s since its start, and
+    since the last trouble of the core, for a machine that was slowed or cut off is lost as long."""
     leave(world, name)
     await asyncio.sleep(AGAIN_S)
     world.spares += 1
@@ -240,7 +241,8 @@
     world.bourses += (spare,)
     world.start(spare)
     world.book.disturb(world.loop.time(), spare, True)
-    await asyncio.sleep(world.bounds["sync_s"])
+    while world.loop.time() - world.book.settled_at < world.bounds["sync_s"]:
+        await asyncio.sleep(0.05)
 
 
 async def crash(world, fault):
