--- a/tests/system/test_links.py
+++ b/tests/system/test_links.py
@@ -102,6 +102,7 @@
     try:
         for program in world.nodes.values():
             program.mouth.most = 1500
+        world.run(4.5)
         pieces = world.nodes["f"].mouth.pieces
         take = pieces.take
 
