--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -6,10 +6,10 @@
 
 from honeywood.system.bourse.app import App
 from honeywood.system.bourse.machines import Machines
-from honeywood.system.bourse.orders import CONFIG, ROLLOUT, Orders
+from honeywood.system.bourse.orders import CONFIG, ROLLOUT, TICK, Orders
 from honeywood.system.bourse.register import Register
 from honeywood.system.cart.door import Doors
-from honeywood.system.crier.mouth import HOLD, Ear, Mouth
+from honeywood.system.crier.mouth import Ear, Mouth
 from honeywood.system.crier.own import Own
 from honeywood.system.crier.pace import Pauses
 from honeywood.system.crier.ring import order, parents
@@ -21,7 +21,8 @@
 
 LOOK = 0.1  # seconds between looks at rollouts
 SURVEY = 1.0  # seconds between looks at the register
-HEARD = 1.6  # seconds for which an ask is a sign of life (asks are held 1 s)
+NEAR = 0.5  # seconds that another bourse holds an ask while there is nothing new
+HEARD = 1.6  # seconds from its sending for which an ask that was answered shows contact
 BOURSE_LOST = 3.0  # seconds after which a bourse that neither asks nor answers vouches for no front
 REST = 0.5  # seconds at most for which a bourse that doesn't answer isn't asked
 FRONT_LOST = 3.0  # seconds after which a front that asks no more shares nothing
@@ -46,7 +47,7 @@
         self.fronts, self.others, self.reached, self.verdicts = {}, {}, {}, {}
         self.fleet, self.chains = {}, {}
         self.bourses, self.waits = [ip for ip, _ in s.seeds], []
-        self.asking = set()
+        self.asking, self.known_at = set(), {}
 
     def config_held(self):
         held = self.board.notes.get(CONFIG)
@@ -80,6 +81,8 @@
             self.found([name])
         elif kind == "beat":
             self.machines.alive(self.clock(), name, None)
+        elif kind == "rollout":
+            self.known_at[name] = value["n"], self.clock()
 
     @property
     def joined(self):
@@ -136,10 +139,11 @@
 
     # loops
     async def listen(self, ip):
-        reply = await self.ear.ask(ip, self.settings.bourse_port, HOLD)
+        asked = self.clock()  # an answer may have lain here unread while this process was frozen
+        reply = await self.ear.ask(ip, self.settings.bourse_port, NEAR)
         if reply.ok:
-            self.reached[ip] = self.clock()
-            await asyncio.sleep(min(HOLD, reply.value.get("later", 0.0)))
+            self.reached[ip] = asked
+            await asyncio.sleep(min(NEAR, reply.value.get("later", 0.0)))
         else:
             await asyncio.sleep(self.ear.pauses.rest(ip, self.clock()))
 
@@ -208,7 +212,8 @@
             if verdict is None or verdict.n != record["n"]:
                 verdict = self.verdicts[record["svc"]] = Verdict(record["n"])
             rows, votes, left = self.counted(record)
-            changes = verdict.look(self.clock(), self.wall() - record["began"], record, rows, votes, left)
+            lasted = record["lasted"] + self.since(record)
+            changes = verdict.look(self.clock(), lasted, record, rows, votes, left)
             if changes is None:
                 continue
             rank = order(self.register.members, record["svc"]).index(self.settings.ip)
@@ -218,13 +223,21 @@
             found = await self.register.change(
                 key,
                 lambda held, record=record, changes=changes: rollouts.advance(
-                    held, record["to_ver"], record["n"], **changes
+                    held, record["to_ver"], record["n"], self.since(record), **changes
                 ),
             )
             if found.ok:
                 self.publish(key, found.value)
                 self.say("rollout", svc=record["svc"], to_ver=record["to_ver"], why=verdict.why, **changes)
 
+    def since(self, record):
+        """For how many seconds the record's `n` has been known at least: here, or at a front, whose steady
+        clocks go on where all bourses begin anew."""
+        n, at = self.known_at.get(record["svc"], (0, 0.0))
+        known = [self.clock() - at] if n == record["n"] else []
+        told = [note["known"].get(record["svc"], (0, 0.0)) for _, note in self.board.under("count/")]
+        return max([*known, *(seconds for n, seconds in told if n == record["n"])], default=0.0)
+
     def counted(self, record):
         """All fronts' counts, those of fronts that have died too; of the fronts that share in the traffic
         their votes on this stage, and whether all follow it and have nothing out where it leaves."""
@@ -275,5 +288,6 @@
         self.loop(self.keep, SURVEY)
         self.loop(self.watch, 0.5)
         self.loop(self.steer, LOOK)
+        self.loop(self.orders.tick, TICK)
         self.loop(self.keep_notes, NOTING)
         self.loop(self.count, COUNTS)
--- a/honeywood/system/stall/program.py
+++ b/honeywood/system/stall/program.py
@@ -50,7 +50,7 @@
         pauses = Pauses(self.random, REST)
         self.ear = Ear(self.mouth, self.caller, self.who, pauses)
         self.sure = Ear(self.mouth, self.caller, self.who, pauses, self.own)
-        self.bourses, self.turn = [ip for ip, _ in s.seeds], 0
+        self.bourses, self.turn, self.met_majority = [ip for ip, _ in s.seeds], 0, False
         self.told, self.last, self.counted = 0, {"rows": [], "votes": {}, "left": {}}, {}
 
     def config_held(self):
@@ -143,6 +143,7 @@
         ring = ring[self.turn % len(ring) :] + ring[: self.turn % len(ring)]
         for ip in self.sure.pauses.fit(ring, self.clock()):
             for _ in range(TURNS):
+                asked = self.clock()  # an answer may have lain here unread while this process was frozen
                 reply = await self.sure.ask(ip, self.settings.bourse_port, 0.0)
                 if reply.ok and "fleet" in reply.value:
                     (count, self.relays), self.counted[ip] = reply.value["fleet"], reply.value["counted"]
@@ -150,7 +151,7 @@
                 if not (reply.ok and reply.value.get("more")):
                     break
             if reply.ok and reply.value.get("joined"):
-                self.stage.heard_at = self.clock()
+                self.stage.heard_at, self.met_majority = asked, True
                 return await asyncio.sleep(self.sure_pause())
         self.say("no bourse answers", 5.0)
         await asyncio.sleep(FIRST)
@@ -165,6 +166,10 @@
     def ready(self):
         if self.stopping.is_set() or self.table is None:
             return False
+        if not self.met_majority:  # the configuration may be that of a bourse cut off from the others
+            if self.clock() - self.config_at < self.settings.bounds["contact_s"]:
+                return False
+            self.say("ready without a bourse that hears a majority", 5.0)
         served = {svc for routes in self.table.hosts.values() for r in routes.values() for svc, _ in r.split}
         return served <= set(self.roster.services) or self.clock() - self.config_at > SETTLE
 
--- a/tests/system/test_links.py
+++ b/tests/system/test_links.py
@@ -37,7 +37,8 @@
     """One answer: its bytes and the count of changes that it reaches."""
     found = teller.since(teller.life, rev, False, hearer.held())
     notes, piece, reached = teller.tell(found, most, pieces.have())
-    return notes, piece, reached, sum(teller.size(key) for key, *_ in notes) + len(piece["text"] if piece else "")
+    size = sum(teller.size(key) for key, *_ in notes) + (len(piece["text"]) if piece else 0)
+    return notes, piece, reached, size
 
 
 @test("answers stay within {most} bytes, and one by one tell all")
@@ -56,7 +57,7 @@
     assert hearer.digest == teller.digest and hearer.get("config") == teller.get("config")
 
 
-@test("a long note is collected over any loss of answers and change of peers, never begun anew, or not at all")
+@test("a long note is collected over any loss of answers and change of peers, and never begun anew")
 def _(seed=each(*range(5))):
     draw, hearer, pieces, got = random.Random(seed), Board("h"), Pieces(), 0
     tellers = [full(n, 30_000) for n in (0, 0)]
@@ -132,7 +133,7 @@
     pace, now, left = Pace(300_000), 0.0, []
     for _ in range(20):
         if pace.behind(now) <= 0.25:
-            left.append((now + pace.take(now, 30_000)))
+            left.append(now + pace.take(now, 30_000))
         now += 0.05
     sent = sum(at < 1.0 for at in left)
     assert 30_000 * (sent - 1) <= SHARE * 300_000 and max(at - 0.05 * n for n, at in enumerate(left)) < 2.0
@@ -209,14 +210,13 @@
 
 @test("what a front is told doesn't grow with the fronts, and calm fronts are told and tell nothing")
 def _():
-    # Seen on the grown sites: names of all fronts from each bourse to every front, and counts of fronts without
+    # Seen on the grown sites: names of all fronts from each bourse to every front; counts of fronts without
     # a rollout, 64 x 2.5 a second, woke whoever waited.
-    each_front, calm, asks = {}, {}, {}
+    each_front, calm = {}, {}
     for n in (6, 24):
         fronts = "fghijklmnopqrstuvwxyzABCDEFGH"[:n]
         world = met(fronts, until=5.0)
         try:
-            counted, serve = [0], Mouth.serve
             before = told(world, world.nodes)
             world.run(9.0)
             after = told(world, world.nodes)
@@ -345,6 +345,7 @@
         reply = loop.run_until_complete(ear.ask("p", 1, 0.0))
         assert reply.value["notes"] == [] and reply.value["rev"] == 50
         told_by.board.put("machine/7", [99], {"n": 0})
-        assert [note[0] for note in loop.run_until_complete(ear.ask("p", 1, 0.0)).value["notes"]] == ["machine/7"]
+        reply = loop.run_until_complete(ear.ask("p", 1, 0.0))
+        assert [key for key, *_ in reply.value["notes"]] == ["machine/7"]
     finally:
         loop.close()
