--- a/honeywood/system/stall/program.py
+++ b/honeywood/system/stall/program.py
@@ -99,8 +99,8 @@
     def own(self, ip):
         """This front's counts, where they have changed since that bourse had them."""
         told = self.stage.told(self.clock())
-        if told != self.last:
-            self.told, self.last = self.told + 1, told
+        if any(told[key] != self.last[key] for key in self.last):
+            self.told, self.last = self.told + 1, {key: told[key] for key in self.last}
         if self.counted.get(ip, 0) >= self.told:
             return []
         return [[f"count/{self.settings.node}/{self.life}", [self.told], {"life": self.life, **told}]]
--- a/tests/system/test_links.py
+++ b/tests/system/test_links.py
@@ -239,7 +239,8 @@
     world = met("fg")
     try:
         front = world.nodes["f"]
-        front.stage.told = lambda now: {"rows": [["s", "r", "v1", 0, 9, []]], "votes": {}, "left": {}}
+        rows = [["s", "r", "v1", 0, 9, []]]
+        front.stage.told = lambda now: {"rows": rows, "votes": {}, "left": {}, "known": {"s": [1, now]}}
         world.run(6.0)
         held = {name: world.nodes[name].board.get(f"count/f/{front.life}") for name in "abc"}
         assert all(note and note["rows"][0][4] == 9 for note in held.values()), held
