--- a/honeywood/system/crier/mouth.py
+++ b/honeywood/system/crier/mouth.py
@@ -41,9 +41,9 @@
         lag = next((lag for kind, lag in LAZY.items() if key.startswith(kind)), None)
         if lag is None:
             self._wake(True)
-        elif not self.due:
+        elif self.waiting and not self.due:
             self.due = True
-            asyncio.get_running_loop().call_later(lag, self._wake, False)
+            next(iter(self.waiting)).get_loop().call_later(lag, self._wake, False)
 
     def _wake(self, everybody):
         """Wakes those who wait, in the order in which they came; or bourses alone."""
