--- a/honeywood/system/stall/program.py
+++ b/honeywood/system/stall/program.py
@@ -23,6 +23,7 @@
 ASKED = 40  # such asks a second at one bourse; where there are more fronts they ask less often,
 SPARSE = 2.0  # but not more than so many times less
 REST = 1.0  # seconds at most for which one that doesn't answer isn't asked
+TELLING = 0.5  # seconds after which a front tells anew for how long it has known of a trial
 KEPT = 3.0  # seconds for which a bourse's word on how many fronts there are stands beside newer ones
 TURNS = 8  # asks of one bourse in a row while it has more to tell
 TIDY = 0.5  # seconds between looks at idle connections
@@ -51,7 +52,7 @@
         self.ear = Ear(self.mouth, self.caller, self.who, pauses)
         self.sure = Ear(self.mouth, self.caller, self.who, pauses, self.own)
         self.bourses, self.turn, self.met_majority = [ip for ip, _ in s.seeds], 0, False
-        self.told, self.last, self.counted = 0, {"rows": [], "votes": {}, "left": {}}, {}
+        self.told, self.last, self.counted = 0, {"rows": [], "votes": {}, "left": {}, "known": {}}, {}
 
     def config_held(self):
         return f"{self.table.version:08x}" if self.table else None
@@ -99,8 +100,9 @@
     def own(self, ip):
         """This front's counts, where they have changed since that bourse had them."""
         told = self.stage.told(self.clock())
-        if any(told[key] != self.last[key] for key in self.last):
-            self.told, self.last = self.told + 1, {key: told[key] for key in self.last}
+        known = {svc: [n, int(seconds / TELLING)] for svc, (n, seconds) in told["known"].items()}
+        if {**told, "known": known} != self.last:
+            self.told, self.last = self.told + 1, {**told, "known": known}
         if self.counted.get(ip, 0) >= self.told:
             return []
         return [[f"count/{self.settings.node}/{self.life}", [self.told], {"life": self.life, **told}]]
