--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -139,12 +139,9 @@
     # loops
     async def listen(self, ip):
         asked = self.clock()  # an answer may have lain here unread while this process was frozen
-        reply = await self.ear.ask(ip, self.settings.bourse_port, NEAR)
-        if reply.ok:
+        if (await self.ear.ask(ip, self.settings.bourse_port, NEAR)).ok:
             self.reached[ip] = asked
-            await asyncio.sleep(min(NEAR, reply.value.get("later", 0.0)))
-        else:
-            await asyncio.sleep(self.ear.pauses.rest(ip, self.clock()))
+        await asyncio.sleep(min(REST, self.ear.pauses.rest(ip, self.clock())))
 
     def meet(self):
         """A loop for each other bourse that is known."""
--- a/honeywood/system/crier/mouth.py
+++ b/honeywood/system/crier/mouth.py
@@ -139,7 +139,7 @@
         body["held"], body["have"] = self.mouth.board.held(), self.mouth.pieces.have()
         reply = await self.caller.call(ip, port, PATH, body, hold + MARGIN, again=True)
         if reply.ok:
-            self.pauses.answered(ip)
+            self.pauses.answered(ip, asyncio.get_running_loop().time() + reply.value.get("later", 0.0))
             self.mouth.hear_answer(reply.value)
             self.known[ip, port] = reply.value["life"], reply.value["rev"]
         else:
--- a/honeywood/system/crier/pace.py
+++ b/honeywood/system/crier/pace.py
@@ -35,8 +35,9 @@
     def __init__(self, random, most):
         self.random, self.most, self.failed = random, most, {}
 
-    def answered(self, peer):
-        self.failed.pop(peer, None)
+    def answered(self, peer, again=0.0):
+        """The next silence begins anew; `again` is when it wants to be asked again."""
+        self.failed[peer] = again, FIRST / GROWTH
 
     def silent(self, peer, now):
         length = min(self.most, self.failed.get(peer, (0.0, FIRST / GROWTH))[1] * GROWTH)
