--- a/honeywood/system/cart/call.py
+++ b/honeywood/system/cart/call.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import os
+from collections import Counter
 from itertools import count
 
 import httpcore
@@ -22,10 +23,11 @@
 
 
 class Caller:
-    """Keeps a few connections to each peer."""
+    """Keeps a few connections to each peer; `carried` counts bytes asked and answered by path."""
 
     def __init__(self):
         self.links, self.name, self.numbers = {}, os.urandom(6).hex(), count(1)
+        self.carried = Counter()
 
     async def call(self, ip, port, path, body, within, again=False):
         """Done with the answer's object, or Failed with step and peer, after `within` seconds at the most.
@@ -38,6 +40,7 @@
         raw = json.dumps(body, separators=(",", ":")).encode()
         id = b"%s-%d" % (self.name.encode(), next(self.numbers))
         headers = [(b"host", peer.encode()), (CALL_ID, id), (b"content-length", str(len(raw)).encode())]
+        self.carried[f"{path} asked"] += len(raw)
         while True:
             link = kept.pop() if kept else None
             if link is not None and not (link.fit and loop.time() - link.idle_at < IDLE):
@@ -54,6 +57,7 @@
                 break
         if isinstance(reply, Broken):
             return Failed(path, reply.why, peer, 503)
+        self.carried[f"{path} answered"] += len(reply.body)
         if reply.fields.get(CALL_ID) != id or reply.rest is not None:
             link.close()
             return Failed(path, "no answer to this call, or one too long", peer, 503)
--- a/honeywood/system/crier/past.py
+++ b/honeywood/system/crier/past.py
@@ -11,6 +11,11 @@
 MOST = 2000  # lives that are over and told of; beyond them the oldest are dropped sooner
 
 
+def over(value):
+    """Whether a note says that a machine's life is over, or seems to be."""
+    return isinstance(value, dict) and value.get("state") in (GONE, LOST)
+
+
 class Past:
     """The lives on a board that are over, the one that ended first in front."""
 
