--- a/honeywood/system/stall/links.py
+++ b/honeywood/system/stall/links.py
@@ -7,7 +7,7 @@
 CONNECT = 0.25  # seconds for a connection to come up
 TRUST_S = 8.0  # seconds an idle connection is trusted where the machine doesn't say
 EARLY = 1.0  # seconds before its said end that it isn't used any more
-AT_ONCE = 0.03  # seconds: what breaks so soon after a request was sent had been forgotten by the machine
+AT_ONCE = 0.01  # seconds: what breaks so soon after a request was sent had been forgotten by the machine
 RESTED = 0.1  # seconds: what rested less was not
 LEARNT = 0.75  # of the rest after which one was forgotten, a service's connections are trusted
 UNLEARNT_S = 10.0  # seconds after which that is forgotten again
