A machine out of reach is tried once a request; what was sent to none is refused with a promise

Cause: a machine whose connection didn't come up was chosen again at once, since it stood in no send: 596 dials for one request in the test, all its time long, then 504. Each machine is tried once a request now, four at the most, then 503 with Retry-After; when time is up and nothing was sent, 503 too: the gate sends nothing after that.

Ruled out: refusing while all machines are left alone, without a try: a shed answer leaves a machine alone too.

--- a/honeywood/system/porter/gate.py
+++ b/honeywood/system/porter/gate.py
@@ -7,6 +7,7 @@
 from honeywood.system.porter.roster import READY
 
 FEW = 8  # connections that a machine is taken to accept while no configuration says more
+REACHES = 4  # machines that may prove out of reach to one request
 LEAST_LEFT = 0.004  # seconds: with less left nothing is begun
 
 
@@ -22,6 +23,7 @@
     until: float
     sends: list = field(default_factory=list)
     done: bool = False
+    unreached: list = field(default_factory=list)  # machines to which no connection came up
     left: Callable = lambda: False  # whether its client has gone
 
     @property
@@ -53,6 +55,8 @@
             return "left"
         if machine.state != READY or machine.svc != ask.service:
             return "state"
+        if machine in ask.unreached or len(ask.unreached) >= REACHES:
+            return "out of reach"  # again and again without a pause until time is up helps nobody
         if now > ask.until - LEAST_LEFT:
             return "deadline"
         if not ask.route.safe and ask.may_have_run:
--- a/honeywood/system/stall/carry.py
+++ b/honeywood/system/stall/carry.py
@@ -102,12 +102,8 @@
                     return self._pass(reply)
                 if found == FAILED:
                     best = reply
-            if not done and self.clock() >= until:
-                ask.done = True
-                return ours(504, "time is up")
-            if not done and not second:
-                ask.done = True
-                return ours(504, "time is up")
+            if not done and (self.clock() >= until or not second):
+                return self._too_late(ask)
 
     def _choose(self, ask):
         now = self.clock()
@@ -131,6 +127,7 @@
                     link, kept = await self.links.dial(machine, ask.until), False
                     if link is None:
                         machine.trouble(clock())
+                        ask.unreached.append(machine)
                         return found, reply
                 now = clock()
                 if self.gate.bar(now, ask, machine, True) is not None:
@@ -196,12 +193,17 @@
             return Answer(reply.status, headers, reply.body, reply.rest)
         return ours(502, "the machine's answer makes no promise")
 
+    def _too_late(self, ask):
+        """Time is up: nothing of it is sent from here on, so what no machine got is promised not to run."""
+        ask.done = True
+        return ours(504, "time is up") if ask.may_have_run else ours(503, "no machine in time", AGAIN_S)
+
     def _given_up(self, ask, best):
         """The final answer where no machine may be asked any more."""
         if best is not None:
             return self._pass(best)
         if self.clock() >= ask.until - SPARE:
-            return ours(504, "time is up")
+            return self._too_late(ask)
         if ask.may_have_run:
             return ours(502, "no whole answer came")
         now, machines = self.clock(), self.roster.services.get(ask.service, ())
