A member is replaced only once a majority has been in contact again for a while

A replacement now waits until a majority of the members has been in contact for as long as a newcomer must.

--- a/honeywood/system/ledger/members.py
+++ b/honeywood/system/ledger/members.py
@@ -9,6 +9,8 @@
 Epoch START has the seeds of the first start as its members and agrees on nothing but the members of epoch 1.
 """
 
+from math import inf
+
 from honeywood.system.ledger.round import current
 
 START = 0
@@ -85,9 +87,10 @@
     """(member, the one to take its place), or None. `heard` says when each bourse was last in contact,
     `since` when its present contact began, in seconds. A member is replaced after `late` seconds of silence,
     after `soon` by one that came while it was silent and has stayed: where a cut has ended, all come
-    back, but not at one moment. Never while too few others are in contact."""
+    back, but not at one moment. Never while too few others have been in contact for so long themselves."""
+    stayed = [ip for ip in here["members"] if ip == own or now - since.get(ip, -inf) > STAYED * soon]
     lost = [ip for ip in here["members"] if ip != own and now - heard[ip] > soon]
-    if here["next"] or own not in here["members"] or len(here["members"]) - len(lost) < majority(here):
+    if here["next"] or own not in here["members"] or len({*stayed} - {*lost}) < majority(here):
         return None
     for ip in lost:
         for spare in sorted(since):
