A verdict's waiting times begin anew after a freeze; nothing is decided while cut off

Cause: the steady clock goes on while a process is frozen or cut off. The first look after it took what had been seen once for what had stood all the while: done, reverted, and a front's vote back, on counts 20 s old. Change: after 2 s without a look the times begin anew; a bourse that isn't joined decides nothing.

--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -185,7 +185,9 @@
             self.board.put(key, [int(self.life, 16), self.told], alive)
 
     async def steer(self):
-        """Brings rollouts on or back."""
+        """Brings rollouts on or back, by counts that are new: not while cut off or just thawed."""
+        if not self.joined:
+            return
         for key, record in self.board.under(ROLLOUT):
             if record["state"] != rollouts.ACTIVE:
                 self.verdicts.pop(record["svc"], None)
--- a/honeywood/system/scales/verdict.py
+++ b/honeywood/system/scales/verdict.py
@@ -7,6 +7,7 @@
 
 SLOW_MARGIN = 0.10  # points of slow share (the design's)
 CONFIRM = 1.0  # seconds after which a rejection must still stand (the design's)
+GAP = 2.0  # seconds without a look after which nothing is known to have stood: this process was frozen
 LEAST_TRIAL = 5  # outcomes on trial before they are tested
 SHORT = 3.0  # seconds after a stage's start at which short samples vote on as well (the design's)
 WATCHED = 0.55  # part of the time given over which a version stays on trial: it may turn bad late
@@ -64,9 +65,12 @@
     """A rejection by the sorted cut that must stand for CONFIRM seconds. `level` is that of the cut."""
 
     def __init__(self, level=Q):
-        self.level, self.since, self.why = level, None, ""
+        self.level, self.since, self.looked, self.why = level, None, None, ""
 
     def confirmed(self, now, rows, svc, to_ver):
+        if self.looked is not None and now - self.looked > GAP:
+            self.since = None
+        self.looked = now
         found = tests(*pooled(rows, svc, to_ver))
         if not sorted_cut([p for p, *_ in found], self.level):
             self.since = None
@@ -103,10 +107,14 @@
 
     def __init__(self, n):
         self.n, self.suspicion, self.all_left_at, self.why = n, Suspicion(), None, ""
+        self.looked = None
 
     def look(self, now, elapsed, record, rows, votes, left):
         """The changes to make to an active record, or None. `elapsed` seconds since the order, `votes` of the
         fronts that share in the traffic, `left` whether all have left the earlier machines at this stage."""
+        if self.looked is not None and now - self.looked > GAP:
+            self.all_left_at = None
+        self.looked = now
         if self.suspicion.confirmed(now, rows, record["svc"], record["to_ver"]) or BACK in votes:
             self.why = self.suspicion.why if self.suspicion.since is not None else "a front's vote"
             return {"state": REVERTED}
