--- a/honeywood/lab/market/faults.py
+++ b/honeywood/lab/market/faults.py
@@ -215,23 +215,34 @@
 def leave(world, name):
     world.book.disturb(world.loop.time(), name, True)
     world.wipe(name)
+    world.gone.add(name)
     world.bourses = tuple(other for other in world.bourses if other != name)
 
 
 async def replace(world, fault):
     """A bourse goes for good and a new machine comes in its place, with an empty disk; sync_s after its start
-    as many others as may be lost lose their disks."""
-    leave(world, lost(world, fault)[0])
+    as many others as may be lost lose their disks, or are replaced in turn."""
+    await exchange(world, lost(world, fault)[0])
+    names = [world.bourses[(int(fault.x * 8) + n) % (len(world.bourses) - 1)] for n in range(world.bear)]
+    if fault.x < 0.5:
+        return await down(world, names, AGAIN_S, True, names)
+    for name in names:
+        await exchange(world, name)
+
+
+async def exchange(world, name):
+    """Another machine in place of `name`, until it has had its time to take part: sync_s since its start, and
+    since the last trouble of the core, for a machine that was slowed or cut off is lost as long."""
+    leave(world, name)
     await asyncio.sleep(AGAIN_S)
     world.spares += 1
-    name = f"b{len(world.bourses) + world.spares + 9}"
-    world.seeds[name], before = list(world.bourses)[:3], world.bourses
-    world.bourses += (name,)
-    world.start(name)
-    world.book.disturb(world.loop.time(), name, True)
-    await asyncio.sleep(world.bounds["sync_s"])
-    names = [before[(int(fault.x * len(before)) + n) % len(before)] for n in range(world.bear)]
-    await down(world, names, AGAIN_S, True, names)
+    spare = f"c{world.spares}"
+    world.seeds[spare] = list(world.bourses)[:3]
+    world.bourses += (spare,)
+    world.start(spare)
+    world.book.disturb(world.loop.time(), spare, True)
+    while world.loop.time() - world.book.settled_at < world.bounds["sync_s"]:
+        await asyncio.sleep(0.05)
 
 
 async def crash(world, fault):
@@ -327,14 +338,15 @@
 
 
 async def rollout_after(world, fault):
-    """A bad version, then a good one, and an order for the bad one that comes late."""
-    await world.rollout("s", "v2", 4.0, {"bad": 0.5})
+    """A version, soon another, and copies of the first order that come late, while they may (ack_s)."""
+    begun = world.loop.time()
+    first = world.loop.create_task(world.rollout("s", "v2", 5.0, {"bad": 0.5} if fault.x < 0.5 else {}))
+    await asyncio.sleep(0.2 + fault.for_s / 2)
     second = world.loop.create_task(world.rollout("s", "v3", 5.0, {}))
-    await asyncio.sleep(1.0)
-    for _ in range(3):
-        await world.start_rollout("s", "v2", 4.0)
-        await asyncio.sleep(1.0)
-    await second
+    while world.loop.time() < begun + world.bounds["ack_s"] - 2.0:
+        await asyncio.sleep(0.5)
+        await world.start_rollout("s", "v2", 5.0, for_s=0.5)
+    await asyncio.gather(first, second)
 
 
 ROLLOUTS = ("rollout_good", "rollout_bad", "rollout_after")
@@ -369,10 +381,11 @@
         copies,
         rollout_good,
         rollout_bad,
+        rollout_after,
     )
 }
-# drawn once what they bring about is mended (issue 36: late orders, members); played by name till then
-BESIDE = {cause.__name__: cause for cause in (rollout_after, replace)}
+# drawn once what they bring about is mended (issue 36: members); played by name till then
+BESIDE = {cause.__name__: cause for cause in (replace,)}
 
 
 async def cause(world, fault, begun):
