--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -6,21 +6,29 @@
 
 from honeywood.system.bourse.app import App
 from honeywood.system.bourse.machines import Machines
+from honeywood.system.bourse.notes import Notes
 from honeywood.system.bourse.orders import CONFIG, ROLLOUT, TICK, Orders
 from honeywood.system.bourse.register import Register
+from honeywood.system.bourse.whole import Telling, Whole
 from honeywood.system.cart.door import Doors
 from honeywood.system.crier.mouth import Ear, Mouth
-from honeywood.system.crier.ring import order
+from honeywood.system.crier.own import Own
+from honeywood.system.crier.pace import Pauses
+from honeywood.system.crier.ring import order, parents
 from honeywood.system.ledger.disk import Disk
+from honeywood.system.ledger.members import replacement
 from honeywood.system.program import COUNTS, Program
 from honeywood.system.scales import record as rollouts
 from honeywood.system.scales.verdict import Verdict
 from honeywood.system.terms.outcome import Wrong
 
-LOOK = 0.1  # seconds between looks at rollouts
+LOOK = 0.1  # seconds between looks at rollouts, and at whether this disk is where it counts
+MISSED = 3.0  # times contact_s and sync_s together that a member is silent before a spare takes its place
 SURVEY = 1.0  # seconds between looks at the register
 NEAR = 0.5  # seconds that another bourse holds an ask while there is nothing new
 HEARD = 1.6  # seconds from its sending for which an ask that was answered shows contact
+BOURSE_LOST = 3.0  # seconds after which a bourse that neither asks nor answers vouches for no front
+REST = 0.5  # seconds at most for which a bourse that doesn't answer isn't asked
 FRONT_LOST = 3.0  # seconds after which a front that asks no more shares nothing
 SPREAD = 0.15  # seconds by which bourses act after each other
 TELL = 0.8  # seconds in which enough others must know of a leaving before it is acknowledged
@@ -32,15 +40,20 @@
     def __init__(self, *given, random=None, disk=Disk):
         super().__init__(*given)
         s, self.random = self.settings, random or Random()
-        self.app, self.mouth = App(self), Mouth(self.life, self.hear, self.met)
+        self.app, self.mouth = App(self), Mouth(self.board_life(), self.hear, self.met, s.link)
         self.board = self.mouth.board
-        self.register = Register(s, self.caller, self.random, self.say, disk)
+        self.own = Own(self.board, int(self.life, 16), self.mine)
+        self.register = Register(s, Whole(self.caller), self.random, self.say, disk)
+        self.telling = Telling(self.register.serve, self.clock)
         self.orders = Orders(self)
-        self.machines = Machines(self.board, s.beat_s)
-        self.ear = Ear(self.mouth, self.caller, self.who)
-        self.fronts, self.others, self.reached, self.verdicts, self.told = {}, {}, {}, {}, 0
+        self.machines, self.notes = Machines(self.board, s.beat_s), Notes(self.register.keep_notes)
+        self.machines.changed = self.notes.change
+        self.ear = Ear(self.mouth, self.caller, self.who, Pauses(self.random, REST))
+        self.fronts, self.others, self.reached, self.verdicts = {}, {}, {}, {}
+        self.fleet, self.chains = {}, {}
         self.bourses, self.waits = [ip for ip, _ in s.seeds], []
         self.asking, self.known_at = set(), {}
+        self.contact, self.began = {}, self.clock()  # since when each other bourse has been in contact
 
     def config_held(self):
         held = self.board.notes.get(CONFIG)
@@ -63,12 +76,19 @@
             for wait in self.waits:
                 wait.set()
 
+    def mine(self, key):
+        """Whether a note is this bourse's own, of this life or an earlier one."""
+        return key == f"bourse/{self.settings.ip}" or key.startswith(f"fleet/{self.settings.ip}/")
+
     def hear(self, key, value):
+        self.own.heard(key)
         kind, _, name = key.partition("/")
         if kind == "bourse":
             self.found([name])
         elif kind == "beat":
             self.machines.alive(self.clock(), name, None)
+        elif kind == "machine":
+            self.machines.hear(self.clock(), name, value)
         elif kind == "rollout":
             self.known_at[name] = value["n"], self.clock()
 
@@ -77,7 +97,14 @@
         """Whether enough other bourses answer this one, there and back, that nothing told here is lost:
         one that is cut off in one direction still hears others ask."""
         now = self.clock()
-        return sum(now - at < HEARD for at in self.reached.values()) >= self.settings.bear
+        return self._enough(ip for ip, at in self.reached.items() if now - at < HEARD)
+
+    def _enough(self, others):
+        """Whether so many members are among the `others` that one stays, itself counted if it is one, when as
+        many as may be are lost. While none are known, any bourse counts."""
+        members, s = self.register.members, self.settings
+        some = sum(ip in members or not members for ip in others)
+        return some + (s.ip in members or not members) > s.bear
 
     # machines
     async def beat(self, id, stamp, value):
@@ -99,7 +126,8 @@
 
     async def keep_notes(self):
         try:
-            await self.register.keep_notes(self.machines.notes())
+            if self.register.sound:
+                await self.notes.keep()
         except Wrong as wrong:
             self.say("notes not kept", 5.0, why=str(wrong))
 
@@ -108,7 +136,7 @@
         rev, until, wait = self.board.rev, self.clock() + TELL, asyncio.Event()
         self.waits.append(wait)
         try:
-            while sum(at >= rev for _, at in self.others.values()) < self.settings.bear:
+            while not self._enough(ip for ip, (_, at) in self.others.items() if at >= rev):
                 wait.clear()
                 async with asyncio.timeout(until - self.clock()):
                     await wait.wait()
@@ -129,7 +157,10 @@
     async def listen(self, ip):
         asked = self.clock()  # an answer may have lain here unread while this process was frozen
         if (await self.ear.ask(ip, self.settings.bourse_port, NEAR)).ok:
+            if asked - self.reached.get(ip, -HEARD) >= HEARD:
+                self.contact[ip] = asked
             self.reached[ip] = asked
+        await asyncio.sleep(min(REST, self.ear.pauses.rest(ip, self.clock())))
 
     def meet(self):
         """A loop for each other bourse that is known."""
@@ -138,12 +169,23 @@
                 self.asking.add(ip)
                 self.loop(lambda ip=ip: self.listen(ip), 0.05)
 
+    async def settle(self):
+        """Brings this disk to where it counts, and a spare bourse into a lost member's place."""
+        if not self.register.settled:
+            return await self.register.settle(self.bourses)
+        now, s = self.clock(), self.settings
+        heard = {
+            ip: max(self.reached.get(ip, self.began), self.others.get(ip, (self.began, 0))[0])
+            for ip in {*self.register.members, *self.contact}
+        }
+        soon, late = s.bounds["contact_s"], MISSED * (s.bounds["contact_s"] + s.bounds["sync_s"])
+        found = replacement(self.register.here, s.ip, heard, self.contact, now, soon, late)
+        if found:
+            await self.register.replace(*found)
+
     async def keep(self):
         """Takes part in the register, and tells what it has come to hold."""
         self.meet()
-        if not self.register.sound:
-            return await self.register.rebuild(self.bourses)
-        await self.register.found(self.bourses)
         found = await self.register.survey()
         if found.ok:
             for key, value in found.value.items():
@@ -154,11 +196,37 @@
         now = self.clock()
         if self.joined:
             self.machines.look(now)
-        alive = {node: place for node, (at, place) in sorted(self.fronts.items()) if now - at < FRONT_LOST}
-        key = f"fleet/{self.settings.ip}"
-        if alive != self.board.get(key):
-            self.told += 1
-            self.board.put(key, [int(self.life, 16), self.told], alive)
+        for node, (at, place) in self.fronts.items():
+            key, place = f"fleet/{self.settings.ip}/{node}", place if now - at < FRONT_LOST else None
+            if self.board.get(key) != place:
+                self.own.tell(key, place)
+        self.look_at_fleet()
+
+    def look_at_fleet(self):
+        """The fronts that share in the traffic, {node: (zone, ip)}: all that ask a bourse which is heard."""
+        now, ip = self.clock(), self.settings.ip
+        heard = {ip} | {one for one, at in self.reached.items() if now - at < BOURSE_LOST}
+        heard |= {one for one, (at, _) in self.others.items() if now - at < BOURSE_LOST}
+        fleet = {}
+        for key, place in self.board.under("fleet/"):
+            _, told_by, node = key.split("/", 2)
+            if place is not None and told_by in heard:
+                fleet[node] = tuple(place)
+        if fleet != self.fleet:
+            self.fleet, self.chains = fleet, {}
+        return fleet
+
+    def beside(self, who):
+        """What goes with an answer to news: whether enough others are heard; for a front how many fronts
+        there are, the relays that it hears from, and which of its counts are known here."""
+        found = {"joined": self.joined}
+        if who.get("front"):
+            node, zone = who.get("node"), who.get("zone")
+            if node not in self.chains:
+                self.chains[node] = parents(node, zone, self.fleet)
+            held = self.board.notes.get(f"count/{node}/{who.get('life')}")
+            found |= {"fleet": [len(self.fleet), self.chains[node]], "counted": held[0][0] if held else 0}
+        return found
 
     async def steer(self):
         """Brings rollouts on or back."""
@@ -174,7 +242,8 @@
             changes = verdict.look(self.clock(), lasted, record, rows, votes, left)
             if changes is None:
                 continue
-            rank = order(self.register.members, record["svc"]).index(self.settings.ip)
+            ranks = order(self.register.members, record["svc"])
+            rank = ranks.index(self.settings.ip) if self.settings.ip in ranks else len(ranks)
             await asyncio.sleep(rank * SPREAD)
             if self.board.get(key) != record:
                 continue
@@ -204,7 +273,7 @@
         notes, last = [note for _, note, _ in told], {}
         for key, note, _ in told:  # the life last heard of is the one that lives, whatever its clock said
             last[key.split("/")[1]] = note
-        alive = {node for _, nodes in self.board.under("fleet/") for node in nodes}
+        alive = self.look_at_fleet()
         votes = [last[node]["votes"].get(record["svc"]) if node in last else None for node in alive]
         left = [last[node]["left"].get(record["svc"]) if node in last else None for node in alive]
         return (
@@ -224,9 +293,13 @@
         self.say(
             "counts",
             machines=dict(states),
-            fronts=len(self.board.get(f"fleet/{self.settings.ip}") or ()),
+            fronts=len(self.fleet),
+            told=dict(self.mouth.told),
+            called=dict(self.caller.carried),
             joined=self.joined,
             sound=self.register.sound,
+            epoch=self.register.epoch,
+            counts=self.register.counts,
             refused=self.app.refused,
         )
 
@@ -244,9 +317,10 @@
     def begin(self):
         """Starts the loops."""
         s = self.settings
-        self.board.put(f"bourse/{s.ip}", [int(self.life, 16)], s.node)
+        self.own.tell(f"bourse/{s.ip}", s.node)
         self.machines.recall(self.register.notes)
         self.meet()
+        self.loop(self.settle, LOOK)
         self.loop(self.keep, SURVEY)
         self.loop(self.watch, 0.5)
         self.loop(self.steer, LOOK)
