--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -12,12 +12,14 @@
 from honeywood.system.crier.mouth import Ear, Mouth
 from honeywood.system.crier.ring import order
 from honeywood.system.ledger.disk import Disk
+from honeywood.system.ledger.members import replacement
 from honeywood.system.program import COUNTS, Program
 from honeywood.system.scales import record as rollouts
 from honeywood.system.scales.verdict import Verdict
 from honeywood.system.terms.outcome import Wrong
 
-LOOK = 0.1  # seconds between looks at rollouts
+LOOK = 0.1  # seconds between looks at rollouts, and at whether this disk is where it counts
+MISSED = 3.0  # times contact_s and sync_s together that a member is silent before a spare takes its place
 SURVEY = 1.0  # seconds between looks at the register
 NEAR = 0.5  # seconds that another bourse holds an ask while there is nothing new
 HEARD = 1.6  # seconds from its sending for which an ask that was answered shows contact
@@ -41,6 +43,7 @@
         self.fronts, self.others, self.reached, self.verdicts, self.told = {}, {}, {}, {}, 0
         self.bourses, self.waits = [ip for ip, _ in s.seeds], []
         self.asking, self.known_at = set(), {}
+        self.contact, self.began = {}, self.clock()  # since when each other bourse has been in contact
 
     def config_held(self):
         held = self.board.notes.get(CONFIG)
@@ -77,7 +80,14 @@
         """Whether enough other bourses answer this one, there and back, that nothing told here is lost:
         one that is cut off in one direction still hears others ask."""
         now = self.clock()
-        return sum(now - at < HEARD for at in self.reached.values()) >= self.settings.bear
+        return self._enough(ip for ip, at in self.reached.items() if now - at < HEARD)
+
+    def _enough(self, others):
+        """Whether so many members are among the `others` that one stays, itself counted if it is one, when as
+        many as may be are lost. While none are known, any bourse counts."""
+        members, s = self.register.members, self.settings
+        some = sum(ip in members or not members for ip in others)
+        return some + (s.ip in members or not members) > s.bear
 
     # machines
     async def beat(self, id, stamp, value):
@@ -108,7 +118,7 @@
         rev, until, wait = self.board.rev, self.clock() + TELL, asyncio.Event()
         self.waits.append(wait)
         try:
-            while sum(at >= rev for _, at in self.others.values()) < self.settings.bear:
+            while not self._enough(ip for ip, (_, at) in self.others.items() if at >= rev):
                 wait.clear()
                 async with asyncio.timeout(until - self.clock()):
                     await wait.wait()
@@ -129,6 +139,8 @@
     async def listen(self, ip):
         asked = self.clock()  # an answer may have lain here unread while this process was frozen
         if (await self.ear.ask(ip, self.settings.bourse_port, NEAR)).ok:
+            if asked - self.reached.get(ip, -HEARD) >= HEARD:
+                self.contact[ip] = asked
             self.reached[ip] = asked
 
     def meet(self):
@@ -138,12 +150,23 @@
                 self.asking.add(ip)
                 self.loop(lambda ip=ip: self.listen(ip), 0.05)
 
+    async def settle(self):
+        """Brings this disk to where it counts, and a spare bourse into a lost member's place."""
+        if not self.register.settled:
+            return await self.register.settle(self.bourses)
+        now, s = self.clock(), self.settings
+        heard = {
+            ip: max(self.reached.get(ip, self.began), self.others.get(ip, (self.began, 0))[0])
+            for ip in {*self.register.members, *self.contact}
+        }
+        soon, late = s.bounds["contact_s"], MISSED * (s.bounds["contact_s"] + s.bounds["sync_s"])
+        found = replacement(self.register.here, s.ip, heard, self.contact, now, soon, late)
+        if found:
+            await self.register.replace(*found)
+
     async def keep(self):
         """Takes part in the register, and tells what it has come to hold."""
         self.meet()
-        if not self.register.sound:
-            return await self.register.rebuild(self.bourses)
-        await self.register.found(self.bourses)
         found = await self.register.survey()
         if found.ok:
             for key, value in found.value.items():
@@ -174,7 +197,8 @@
             changes = verdict.look(self.clock(), lasted, record, rows, votes, left)
             if changes is None:
                 continue
-            rank = order(self.register.members, record["svc"]).index(self.settings.ip)
+            ranks = order(self.register.members, record["svc"])
+            rank = ranks.index(self.settings.ip) if self.settings.ip in ranks else len(ranks)
             await asyncio.sleep(rank * SPREAD)
             if self.board.get(key) != record:
                 continue
@@ -227,6 +251,8 @@
             fronts=len(self.board.get(f"fleet/{self.settings.ip}") or ()),
             joined=self.joined,
             sound=self.register.sound,
+            epoch=self.register.epoch,
+            counts=self.register.counts,
             refused=self.app.refused,
         )
 
@@ -247,6 +273,7 @@
         self.board.put(f"bourse/{s.ip}", [int(self.life, 16)], s.node)
         self.machines.recall(self.register.notes)
         self.meet()
+        self.loop(self.settle, LOOK)
         self.loop(self.keep, SURVEY)
         self.loop(self.watch, 0.5)
         self.loop(self.steer, LOOK)
