A disk of the earlier members may take up what a member of the next holds

Now it asks the next members as well, and one current answer of a member that is in the next epoch is enough: that one has heard a sealed majority, and the disk that enters never took a step there, so what it copies is as if late accepts had come.

--- a/honeywood/lab/market/faults.py
+++ b/honeywood/lab/market/faults.py
@@ -384,7 +384,8 @@
         rollout_after,
     )
 }
-# drawn once what they bring about is mended (issue 36: members); played by name till then
+# played by name: beside `copies` a bourse that is gone seems alive for as long as calls of its come late, so
+# its place is taken later than sync_s (open, docs/measured/lab.md)
 BESIDE = {cause.__name__: cause for cause in (replace,)}
 
 
--- a/honeywood/lab/prove/register.py
+++ b/honeywood/lab/prove/register.py
@@ -261,7 +261,7 @@
         epoch, inside = disk.epoch, self.chain[disk.epoch - 1]
 
         def sealing(other, told):
-            if other not in inside or told.epoch not in (epoch, epoch + 1):
+            if told.epoch != epoch + 1 and (other not in inside or told.epoch != epoch):
                 return None
             return replace(told, sealed=told.sealed or told.epoch == epoch)
 
--- a/honeywood/system/bourse/register.py
+++ b/honeywood/system/bourse/register.py
@@ -205,8 +205,9 @@
     async def _move(self):
         """From the sealed configuration on to the next, with what a majority of its members holds."""
         here = self.here
+        asked = {*here["members"], *here["next"]["members"]}
         pulls = await self._pull(
-            here["members"], lambda pulls: members.moves(here, pulls), life=FIRST, seal=here["next"]
+            asked, lambda pulls: members.moves(here, pulls), life=FIRST, seal=here["next"]
         )
         if not pulls:
             return False
--- a/honeywood/system/ledger/members.py
+++ b/honeywood/system/ledger/members.py
@@ -46,7 +46,17 @@
         and (pull["members"]["epoch"] == here["epoch"] + 1 or _leaves(pull, here["epoch"]))
     }
     counted = current(after)
-    return counted if len(counted) >= majority(here) else []
+    if len(counted) >= majority(here):
+        return counted
+    # a member of the next epoch that is in it has heard a majority of this one already, and holds what was
+    # agreed since: this disk, which never took a step there, may take up what that one holds
+    inside = [
+        pull
+        for ip, pull in pulls.items()
+        if pull["members"]["epoch"] == here["epoch"] + 1 and ip in pull["members"]["members"]
+    ]
+    told = current(pulls)
+    return [pull for pull in inside if any(pull is one for one in told)]
 
 
 def _leaves(pull, epoch):
--- a/tests/system/test_market.py
+++ b/tests/system/test_market.py
@@ -37,6 +37,15 @@
         assert told.worth > 0.8 * told.owed > 200
 
 
+@test("a bourse is replaced, and sync_s after that another loses its disk, or is replaced in turn")
+def _():
+    # Found by the emulator (seed 46): a bourse that had not gone on when another lost its disk stayed among
+    # the earlier members for good, since no majority of these was left to ask.
+    for seed, x in ((46, 0.136), (46, 0.764), (1, 0.126)):
+        told = play(Day(seed, (Fault("replace", 4.532, 2.0, 0.726, x),)))
+        assert not told.broken, f"seed {seed}, {x}: {told.broken}"
+
+
 AGAIN = """
 import sys
 kept = [bytearray(n % 999) for n in range(int(sys.argv[1]))]
