--- a/honeywood/lab/market/world.py
+++ b/honeywood/lab/market/world.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import random
+from collections import Counter
 from contextvars import Context
 
 from honeywood.lab.market.boot import BOUNDS, boot
@@ -38,7 +39,7 @@
     """The way of one node's calls."""
 
     def __init__(self, world, node):
-        self.world, self.node, self.links = world, node, {}
+        self.world, self.node, self.links, self.carried = world, node, {}, Counter()
 
     async def call(self, ip, port, path, body, within, again=False):
         answer = self.world.carry(self.node, ip, path, json.dumps(body), again)
