--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -6,8 +6,10 @@
 
 from honeywood.system.bourse.app import App
 from honeywood.system.bourse.machines import Machines
+from honeywood.system.bourse.notes import Notes
 from honeywood.system.bourse.orders import CONFIG, ROLLOUT, TICK, Orders
 from honeywood.system.bourse.register import Register
+from honeywood.system.bourse.whole import Telling, Whole
 from honeywood.system.cart.door import Doors
 from honeywood.system.crier.mouth import Ear, Mouth
 from honeywood.system.crier.own import Own
@@ -41,9 +43,11 @@
         self.app, self.mouth = App(self), Mouth(self.board_life(), self.hear, self.met, s.link)
         self.board = self.mouth.board
         self.own = Own(self.board, int(self.life, 16), self.mine)
-        self.register = Register(s, self.caller, self.random, self.say, disk)
+        self.register = Register(s, Whole(self.caller), self.random, self.say, disk)
+        self.telling = Telling(self.register.serve, self.clock)
         self.orders = Orders(self)
-        self.machines = Machines(self.board, s.beat_s)
+        self.machines, self.notes = Machines(self.board, s.beat_s), Notes(self.register.keep_notes)
+        self.machines.changed = self.notes.change
         self.ear = Ear(self.mouth, self.caller, self.who, Pauses(self.random, REST))
         self.fronts, self.others, self.reached, self.verdicts = {}, {}, {}, {}
         self.fleet, self.chains = {}, {}
@@ -83,6 +87,8 @@
             self.found([name])
         elif kind == "beat":
             self.machines.alive(self.clock(), name, None)
+        elif kind == "machine":
+            self.machines.hear(self.clock(), name, value)
         elif kind == "rollout":
             self.known_at[name] = value["n"], self.clock()
 
@@ -120,7 +126,8 @@
 
     async def keep_notes(self):
         try:
-            await self.register.keep_notes(self.machines.notes())
+            if self.register.sound:
+                await self.notes.keep()
         except Wrong as wrong:
             self.say("notes not kept", 5.0, why=str(wrong))
 
--- a/honeywood/system/bourse/register.py
+++ b/honeywood/system/bourse/register.py
@@ -4,6 +4,7 @@
 import asyncio
 from concurrent.futures import ThreadPoolExecutor
 
+from honeywood.system.bourse.whole import bounded
 from honeywood.system.ledger import acceptor, members
 from honeywood.system.ledger.round import FIRST, Round, agreed, current
 from honeywood.system.terms.check import need
@@ -12,8 +13,8 @@
 PATH = "/register"
 BORN, MEMBERS = "born", "members"  # rows beside the registers: this disk's life; its configuration;
 LIVES = "lives"  # what is known of others' later lives;
-NOTES = "notes"  # this bourse's notes of machines, which no other counts on
-BESIDE = (BORN, MEMBERS, LIVES, NOTES)
+NOTES = "note/"  # before an id: this bourse's note of a machine, which no other counts on
+BESIDE = (BORN, MEMBERS, LIVES)
 WITHIN = 0.8  # seconds a peer has for one step
 WHOLE = 1.5  # seconds a peer has to tell all rows
 PATIENCE = 0.6  # seconds in which a change begins again: its caller goes elsewhere after 1 s
@@ -34,7 +35,7 @@
         self.rows, self.make_disk, self.disk, self.sound = {}, disk, None, False
         self.here = self.newer = None  # the configuration this disk goes by; a newer one that was told
         self.began, self.count = None, 0
-        self.thread, self.lock = ThreadPoolExecutor(1), asyncio.Lock()
+        self.thread, self.lock, self.waiting = ThreadPoolExecutor(1), asyncio.Lock(), {}
 
     @property
     def members(self):
@@ -66,18 +67,24 @@
         except OSError as wrong:
             raise Wrong(PATH, f"the disk refuses: {wrong}", self.settings.ip, 503) from None
         self.rows.update(rows)
+        for key in [key for key, row in rows.items() if row is None]:
+            del self.rows[key]
 
     async def keep_notes(self, notes):
-        """Puts notes aside for this disk's next life; those of an earlier one are in `notes`."""
-        if self.sound and notes != self.notes:
-            await self._keep({NOTES: notes})
+        """Puts notes of machines, {id: [stamp, value] or None}, aside for this disk's next life."""
+        if not self.sound:
+            raise Wrong(PATH, "this disk was lost and is not rebuilt", self.settings.ip, 503)
+        await self._keep({NOTES + id: note for id, note in notes.items()})
 
     @property
     def notes(self):
-        return self.rows.get(NOTES, [])
+        """Those of an earlier life: [id, stamp, value] of each machine."""
+        return [[key[len(NOTES) :], *row] for key, row in self.rows.items() if key.startswith(NOTES)]
 
     def _registers(self):
-        return {key: row for key, row in self.rows.items() if key not in BESIDE}
+        return {
+            key: row for key, row in self.rows.items() if key not in BESIDE and not key.startswith(NOTES)
+        }
 
     def _lives(self):
         """How often each disk has begun anew, as far as this one knows, where that was more than once."""
@@ -251,6 +258,7 @@
             asyncio.ensure_future(self._call(ip, {"op": "told", "members": told}))
 
     # one disk's side
+    @bounded
     async def serve(self, ask, peer):
         """The answer to another's step."""
         op = need(ask, "op", str, PATH)
@@ -380,16 +388,17 @@
         sure, value = agreed(told, members.majority(here))
         return Done(value) if sure else await self.change(key, lambda held: held)
 
-    async def _replies(self, here, ask):
-        """The replies of a majority of an epoch's members, or none."""
+    async def _replies(self, here, ask, enough=lambda counted: True):
+        """The replies of a majority of an epoch's members, or none; all of them while it is not `enough`."""
         replies = {}
 
         def take(ip, reply):
             replies[ip] = reply
-            return len(current(replies)) >= members.majority(here)
+            counted = current(replies)
+            return len(counted) >= members.majority(here) and enough(counted)
 
-        ask = {**ask, "epoch": here["epoch"]}
-        return current(replies) if await self._ask_all(here["members"], ask, take) else []
+        await self._ask_all(here["members"], {**ask, "epoch": here["epoch"]}, take)
+        return current(replies) if len(current(replies)) >= members.majority(here) else []
 
     async def survey(self):
         """Done with all values that a majority agrees on, by key; those in doubt are settled by a round."""
@@ -397,7 +406,15 @@
             return NONE_YET
         here = self.here
         known = {key: row[1] for key, row in self._registers().items()}
-        replies = await self._replies(here, {"op": "survey", "known": known})
+
+        def agree(counted):
+            """Whether no key needs a round: who is behind takes the others' word, over slow links too."""
+            keys = {key for reply in counted for key in reply["rows"]}
+            none = {"accepted": acceptor.NEVER, "value": None}
+            told = [[reply["rows"].get(key, none) for reply in counted] for key in keys]
+            return all(agreed(rows, members.majority(here))[0] for rows in told)
+
+        replies = await self._replies(here, {"op": "survey", "known": known}, agree)
         if not replies:
             return NO_MAJORITY
         found, replies = {}, [reply["rows"] for reply in replies]
--- a/honeywood/system/crier/board.py
+++ b/honeywood/system/crier/board.py
@@ -6,11 +6,16 @@
 """
 
 import json
+from array import array
 
 from _blake2 import blake2b  # hashlib would bring OpenSSL
 
+from honeywood.system.crier.past import over
 from honeywood.system.crier.piece import cut, mark
 
+DOUBTED = [-1]  # the stamp of what may be out of date: below all others
+LIVES = ("machine/", "beat/")  # notes of lives that end and are forgotten
+FORGOTTEN = 1 << 14  # names that are remembered as never to be heard of again, the newest
 PRIVATE = ("beat/", "count/", "fleet/")  # for bourses only
 LARGE = ("config",)  # notes that are worth saying which of them one holds, so that they come once
 PAST = 3  # earlier values of a large note, for those who have begun to collect one
@@ -21,18 +26,25 @@
     return json.dumps([key, stamp, value], separators=(",", ":"))
 
 
+def _short(name):
+    return int.from_bytes(blake2b(name.encode(), digest_size=8).digest(), "big")
+
+
 class Board:
     """Notes by key. `life` tells boards apart whose counts began anew."""
 
     def __init__(self, life, told=lambda key, value: None):
         self.life, self.told, self.notes, self.rev = life, told, {}, 0
-        self.digest, self.sizes, self.past = 0, {}, {}
+        self.digest, self.sizes, self.past, self.forgotten = 0, {}, {}, array("Q")
 
     def put(self, key, stamp, value):
         """Takes a note if its stamp is above the one held; whether it did."""
         held = self.notes.get(key)
         if held is not None and held[0] >= stamp:
             return False
+        if held is None and self.forgotten and key.startswith(LIVES):
+            if _short(key.partition("/")[2]) in self.forgotten:
+                return False
         self.rev += 1
         self._sum(key)
         self.notes[key] = stamp, value, self.rev
@@ -48,15 +60,16 @@
         return None if held is None else held[1]
 
     def drop(self, key):
-        """Forgets a note that nobody may bring back."""
+        """Forgets a note; whoever tells it brings it back."""
         self._sum(key)
         self.notes.pop(key, None)
         self.sizes.pop(key, None)
 
     def _sum(self, key):
         """Puts a note that everybody may hear into the digest, or takes it out: boards that hold the same
-        notes with the same stamps have the same, whatever came first."""
-        if key in self.notes and not key.startswith(PRIVATE):
+        notes with the same stamps have the same, whatever came first. Lives that are over are left out: each
+        board forgets them in its own time."""
+        if key in self.notes and not key.startswith(PRIVATE) and not over(self.notes[key][1]):
             named = f"{key}|{self.notes[key][0]}".encode()
             self.digest ^= int.from_bytes(blake2b(named, digest_size=8).digest(), "big")
 
@@ -67,6 +80,27 @@
             self.sizes[key] = at, len(encoded(key, stamp, value))
         return self.sizes[key][1]
 
+    def forget(self, name, for_good):
+        """Forgets the notes of a life; for good: none of it is taken any more, however late it comes."""
+        for kind in LIVES:
+            self.drop(kind + name)
+        if for_good:
+            self.forgotten.append(_short(name))
+            if len(self.forgotten) > FORGOTTEN:
+                del self.forgotten[: FORGOTTEN // 8]
+
+    def doubt(self, prefix):
+        """Takes what is held under `prefix` for doubtful: whoever tells it next confirms it."""
+        for key, (_, value, at) in list(self.notes.items()):
+            if key.startswith(prefix):
+                self._sum(key)
+                self.notes[key] = DOUBTED, value, at
+                self._sum(key)
+
+    def doubted(self, prefix):
+        """The keys under `prefix` that nobody has told since they were doubted."""
+        return [key for key in self.notes if key.startswith(prefix) and self.notes[key][0] is DOUBTED]
+
     def under(self, prefix):
         """The keys and values of notes whose keys begin so."""
         return [(key, value) for key, (_, value, _) in self.notes.items() if key.startswith(prefix)]
--- a/honeywood/system/stall/program.py
+++ b/honeywood/system/stall/program.py
@@ -7,10 +7,11 @@
 from honeywood.system.cart.link import Link
 from honeywood.system.crier.mouth import HOLD, Ear, Mouth
 from honeywood.system.crier.pace import FIRST, Pauses
+from honeywood.system.crier.past import CUT, Past
 from honeywood.system.crier.ring import order
 from honeywood.system.porter.budget import Budget
 from honeywood.system.porter.gate import Gate
-from honeywood.system.porter.roster import Roster
+from honeywood.system.porter.roster import LOST, Roster
 from honeywood.system.porter.routes import Table
 from honeywood.system.program import COUNTS, Program
 from honeywood.system.scales.stage import Stage
@@ -26,6 +27,7 @@
 TELLING = 0.5  # seconds after which a front tells anew for how long it has known of a trial
 KEPT = 3.0  # seconds for which a bourse's word on how many fronts there are stands beside newer ones
 TURNS = 8  # asks of one bourse in a row while it has more to tell
+DOUBTS = 10.0  # seconds in which bourses have told again all that they know
 TIDY = 0.5  # seconds between looks at idle connections
 TOLD_IN = 2.2  # seconds in which the platform has noticed a front that isn't ready (two misses of 1 s)
 MANY = 32  # fronts that share what all may do, until bourses have told how many there are
@@ -48,6 +50,7 @@
             self.clock, self.random, s.zone, self.roster, self.gate, self.stage, self.links, self.budget_of
         )
         self.mouth, self.tasks = Mouth(self.board_life(), self.hear, rate=s.link), set()
+        self.past, self.doubted_at = Past(self.mouth.board), None
         pauses = Pauses(self.random, REST)
         self.ear = Ear(self.mouth, self.caller, self.who, pauses)
         self.sure = Ear(self.mouth, self.caller, self.who, pauses, self.own)
@@ -116,6 +119,7 @@
             self.roster.most.update({name: service.max_conns for name, service in read.services.items()})
             self.say("configuration")
         elif kind == "machine":
+            self.past.hear(self.clock(), name, value["state"])
             machine, left = self.roster.hear(self.clock(), name, value)
             if left and machine is not None:
                 self.links.drop(machine)
@@ -151,6 +155,8 @@
                 if not (reply.ok and reply.value.get("more")):
                     break
             if reply.ok and reply.value.get("joined"):
+                if asked - self.stage.heard_at > CUT:
+                    self.doubt()
                 self.stage.heard_at, self.met_majority = asked, True
                 return await asyncio.sleep(self.sure_pause())
         self.say("no bourse answers", 5.0)
@@ -173,8 +179,22 @@
         served = {svc for routes in self.table.hosts.values() for r in routes.values() for svc, _ in r.split}
         return served <= set(self.roster.services) or self.clock() - self.config_at > SETTLE
 
+    def doubt(self):
+        """After so long a cut that news of machines that left may have been dropped meanwhile: asks for all
+        anew, and takes for lost whichever machine nobody tells of."""
+        self.mouth.board.doubt("machine/")
+        self.ear.known.clear()
+        self.sure.known.clear()
+        self.doubted_at = self.clock()
+
     async def tidy(self):
+        now, board = self.clock(), self.mouth.board
         self.links.tidy(self.roster.machines.values())
+        self.past.look(now)
+        if self.doubted_at is not None and now - self.doubted_at > DOUBTS:
+            self.doubted_at = None
+            for key in board.doubted("machine/"):
+                board.put(key, [0], {**board.get(key), "state": LOST})
 
     async def count(self):
         """A line of what was done since the start, and of what stands now."""
