--- a/honeywood/system/bourse/register.py
+++ b/honeywood/system/bourse/register.py
@@ -413,7 +413,7 @@
         def agree(counted):
             """Whether no key needs a round: who is behind takes the others' word, over slow links too."""
             keys = {key for reply in counted for key in reply["rows"]}
-            none = {"accepted": acceptor.NEVER, "value": None}
+            none = acceptor.shown(None)
             told = [[reply["rows"].get(key, none) for reply in counted] for key in keys]
             return all(agreed(rows, members.majority(here))[0] for rows in told)
 
