--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 .PHONY: test demo market
 test: $(VENV)/made
 	$(VENV)/bin/ruff check --no-cache honeywood tests standins benchmarks
+	$(VENV)/bin/ruff format --no-cache --check honeywood tests standins benchmarks
 	PYTHONDONTWRITEBYTECODE=1 $(VENV)/bin/python -m pytest
 	PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=.:tests/system $(VENV)/bin/python -m ward --path tests/system
 
--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -5,6 +5,7 @@
 Run it in two clones in turn to compare texts; `sends` is a sum over all sends, the same where the decisions
 are.
 """
+
 import time
 from heapq import heappop, heappush
 from types import SimpleNamespace
@@ -16,7 +17,7 @@
 from honeywood.trace.tape import Tape
 
 KINDS = face.IDEMPOTENT, face.TOKENED, face.NON_IDEMPOTENT
-SERVERS, EVERY = 30, 20        # servers; tenths of a ms between RPCs
+SERVERS, EVERY = 30, 20  # servers; tenths of a ms between RPCs
 
 
 class Host:
@@ -40,16 +41,54 @@
 
 
 def settings():
-    methods = [face.Method(kind=kind, soft=2500, soft_stretch=0, deadline=10000, utility=1, late_utility=0,
-                           group="all", window=80000, place=place, name=kind)
-               for place, kind in enumerate(KINDS)]
+    methods = [
+        face.Method(
+            kind=kind,
+            soft=2500,
+            soft_stretch=0,
+            deadline=10000,
+            utility=1,
+            late_utility=0,
+            group="all",
+            window=80000,
+            place=place,
+            name=kind,
+        )
+        for place, kind in enumerate(KINDS)
+    ]
     return face.Settings(
-        seed=7, tick=10, zone=0, fronts=3, methods=methods, max_picks=4, may_duplicate=True, may_cancel=True,
-        may_probe=False, max_wait=10000, must_ask=False, ask_within=100000, cold_share=0.4, cold_time=40000,
-        tip_multiple=2.5, tip_time=20000, report_fields=("active",), cross_price=0.0, caps=[0.1, 0.5, 1.0],
-        waves=[0.1, 0.4, 1.0], free_picks=2, exposure_window=30000, per_method=True, guarded_steps=0,
-        one_way=False, vote_rule="any", back_votes=1, go_votes=1, vote_life=60000, vote_wait=12000,
-        tally_period=0)
+        seed=7,
+        tick=10,
+        zone=0,
+        fronts=3,
+        methods=methods,
+        max_picks=4,
+        may_duplicate=True,
+        may_cancel=True,
+        may_probe=False,
+        max_wait=10000,
+        must_ask=False,
+        ask_within=100000,
+        cold_share=0.4,
+        cold_time=40000,
+        tip_multiple=2.5,
+        tip_time=20000,
+        report_fields=("active",),
+        cross_price=0.0,
+        caps=[0.1, 0.5, 1.0],
+        waves=[0.1, 0.4, 1.0],
+        free_picks=2,
+        exposure_window=30000,
+        per_method=True,
+        guarded_steps=0,
+        one_way=False,
+        vote_rule="any",
+        back_votes=1,
+        go_votes=1,
+        vote_life=60000,
+        vote_wait=12000,
+        tally_period=0,
+    )
 
 
 def run(rpcs, tape):
@@ -57,8 +96,11 @@
     front = decide.Front(settings(), host)
     front.start(0)
     servers = [face.Server(host=SimpleNamespace(number=n, name=f"s{n}")) for n in range(SERVERS)]
-    front.listed(0, [(server, 1 + (n >= 20), 0, 0, 1.0, face.READY, face.LONG_AGO)
-                     for n, server in enumerate(servers)], True)
+    front.listed(
+        0,
+        [(server, 1 + (n >= 20), 0, 0, 1.0, face.READY, face.LONG_AGO) for n, server in enumerate(servers)],
+        True,
+    )
     front.news(0, face.OK, False, 2, 1, 0.5, face.ON_TRIAL, 0)
     began, looked = time.process_time(), 0
     for number in range(rpcs):
@@ -74,9 +116,21 @@
         if tape and len(tape.queue) > 8000:
             tape.queue.clear()
         call = SimpleNamespace(serial=number + 1)
-        front.take(now, face.Rpc(
-            method=front.judge.methods[number % 3], customer=0, key=number, deadline=now + 10000, work=0,
-            repeat=False, taken=now, picks=[], done=False, host=call))
+        front.take(
+            now,
+            face.Rpc(
+                method=front.judge.methods[number % 3],
+                customer=0,
+                key=number,
+                deadline=now + 10000,
+                work=0,
+                repeat=False,
+                taken=now,
+                picks=[],
+                done=False,
+                host=call,
+            ),
+        )
     return rpcs / (time.process_time() - began), host.sends
 
 
--- a/benchmarks/pairs.py
+++ b/benchmarks/pairs.py
@@ -6,6 +6,7 @@
 moves with machine and moment, so only figures of one pair are compared; which text begins changes from pair
 to pair.
 """
+
 import re
 import shlex
 import subprocess
@@ -33,8 +34,10 @@
     click.echo(f"`{shlex.join(command)}`\n\n| pair | old | new | new - old |\n| --- | --- | --- | --- |")
     differences = []
     for number in range(pairs):
-        found = {folder: score(folder, command, pattern) for folder in ((old, new) if number % 2 == 0 else
-                                                                        (new, old))}
+        found = {
+            folder: score(folder, command, pattern)
+            for folder in ((old, new) if number % 2 == 0 else (new, old))
+        }
         differences.append(found[new] - found[old])
         click.echo(f"| {number + 1} | {found[old]:.3f} | {found[new]:.3f} | {differences[-1]:+.3f} |")
     click.echo(f"\nmedian {median(differences):+.3f}")
--- a/honeywood/__main__.py
+++ b/honeywood/__main__.py
@@ -1,10 +1,13 @@
 """Starts one front; with words behind it, the command line, which a front never imports."""
+
 import os
 import sys
 
 if __name__ == "__main__":
     if len(sys.argv) > 1:
         from honeywood.cli.main import main as command_line
+
         command_line(prog_name="honeywood")
     from honeywood.program.life import main
+
     os._exit(main())
--- a/honeywood/cli/check.py
+++ b/honeywood/cli/check.py
@@ -1,4 +1,5 @@
 """`honeywood check`."""
+
 import json
 import os
 
@@ -8,8 +9,12 @@
 @click.command("check")
 @click.option("--config", type=click.Path(), help="The configuration; otherwise ROUTER_CONFIG names it.")
 @click.option("--operator", type=click.Path(), help="The operator file; otherwise ROUTER_OPERATOR names it.")
-@click.option("--compile", "out", type=click.Path(), help="Write the operator file in the form that a front "
-              "reads without an HCL library.")
+@click.option(
+    "--compile",
+    "out",
+    type=click.Path(),
+    help="Write the operator file in the form that a front " "reads without an HCL library.",
+)
 @click.option("--json", "plain", is_flag=True, help="Print the operator file's values as JSON.")
 def command(config, operator, out, plain):
     """Says what is wrong with a configuration and an operator file; ends with 2 where anything is."""
@@ -17,6 +22,7 @@
     from honeywood.operator.read import read, write_compiled
     from honeywood.program import config as configuration
     from honeywood.settings import BadKey
+
     config = config or os.environ.get("ROUTER_CONFIG")
     operator = operator or os.environ.get("ROUTER_OPERATOR")
     if not config and not operator:
--- a/honeywood/cli/lab.py
+++ b/honeywood/cli/lab.py
@@ -1,4 +1,5 @@
 """`honeywood lab ...`: experiments with real fronts and stand-ins on loopback."""
+
 import json
 import tempfile
 
@@ -13,23 +14,40 @@
 @command.command()
 @click.option("--folder", type=click.Path(), help="Where trace and log go; otherwise a new folder.")
 @click.option("--seconds", type=float, default=14, show_default=True)
-@click.option("--failing", type=float, default=0.0, show_default=True,
-              help="Share of RPCs that the new build fails.")
+@click.option(
+    "--failing", type=float, default=0.0, show_default=True, help="Share of RPCs that the new build fails."
+)
 def demo(folder, seconds, failing):
     """One front through a release, recorded; then what its trace tells."""
     import sys
 
     from honeywood.cli.trace import command as trace
     from honeywood.lab.demo import demo as played
+
     folder = folder or tempfile.mkdtemp(prefix="honeywood-")
     paths, _ = played(folder, seconds, failing, click.echo)
     key, middle = f"{folder}/key", f"{folder}/middle.trace"
-    for words in (["verify", *paths], ["summary", paths[0]], ["show", "--rpc", "c1-9", *paths],
-                  ["replay", *paths], ["cut", "--from", "+2", "--to", "+6", "-o", middle, paths[0]],
-                  ["merge", "-o", f"{folder}/merged.trace", middle, *paths], ["index", middle],
-                  ["anonymise", "--key", key, "--make-key", "--customer", "carrier-1", "-o",
-                   f"{folder}/carrier-1.trace", paths[0]],
-                  ["plot", "-o", f"{folder}/demo.png", paths[0]]):
+    for words in (
+        ["verify", *paths],
+        ["summary", paths[0]],
+        ["show", "--rpc", "c1-9", *paths],
+        ["replay", *paths],
+        ["cut", "--from", "+2", "--to", "+6", "-o", middle, paths[0]],
+        ["merge", "-o", f"{folder}/merged.trace", middle, *paths],
+        ["index", middle],
+        [
+            "anonymise",
+            "--key",
+            key,
+            "--make-key",
+            "--customer",
+            "carrier-1",
+            "-o",
+            f"{folder}/carrier-1.trace",
+            paths[0],
+        ],
+        ["plot", "-o", f"{folder}/demo.png", paths[0]],
+    ):
         click.echo(f"\n$ honeywood trace {' '.join(words)}")
         try:
             trace.main(words, prog_name="honeywood trace", standalone_mode=False)
@@ -46,6 +64,7 @@
 def recorder(rate, seconds, count, plain):
     """What the recorder costs: a front without it and with it, in turn."""
     from honeywood.lab.recording import pairs, told
+
     with tempfile.TemporaryDirectory(prefix="honeywood-") as folder:
         rows = pairs(folder, rate, seconds, count)
     click.echo(json.dumps(rows) if plain else told(rows))
@@ -61,6 +80,7 @@
 def slow(rates, counts, seconds, turns, record, plain):
     """Healthy clients beside slow ones and beside answers that trickle."""
     from honeywood.lab.slow import rows, told
+
     with tempfile.TemporaryDirectory(prefix="honeywood-") as folder:
         found = list(rows(folder, rates, counts, seconds, turns, record))
     click.echo(json.dumps(found, indent=1) if plain else told(found))
@@ -72,6 +92,7 @@
 def fleet_count(logs, seconds):
     """Adds up what the fronts of a fleet counted, from the folder of their LOGS."""
     from honeywood.lab.fleet_count import spans, table
+
     click.echo(table(spans(logs, seconds)))
 
 
@@ -80,4 +101,5 @@
 def market(words):
     """The whole system in a world of its own: run, hunt, replay, sweep, report, prove."""
     from honeywood.cli.market import command as group
+
     group.main(list(words), prog_name="honeywood lab market")
--- a/honeywood/cli/main.py
+++ b/honeywood/cli/main.py
@@ -1,10 +1,16 @@
 """The `honeywood` command and its groups."""
+
 import importlib
 
 import click
 
-GROUPS = {"serve": "honeywood.cli.serve", "check": "honeywood.cli.check", "version": "honeywood.cli.version",
-          "trace": "honeywood.cli.trace", "lab": "honeywood.cli.lab"}
+GROUPS = {
+    "serve": "honeywood.cli.serve",
+    "check": "honeywood.cli.check",
+    "version": "honeywood.cli.version",
+    "trace": "honeywood.cli.trace",
+    "lab": "honeywood.cli.lab",
+}
 
 
 class Late(click.Group):
--- a/honeywood/cli/serve.py
+++ b/honeywood/cli/serve.py
@@ -1,4 +1,5 @@
 """`honeywood serve`."""
+
 import os
 
 import click
@@ -13,4 +14,5 @@
         if given:
             os.environ[name] = given
     from honeywood.program.life import main
+
     os._exit(main())
--- a/honeywood/cli/version.py
+++ b/honeywood/cli/version.py
@@ -1,4 +1,5 @@
 """`honeywood version`."""
+
 import click
 
 
@@ -8,8 +9,9 @@
     from importlib.metadata import PackageNotFoundError, version
 
     from honeywood.trace.schema import MAJOR, MINOR
+
     try:
         number = version("honeywood")
-    except PackageNotFoundError:   # run from its folder, not installed
+    except PackageNotFoundError:  # run from its folder, not installed
         number = "not installed"
     click.echo(f"honeywood {number}, trace files {MAJOR}.{MINOR}")
--- a/honeywood/system/bourse/register.py
+++ b/honeywood/system/bourse/register.py
@@ -83,9 +83,7 @@
         return [[key[len(NOTES) :], *row] for key, row in self.rows.items() if key.startswith(NOTES)]
 
     def _registers(self):
-        return {
-            key: row for key, row in self.rows.items() if key not in BESIDE and not key.startswith(NOTES)
-        }
+        return {key: row for key, row in self.rows.items() if key not in BESIDE and not key.startswith(NOTES)}
 
     def _lives(self):
         """How often each disk has begun anew, as far as this one knows, where that was more than once."""
--- a/honeywood/system/ledger/round.py
+++ b/honeywood/system/ledger/round.py
@@ -16,9 +16,7 @@
     for reply in replies.values():
         for ip, life in reply["lives"].items():
             newest[ip] = max(life, newest.get(ip, FIRST))
-    return [
-        reply for ip, reply in replies.items() if reply["lives"].get(ip, FIRST) == newest.get(ip, FIRST)
-    ]
+    return [reply for ip, reply in replies.items() if reply["lives"].get(ip, FIRST) == newest.get(ip, FIRST)]
 
 
 class Round:
