--- a/benchmarks/stall.py
+++ b/benchmarks/stall.py
@@ -20,14 +20,13 @@
 
 from timeline import config  # noqa: E402
 
+from honeywood.gateway.configuration.config import Limits  # noqa: E402
+from honeywood.gateway.configuration.settings import read  # noqa: E402
 from honeywood.lab.market.boot import boot  # noqa: E402
-
 from honeywood.system.cart.ask import answer, body_of  # noqa: E402
 from honeywood.system.cart.door import Doors  # noqa: E402
 from honeywood.system.cart.link import Link, end_to_end  # noqa: E402
 from honeywood.system.stall.program import Stall  # noqa: E402
-from honeywood.system.terms.config import Limits  # noqa: E402
-from honeywood.system.terms.settings import read  # noqa: E402
 
 CLIENTS, BODY = 8, b"x" * 1500
 
--- a/honeywood/cli/check.py
+++ b/honeywood/cli/check.py
@@ -18,8 +18,8 @@
 @click.option("--json", "plain", is_flag=True, help="Print the operator file's values as JSON.")
 def command(config, operator, out, plain):
     """Says what is wrong with a configuration and an operator file; ends with 2 where anything is."""
-    from honeywood.operator.rules import BadFile
     from honeywood.operator.read import read, write_compiled
+    from honeywood.operator.rules import BadFile
     from honeywood.program import config as configuration
     from honeywood.settings import BadKey
 
--- a/honeywood/system/terms/check.py
+++ b/honeywood/gateway/configuration/check.py
@@ -3,7 +3,7 @@
 import json
 from math import inf, isfinite
 
-from honeywood.system.terms.outcome import Wrong
+from honeywood.gateway.configuration.outcome import Wrong
 
 MISSING = object()
 
--- a/honeywood/system/terms/config.py
+++ b/honeywood/gateway/configuration/config.py
@@ -7,8 +7,8 @@
 from binascii import a2b_base64, b2a_base64
 from dataclasses import dataclass
 
-from honeywood.system.terms.check import need, read_json
-from honeywood.system.terms.outcome import Wrong
+from honeywood.gateway.configuration.check import need, read_json
+from honeywood.gateway.configuration.outcome import Wrong
 
 STEP = "config.replace"
 SAFE, UNSAFE = "safe", "unsafe"
--- a/honeywood/system/terms/settings.py
+++ b/honeywood/gateway/configuration/settings.py
@@ -3,8 +3,8 @@
 import tomllib
 from dataclasses import dataclass
 
-from honeywood.system.terms.check import address, need
-from honeywood.system.terms.outcome import Wrong
+from honeywood.gateway.configuration.check import address, need
+from honeywood.gateway.configuration.outcome import Wrong
 
 BOUNDS = (
     "reuse_s",
--- a/honeywood/lab/market/loopback.py
+++ b/honeywood/lab/market/loopback.py
@@ -10,10 +10,10 @@
 import tempfile
 import time
 
+from honeywood.gateway.configuration.outcome import Failed
 from honeywood.lab.market.boot import boot
 from honeywood.system.cart.call import Caller
 from honeywood.system.cart.link import Broken, Link
-from honeywood.system.terms.outcome import Failed
 from standins.sorting import Machine
 
 BOURSES, STALLS = [f"127.0.0.{n}" for n in (11, 12, 13)], [f"127.0.0.{n}" for n in (21, 22)]
--- a/honeywood/lab/market/world.py
+++ b/honeywood/lab/market/world.py
@@ -8,12 +8,12 @@
 from collections import Counter
 from contextvars import Context
 
+from honeywood.gateway.configuration.outcome import Done, Failed, Wrong
+from honeywood.gateway.configuration.settings import read
 from honeywood.lab.market.boot import BOUNDS, boot
 from honeywood.lab.market.process import Loop, Process
 from honeywood.system.bourse.program import Bourse
 from honeywood.system.stall.program import Stall
-from honeywood.system.terms.outcome import Done, Failed, Wrong
-from honeywood.system.terms.settings import read
 
 OUTSIDE = "outside"  # clients, machines and operators, as one end of a cut
 
--- a/honeywood/system/bourse/app.py
+++ b/honeywood/system/bourse/app.py
@@ -6,9 +6,9 @@
 from honeywood.system.bourse import machines, register
 from honeywood.system.cart.ask import answer, body_of
 from honeywood.system.crier import mouth
-from honeywood.system.terms import config
-from honeywood.system.terms.check import need, read_json
-from honeywood.system.terms.outcome import Wrong
+from honeywood.gateway.configuration import config
+from honeywood.gateway.configuration.check import need, read_json
+from honeywood.gateway.configuration.outcome import Wrong
 
 MOST = 8 << 20  # bytes of a call's body
 JSON = [(b"content-type", b"application/json")]
--- a/honeywood/system/bourse/machines.py
+++ b/honeywood/system/bourse/machines.py
@@ -2,8 +2,8 @@
 
 from honeywood.system.crier.past import Past
 from honeywood.system.porter.roster import DRAINING, GONE, LOST, READY
-from honeywood.system.terms.check import address, need
-from honeywood.system.terms.outcome import Wrong
+from honeywood.gateway.configuration.check import address, need
+from honeywood.gateway.configuration.outcome import Wrong
 
 STEP = "instances.heartbeat"
 LAST = 1 << 53  # a stamp above all beats': a life that has left doesn't come back
--- a/honeywood/system/bourse/notes.py
+++ b/honeywood/system/bourse/notes.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from honeywood.system.terms.outcome import Wrong
+from honeywood.gateway.configuration.outcome import Wrong
 
 
 class Notes:
--- a/honeywood/system/bourse/orders.py
+++ b/honeywood/system/bourse/orders.py
@@ -3,8 +3,9 @@
 Only what can't be read is refused without asking."""
 
 from honeywood.system.scales import record as rollouts
-from honeywood.system.terms import config, held
-from honeywood.system.terms.outcome import Wrong
+from honeywood.gateway.configuration import versions as held
+from honeywood.gateway.configuration import config
+from honeywood.gateway.configuration.outcome import Wrong
 
 CONFIG, ROLLOUT = "config", "rollout/"  # keys of the register
 FRESH = 1.0  # seconds after which whoever sent an order has gone on; what is older begins nothing
--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -20,7 +20,7 @@
 from honeywood.system.program import COUNTS, Program
 from honeywood.system.scales import record as rollouts
 from honeywood.system.scales.verdict import Verdict
-from honeywood.system.terms.outcome import Wrong
+from honeywood.gateway.configuration.outcome import Wrong
 
 LOOK = 0.1  # seconds between looks at rollouts, and at whether this disk is where it counts
 MISSED = 3.0  # times contact_s and sync_s together that a member is silent before a spare takes its place
--- a/honeywood/system/bourse/register.py
+++ b/honeywood/system/bourse/register.py
@@ -7,8 +7,8 @@
 from honeywood.system.bourse.whole import bounded
 from honeywood.system.ledger import acceptor, members
 from honeywood.system.ledger.round import FIRST, Round, agreed, current
-from honeywood.system.terms.check import need
-from honeywood.system.terms.outcome import Done, Failed, Wrong
+from honeywood.gateway.configuration.check import need
+from honeywood.gateway.configuration.outcome import Done, Failed, Wrong
 
 PATH = "/register"
 BORN, MEMBERS = "born", "members"  # rows beside the registers: this disk's life; its configuration;
--- a/honeywood/system/bourse/whole.py
+++ b/honeywood/system/bourse/whole.py
@@ -4,7 +4,7 @@
 import json
 
 from honeywood.system.ledger.parts import Hearer, Teller
-from honeywood.system.terms.outcome import Done, Failed, Wrong
+from honeywood.gateway.configuration.outcome import Done, Failed, Wrong
 
 LONG = ("pull", "survey")  # steps whose answers may be long
 WRITES = ("prepare", "accept", "pull")  # steps that wait for the disk
--- a/honeywood/system/crier/mouth.py
+++ b/honeywood/system/crier/mouth.py
@@ -11,8 +11,8 @@
 from honeywood.system.crier.board import Board
 from honeywood.system.crier.pace import Pace, part
 from honeywood.system.crier.piece import Pieces
-from honeywood.system.terms.check import need
-from honeywood.system.terms.outcome import Wrong
+from honeywood.gateway.configuration.check import need
+from honeywood.gateway.configuration.outcome import Wrong
 
 PATH = "/news"
 HOLD = 1.0  # seconds an ask is held while there is nothing new
--- a/honeywood/system/program.py
+++ b/honeywood/system/program.py
@@ -12,8 +12,8 @@
 import structlog
 
 from honeywood.system.cart.call import Caller
-from honeywood.system.terms.outcome import Wrong
-from honeywood.system.terms.settings import read
+from honeywood.gateway.configuration.outcome import Wrong
+from honeywood.gateway.configuration.settings import read
 
 FILE = "HONEYWOOD_NODE_FILE"
 REREAD = 2.0  # seconds between looks at whether the settings file has changed
--- a/honeywood/system/stall/app.py
+++ b/honeywood/system/stall/app.py
@@ -5,8 +5,8 @@
 from honeywood.system.cart.ask import answer, body_of
 from honeywood.system.crier.mouth import PATH
 from honeywood.system.stall.carry import AGAIN_S, ours
-from honeywood.system.terms.check import read_json
-from honeywood.system.terms.outcome import Wrong
+from honeywood.gateway.configuration.check import read_json
+from honeywood.gateway.configuration.outcome import Wrong
 
 NEWS_MOST = 8 << 20  # bytes of one ask or answer of news
 
--- a/honeywood/system/stall/program.py
+++ b/honeywood/system/stall/program.py
@@ -18,7 +18,7 @@
 from honeywood.system.stall.app import App
 from honeywood.system.stall.carry import Carrier
 from honeywood.system.stall.links import Links
-from honeywood.system.terms import config
+from honeywood.gateway.configuration import config
 
 SURE, SURE_ROLLOUT = 0.4, 0.2  # seconds between asks that make sure of the news; while a version is on trial
 ASKED = 40  # such asks a second at one bourse; where there are more fronts they ask less often,
--- a/tests/system/test_calls.py
+++ b/tests/system/test_calls.py
@@ -11,6 +11,8 @@
 from timeline import config, machine
 from ward import each, test
 
+from honeywood.gateway.configuration.config import Limits
+from honeywood.gateway.configuration.settings import read
 from honeywood.lab.market import world
 from honeywood.lab.market.boot import boot
 from honeywood.protocol import http
@@ -22,8 +24,6 @@
 from honeywood.system.porter.gate import Ask
 from honeywood.system.stall import carry
 from honeywood.system.stall.program import Stall
-from honeywood.system.terms.config import Limits
-from honeywood.system.terms.settings import read
 from honeywood.transport.buffer import Buffer
 
 HEAD = b"HTTP/1.1 %s\r\nX-Try-Id: %s\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\n%s"
--- a/tests/system/test_gate.py
+++ b/tests/system/test_gate.py
@@ -5,6 +5,7 @@
 from timeline import machine
 from ward import each, test
 
+from honeywood.gateway.configuration.config import Config, Limits, Route
 from honeywood.system.porter import answers
 from honeywood.system.porter.budget import Budget
 from honeywood.system.porter.choose import choose
@@ -12,7 +13,6 @@
 from honeywood.system.porter.roster import Roster
 from honeywood.system.porter.routes import Table, share_out
 from honeywood.system.scales.stage import Stage
-from honeywood.system.terms.config import Config, Limits, Route
 
 
 def route(kind="safe", tries=2, prefix="/p/"):
--- a/tests/system/test_links.py
+++ b/tests/system/test_links.py
@@ -7,13 +7,13 @@
 from timeline import World, config
 from ward import each, test
 
+from honeywood.gateway.configuration.outcome import Done, Failed
 from honeywood.lab.market.world import Loop
 from honeywood.system.crier.board import Board
 from honeywood.system.crier.mouth import Ear, Mouth, whole
 from honeywood.system.crier.own import Own
 from honeywood.system.crier.pace import FIRST, LEAST, MOST, SHARE, Pace, Pauses, part
 from honeywood.system.crier.piece import Pieces
-from honeywood.system.terms.outcome import Done, Failed
 
 
 def met(fronts="fghijk", until=4.0, **more):
--- a/tests/system/test_market.py
+++ b/tests/system/test_market.py
@@ -9,6 +9,8 @@
 
 from ward import each, test
 
+from honeywood.gateway.configuration import config
+from honeywood.gateway.configuration.outcome import Wrong
 from honeywood.lab.market import hunt
 from honeywood.lab.market.day import Day, draw, play
 from honeywood.lab.market.faults import Fault
@@ -25,8 +27,6 @@
 from honeywood.system.stall import carry, program
 from honeywood.system.stall.carry import Carrier
 from honeywood.system.stall.program import Stall
-from honeywood.system.terms import config
-from honeywood.system.terms.outcome import Wrong
 
 
 @test("twelve drawn days with all their faults break nothing")
--- a/tests/system/test_orders.py
+++ b/tests/system/test_orders.py
@@ -5,11 +5,11 @@
 from timeline import World, config
 from ward import each, test
 
+from honeywood.gateway.configuration import versions as held
+from honeywood.gateway.configuration.config import unpack
+from honeywood.gateway.configuration.outcome import Done
 from honeywood.lab.market.boot import BOUNDS
 from honeywood.system.bourse.orders import Orders
-from honeywood.system.terms import held
-from honeywood.system.terms.config import unpack
-from honeywood.system.terms.outcome import Done
 
 CONTENTS = {"x": 1, "y": 2, "z": 3}  # contents under one number, by their routes
 
--- a/tests/system/test_parts.py
+++ b/tests/system/test_parts.py
@@ -7,11 +7,11 @@
 from timeline import World, config
 from ward import each, test
 
+from honeywood.gateway.configuration.outcome import Done
 from honeywood.lab.market.boot import BOUNDS
 from honeywood.system.bourse import whole
 from honeywood.system.ledger import parts
 from honeywood.system.ledger.parts import KEPT, OPEN, PART, Hearer, Teller
-from honeywood.system.terms.outcome import Done
 
 LONG = {"rows": {f"k{n}": [[n, "a"], [n, "a"], "x" * 1000] for n in range(300)}}
 
--- a/tests/system/test_past.py
+++ b/tests/system/test_past.py
@@ -5,11 +5,11 @@
 from timeline import World
 from ward import test
 
+from honeywood.gateway.configuration.outcome import Wrong
 from honeywood.system.bourse.machines import Machines
 from honeywood.system.bourse.notes import Notes
 from honeywood.system.crier.board import FORGOTTEN, Board
 from honeywood.system.crier.past import KEEP, MOST, Past
-from honeywood.system.terms.outcome import Wrong
 
 BEAT = {"svc": "s", "ip": "m", "port": 1, "zone": "z", "ver": "v1", "slots": 4, "state": "ready", "cold": 0.0}
 
--- a/tests/system/test_register.py
+++ b/tests/system/test_register.py
@@ -7,9 +7,9 @@
 from timeline import World, config
 from ward import each, test
 
+from honeywood.gateway.configuration.outcome import Done
 from honeywood.system.bourse.register import BORN, Register
 from honeywood.system.ledger import acceptor
-from honeywood.system.terms.outcome import Done
 
 
 def played(*charts):
--- a/tests/system/test_rollouts.py
+++ b/tests/system/test_rollouts.py
@@ -5,11 +5,11 @@
 from timeline import World, machine
 from ward import each, test
 
+from honeywood.gateway.configuration.config import Route
 from honeywood.system.porter.gate import Ask
 from honeywood.system.scales import record
 from honeywood.system.scales.stage import Stage
 from honeywood.system.scales.verdict import Verdict, Voter
-from honeywood.system.terms.config import Route
 
 
 class Fleet:
--- a/tests/system/test_terms.py
+++ b/tests/system/test_terms.py
@@ -8,11 +8,11 @@
 from timeline import World, config
 from ward import each, test
 
+from honeywood.gateway.configuration import config as configs
+from honeywood.gateway.configuration import settings as files
+from honeywood.gateway.configuration.outcome import Wrong
 from honeywood.lab.market.boot import boot
 from honeywood.system.bourse import machines
-from honeywood.system.terms import config as configs
-from honeywood.system.terms import settings as files
-from honeywood.system.terms.outcome import Wrong
 
 
 def refused(raw):
