--- a/honeywood/system/cart/call.py
+++ b/honeywood/gateway/rpc/client.py
@@ -12,10 +12,10 @@
 
 import httpcore
 
-from honeywood.system.cart.door import CALL_ID
-from honeywood.system.cart.link import Broken, Link
 from honeywood.gateway.configuration.check import read_json
 from honeywood.gateway.configuration.outcome import Done, Failed, Wrong
+from honeywood.gateway.rpc.connection import Broken, Link
+from honeywood.gateway.rpc.server import CALL_ID
 
 CONNECT = 0.3  # seconds for a connection to one of ours
 IDLE = 5.0  # seconds after which an idle connection isn't trusted
--- a/honeywood/system/cart/link.py
+++ b/honeywood/gateway/rpc/connection.py
@@ -6,7 +6,7 @@
 
 import httpcore
 
-from honeywood.system.cart.stream import dial
+from honeywood.gateway.rpc.stream import dial
 
 HOLD = 1 << 18  # bytes of an answer that are held until it is whole; longer ones are passed on as they come
 HOPS = frozenset(
--- a/honeywood/lab/market/loopback.py
+++ b/honeywood/lab/market/loopback.py
@@ -11,9 +11,9 @@
 import time
 
 from honeywood.gateway.configuration.outcome import Failed
+from honeywood.gateway.rpc.client import Caller
+from honeywood.gateway.rpc.connection import Broken, Link
 from honeywood.lab.market.boot import boot
-from honeywood.system.cart.call import Caller
-from honeywood.system.cart.link import Broken, Link
 from standins.sorting import Machine
 
 BOURSES, STALLS = [f"127.0.0.{n}" for n in (11, 12, 13)], [f"127.0.0.{n}" for n in (21, 22)]
--- a/honeywood/lab/market/machines.py
+++ b/honeywood/lab/market/machines.py
@@ -6,7 +6,7 @@
 
 import httpcore
 
-from honeywood.system.cart.link import Broken, Reply
+from honeywood.gateway.rpc.connection import Broken, Reply
 
 REFUSES, DARK, LEFT = "refuses", "dark", "left"  # how a machine that has ended is met
 COLD_S, COLD = 3.0, 2.0  # seconds after its start in which a machine is so much slower
--- a/honeywood/system/bourse/app.py
+++ b/honeywood/system/bourse/app.py
@@ -4,7 +4,7 @@
 from urllib.parse import parse_qs
 
 from honeywood.system.bourse import machines, register
-from honeywood.system.cart.ask import answer, body_of
+from honeywood.gateway.rpc.asgi import answer, body_of
 from honeywood.system.crier import mouth
 from honeywood.gateway.configuration import config
 from honeywood.gateway.configuration.check import need, read_json
--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -10,7 +10,7 @@
 from honeywood.system.bourse.orders import CONFIG, ROLLOUT, TICK, Orders
 from honeywood.system.bourse.register import Register
 from honeywood.system.bourse.whole import Telling, Whole
-from honeywood.system.cart.door import Doors
+from honeywood.gateway.rpc.server import Doors
 from honeywood.system.crier.mouth import Ear, Mouth, whole
 from honeywood.system.crier.own import Own
 from honeywood.system.crier.pace import Pauses
--- a/honeywood/system/program.py
+++ b/honeywood/system/program.py
@@ -11,7 +11,7 @@
 
 import structlog
 
-from honeywood.system.cart.call import Caller
+from honeywood.gateway.rpc.client import Caller
 from honeywood.gateway.configuration.outcome import Wrong
 from honeywood.gateway.configuration.settings import read
 
--- a/honeywood/system/stall/app.py
+++ b/honeywood/system/stall/app.py
@@ -2,7 +2,7 @@
 
 import json
 
-from honeywood.system.cart.ask import answer, body_of
+from honeywood.gateway.rpc.asgi import answer, body_of
 from honeywood.system.crier.mouth import PATH
 from honeywood.system.stall.carry import AGAIN_S, ours
 from honeywood.gateway.configuration.check import read_json
--- a/honeywood/system/stall/carry.py
+++ b/honeywood/system/stall/carry.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from honeywood.system.cart.link import Broken, end_to_end
+from honeywood.gateway.rpc.connection import Broken, end_to_end
 from honeywood.system.porter.answers import FAILED, GOOD, NOT_RUN, SILENT, SPOILT, may_pass, meaning
 from honeywood.system.porter.choose import choose
 from honeywood.system.porter.gate import Ask
--- a/honeywood/system/stall/program.py
+++ b/honeywood/system/stall/program.py
@@ -3,8 +3,8 @@
 import asyncio
 from random import Random
 
-from honeywood.system.cart.door import Doors
-from honeywood.system.cart.link import Link
+from honeywood.gateway.rpc.server import Doors
+from honeywood.gateway.rpc.connection import Link
 from honeywood.system.crier.mouth import HOLD, Ear, Mouth, whole
 from honeywood.system.crier.pace import FIRST, Pauses
 from honeywood.system.crier.past import CUT, Past
--- a/tests/system/test_calls.py
+++ b/tests/system/test_calls.py
@@ -13,12 +13,13 @@
 
 from honeywood.gateway.configuration.config import Limits
 from honeywood.gateway.configuration.settings import read
+from honeywood.gateway.rpc import connection as link
+from honeywood.gateway.rpc import stream
+from honeywood.gateway.rpc.client import Caller
+from honeywood.gateway.rpc.server import Door, Doors
 from honeywood.lab.market import world
 from honeywood.lab.market.boot import boot
 from honeywood.protocol import http
-from honeywood.system.cart import link, stream
-from honeywood.system.cart.call import Caller
-from honeywood.system.cart.door import Door, Doors
 from honeywood.system.porter import answers
 from honeywood.system.porter.answers import PROMISES
 from honeywood.system.porter.gate import Ask
