--- a/honeywood/system/ledger/disk.py
+++ b/honeywood/gateway/register/disk.py
@@ -24,7 +24,7 @@
 
 import lmdb
 
-from honeywood.system.ledger.files import PIECE, Files
+from honeywood.gateway.register.files import PIECE, Files
 
 END, SUM = ".mdb", ".sum"
 MOST = 64  # bytes of the text beside a file
--- a/honeywood/system/ledger/members.py
+++ b/honeywood/gateway/register/membership.py
@@ -11,7 +11,7 @@
 
 from math import inf
 
-from honeywood.system.ledger.round import current
+from honeywood.gateway.register.proposer import current
 
 START = 0
 STAYED = 0.75  # times `soon` that a newcomer is in contact before it takes a place
--- a/honeywood/system/bourse/whole.py
+++ b/honeywood/gateway/register/paging.py
@@ -3,8 +3,8 @@
 import asyncio
 import json
 
-from honeywood.system.ledger.parts import Hearer, Teller
 from honeywood.gateway.configuration.outcome import Done, Failed, Wrong
+from honeywood.gateway.register.parts import Hearer, Teller
 
 LONG = ("pull", "survey")  # steps whose answers may be long
 WRITES = ("prepare", "accept", "pull")  # steps that wait for the disk
--- a/honeywood/system/ledger/parts.py
+++ b/honeywood/gateway/register/parts.py
@@ -7,7 +7,6 @@
 
 import json
 import zlib
-
 from _blake2 import blake2b  # hashlib would bring OpenSSL
 
 PART = 1 << 15  # characters of a part
--- a/honeywood/system/ledger/round.py
+++ b/honeywood/gateway/register/proposer.py
@@ -5,7 +5,7 @@
 has asked the others for their rows since, perhaps before they heard what it had answered to.
 """
 
-from honeywood.system.ledger.acceptor import NEVER
+from honeywood.gateway.register.acceptor import NEVER
 
 FIRST = 1  # the life of a disk that was never lost
 
--- a/honeywood/system/bourse/register.py
+++ b/honeywood/gateway/register/replica.py
@@ -4,11 +4,12 @@
 import asyncio
 from concurrent.futures import ThreadPoolExecutor
 
-from honeywood.system.bourse.whole import bounded
-from honeywood.system.ledger import acceptor, members
-from honeywood.system.ledger.round import FIRST, Round, agreed, current
 from honeywood.gateway.configuration.check import need
 from honeywood.gateway.configuration.outcome import Done, Failed, Wrong
+from honeywood.gateway.register import acceptor
+from honeywood.gateway.register import membership as members
+from honeywood.gateway.register.paging import bounded
+from honeywood.gateway.register.proposer import FIRST, Round, agreed, current
 
 PATH = "/register"
 BORN, MEMBERS = "born", "members"  # rows beside the registers: this disk's life; its configuration;
--- a/honeywood/lab/prove/power.py
+++ b/honeywood/lab/prove/power.py
@@ -14,8 +14,8 @@
 
 import lmdb
 
-from honeywood.system.ledger.disk import Disk
-from honeywood.system.ledger.files import Files
+from honeywood.gateway.register.disk import Disk
+from honeywood.gateway.register.files import Files
 
 BLOCK = 512  # bytes that are written whole or not at all, or not even that
 KEPT, GONE, MIXED = "all kept", "all gone", "mixed"  # what becomes of writes that were not synced
--- a/honeywood/lab/prove/register.py
+++ b/honeywood/lab/prove/register.py
@@ -16,8 +16,9 @@
 from dataclasses import dataclass, replace
 from itertools import combinations
 
-from honeywood.system.ledger import acceptor, members
-from honeywood.system.ledger.round import FIRST, Round, agreed, current
+from honeywood.gateway.register import acceptor
+from honeywood.gateway.register import membership as members
+from honeywood.gateway.register.proposer import FIRST, Round, agreed, current
 
 NEVER = (0, "")
 NONE = (NEVER, NEVER, None)
--- a/honeywood/system/bourse/app.py
+++ b/honeywood/system/bourse/app.py
@@ -3,7 +3,8 @@
 import json
 from urllib.parse import parse_qs
 
-from honeywood.system.bourse import machines, register
+from honeywood.system.bourse import machines
+from honeywood.gateway.register import replica as register
 from honeywood.gateway.rpc.asgi import answer, body_of
 from honeywood.system.crier import mouth
 from honeywood.gateway.configuration import config
--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -8,15 +8,15 @@
 from honeywood.system.bourse.machines import Machines
 from honeywood.system.bourse.notes import Notes
 from honeywood.system.bourse.orders import CONFIG, ROLLOUT, TICK, Orders
-from honeywood.system.bourse.register import Register
-from honeywood.system.bourse.whole import Telling, Whole
+from honeywood.gateway.register.replica import Register
+from honeywood.gateway.register.paging import Telling, Whole
 from honeywood.gateway.rpc.server import Doors
 from honeywood.system.crier.mouth import Ear, Mouth, whole
 from honeywood.system.crier.own import Own
 from honeywood.system.crier.pace import Pauses
 from honeywood.system.crier.ring import order, parents
-from honeywood.system.ledger.disk import Disk
-from honeywood.system.ledger.members import replacement
+from honeywood.gateway.register.disk import Disk
+from honeywood.gateway.register.membership import replacement
 from honeywood.system.program import COUNTS, Program
 from honeywood.system.scales import record as rollouts
 from honeywood.system.scales.verdict import Verdict
--- a/tests/system/test_disk.py
+++ b/tests/system/test_disk.py
@@ -7,6 +7,9 @@
 from timeline import World
 from ward import each, test
 
+from honeywood.gateway.register.disk import Disk
+from honeywood.gateway.register.files import Files
+from honeywood.gateway.register.replica import BORN
 from honeywood.lab.prove import power
 from honeywood.lab.prove.power import (
     DOUBT,
@@ -20,9 +23,6 @@
     every_call,
     history,
 )
-from honeywood.system.bourse.register import BORN
-from honeywood.system.ledger.disk import Disk
-from honeywood.system.ledger.files import Files
 
 
 @test("power is lost at every call in turn, what was not synced {how}")
--- a/tests/system/test_parts.py
+++ b/tests/system/test_parts.py
@@ -8,10 +8,10 @@
 from ward import each, test
 
 from honeywood.gateway.configuration.outcome import Done
+from honeywood.gateway.register import paging as whole
+from honeywood.gateway.register import parts
+from honeywood.gateway.register.parts import KEPT, OPEN, PART, Hearer, Teller
 from honeywood.lab.market.boot import BOUNDS
-from honeywood.system.bourse import whole
-from honeywood.system.ledger import parts
-from honeywood.system.ledger.parts import KEPT, OPEN, PART, Hearer, Teller
 
 LONG = {"rows": {f"k{n}": [[n, "a"], [n, "a"], "x" * 1000] for n in range(300)}}
 
--- a/tests/system/test_prove.py
+++ b/tests/system/test_prove.py
@@ -4,10 +4,12 @@
 
 from ward import each, test
 
+from honeywood.gateway.register import acceptor
+from honeywood.gateway.register import membership as members
+from honeywood.gateway.register import proposer as round
 from honeywood.lab.prove import register
 from honeywood.lab.prove.explore import explore, follow, walk
 from honeywood.lab.prove.register import FIVE, REPLACED, THREE, outcomes, versions
-from honeywood.system.ledger import acceptor, members, round
 
 
 @test("one writer, a lost disk and lost power: all states, whole, none breaks an invariant")
--- a/tests/system/test_register.py
+++ b/tests/system/test_register.py
@@ -8,8 +8,8 @@
 from ward import each, test
 
 from honeywood.gateway.configuration.outcome import Done
-from honeywood.system.bourse.register import BORN, Register
-from honeywood.system.ledger import acceptor
+from honeywood.gateway.register import acceptor
+from honeywood.gateway.register.replica import BORN, Register
 
 
 def played(*charts):
--- a/tests/system/test_review.py
+++ b/tests/system/test_review.py
@@ -5,8 +5,8 @@
 from timeline import World
 from ward import test
 
-from honeywood.system.ledger import acceptor
-from honeywood.system.ledger.round import Round, agreed
+from honeywood.gateway.register import acceptor
+from honeywood.gateway.register.proposer import Round, agreed
 
 
 @test("a rebuilt disk's copy is no vote: what a read tells is never lost to a ballot promised before")
