--- a/benchmarks/disk.py
+++ b/benchmarks/disk.py
@@ -15,8 +15,8 @@
 
 sys.path[:0] = [os.path.join(os.path.dirname(__file__), "..")]
 
+from honeywood.gateway.dissemination.history import MOST  # noqa: E402
 from honeywood.gateway.register.disk import Disk  # noqa: E402
-from honeywood.system.crier.past import MOST  # noqa: E402
 
 CONFIG, NOTE, PUTS = 60_000, 180, 50
 
--- a/honeywood/system/crier/piece.py
+++ b/honeywood/gateway/dissemination/chunk.py
@@ -2,7 +2,6 @@
 ended, and the whole is taken only if its length and mark are those that were told. Pure."""
 
 import json
-
 from _blake2 import blake2b  # hashlib would bring OpenSSL
 
 
--- a/honeywood/system/crier/mouth.py
+++ b/honeywood/gateway/dissemination/publisher.py
@@ -8,11 +8,11 @@
 import asyncio
 from collections import Counter
 
-from honeywood.system.crier.board import Board
-from honeywood.system.crier.pace import Pace, part
-from honeywood.system.crier.piece import Pieces
 from honeywood.gateway.configuration.check import need
 from honeywood.gateway.configuration.outcome import Wrong
+from honeywood.gateway.dissemination.backoff import Pace, part
+from honeywood.gateway.dissemination.chunk import Pieces
+from honeywood.gateway.dissemination.store import Board
 
 PATH = "/news"
 HOLD = 1.0  # seconds an ask is held while there is nothing new
--- a/honeywood/system/crier/board.py
+++ b/honeywood/gateway/dissemination/store.py
@@ -6,12 +6,11 @@
 """
 
 import json
-from array import array
-
 from _blake2 import blake2b  # hashlib would bring OpenSSL
+from array import array
 
-from honeywood.system.crier.past import over
-from honeywood.system.crier.piece import cut, mark
+from honeywood.gateway.dissemination.chunk import cut, mark
+from honeywood.gateway.dissemination.history import over
 
 DOUBTED = [-1]  # the stamp of what may be out of date: below all others
 LIVES = ("machine/", "beat/")  # notes of lives that end and are forgotten
--- a/honeywood/system/bourse/app.py
+++ b/honeywood/system/bourse/app.py
@@ -6,7 +6,7 @@
 from honeywood.system.bourse import machines
 from honeywood.gateway.register import replica as register
 from honeywood.gateway.rpc.asgi import answer, body_of
-from honeywood.system.crier import mouth
+from honeywood.gateway.dissemination import publisher as mouth
 from honeywood.gateway.configuration import config
 from honeywood.gateway.configuration.check import need, read_json
 from honeywood.gateway.configuration.outcome import Wrong
--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -11,10 +11,10 @@
 from honeywood.gateway.register.replica import Register
 from honeywood.gateway.register.paging import Telling, Whole
 from honeywood.gateway.rpc.server import Doors
-from honeywood.system.crier.mouth import Ear, Mouth, whole
-from honeywood.system.crier.own import Own
-from honeywood.system.crier.pace import Pauses
-from honeywood.system.crier.ring import order, parents
+from honeywood.gateway.dissemination.publisher import Ear, Mouth, whole
+from honeywood.gateway.dissemination.local import Own
+from honeywood.gateway.dissemination.backoff import Pauses
+from honeywood.gateway.dissemination.rendezvous import order, parents
 from honeywood.gateway.register.disk import Disk
 from honeywood.gateway.register.membership import replacement
 from honeywood.system.program import COUNTS, Program
--- a/honeywood/system/stall/app.py
+++ b/honeywood/system/stall/app.py
@@ -3,7 +3,7 @@
 import json
 
 from honeywood.gateway.rpc.asgi import answer, body_of
-from honeywood.system.crier.mouth import PATH
+from honeywood.gateway.dissemination.publisher import PATH
 from honeywood.system.stall.carry import AGAIN_S, ours
 from honeywood.gateway.configuration.check import read_json
 from honeywood.gateway.configuration.outcome import Wrong
--- a/honeywood/system/stall/program.py
+++ b/honeywood/system/stall/program.py
@@ -5,10 +5,10 @@
 
 from honeywood.gateway.rpc.server import Doors
 from honeywood.gateway.rpc.connection import Link
-from honeywood.system.crier.mouth import HOLD, Ear, Mouth, whole
-from honeywood.system.crier.pace import FIRST, Pauses
-from honeywood.system.crier.past import CUT, Past
-from honeywood.system.crier.ring import order
+from honeywood.gateway.dissemination.publisher import HOLD, Ear, Mouth, whole
+from honeywood.gateway.dissemination.backoff import FIRST, Pauses
+from honeywood.gateway.dissemination.history import CUT, Past
+from honeywood.gateway.dissemination.rendezvous import order
 from honeywood.system.porter.budget import Budget
 from honeywood.system.porter.gate import Gate
 from honeywood.system.porter.roster import LOST, Roster
--- a/tests/system/test_links.py
+++ b/tests/system/test_links.py
@@ -8,12 +8,12 @@
 from ward import each, test
 
 from honeywood.gateway.configuration.outcome import Done, Failed
+from honeywood.gateway.dissemination.backoff import FIRST, LEAST, MOST, SHARE, Pace, Pauses, part
+from honeywood.gateway.dissemination.chunk import Pieces
+from honeywood.gateway.dissemination.local import Own
+from honeywood.gateway.dissemination.publisher import Ear, Mouth, whole
+from honeywood.gateway.dissemination.store import Board
 from honeywood.lab.market.world import Loop
-from honeywood.system.crier.board import Board
-from honeywood.system.crier.mouth import Ear, Mouth, whole
-from honeywood.system.crier.own import Own
-from honeywood.system.crier.pace import FIRST, LEAST, MOST, SHARE, Pace, Pauses, part
-from honeywood.system.crier.piece import Pieces
 
 
 def met(fronts="fghijk", until=4.0, **more):
--- a/tests/system/test_market.py
+++ b/tests/system/test_market.py
@@ -11,6 +11,7 @@
 
 from honeywood.gateway.configuration import config
 from honeywood.gateway.configuration.outcome import Wrong
+from honeywood.gateway.dissemination.store import Board
 from honeywood.gateway.register import membership as members
 from honeywood.gateway.register.replica import Register
 from honeywood.lab.market import hunt
@@ -18,7 +19,6 @@
 from honeywood.lab.market.faults import Fault
 from honeywood.lab.market.process import FROZEN, Loop, Process
 from honeywood.system.bourse.app import App
-from honeywood.system.crier.board import Board
 from honeywood.system.porter import answers
 from honeywood.system.porter.budget import Budget
 from honeywood.system.porter.gate import Gate
--- a/tests/system/test_news.py
+++ b/tests/system/test_news.py
@@ -17,7 +17,7 @@
 
 def top(world):
     """The front of the zone that others hear from."""
-    from honeywood.system.crier.ring import order
+    from honeywood.gateway.dissemination.rendezvous import order
 
     return order(world.fronts, "z")[0]
 
