--- a/honeywood/gateway/dissemination/history.py
+++ b/honeywood/gateway/dissemination/history.py
@@ -4,7 +4,7 @@
 Who fell silent may come back; after a while its notes are dropped too, and its next beat makes it known anew.
 """
 
-from honeywood.system.porter.roster import GONE, LOST
+from honeywood.gateway.routing.endpoints import GONE, LOST
 
 KEEP = 120.0  # seconds for which a life that is over is told of: above any late beat's, and CUT by far
 CUT = 60.0  # seconds without a bourse that hears a majority after which a front doubts what it knows
--- a/honeywood/system/porter/gate.py
+++ b/honeywood/gateway/routing/attempts.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from honeywood.system.porter.answers import FAILED, GOOD, NOT_RUN
-from honeywood.system.porter.roster import READY
+from honeywood.gateway.routing.answers import FAILED, GOOD, NOT_RUN
+from honeywood.gateway.routing.endpoints import READY
 
 FEW = 8  # connections that a machine is taken to accept while no configuration says more
 REACHES = 4  # machines that may prove out of reach to one request
--- a/honeywood/system/bourse/machines.py
+++ b/honeywood/system/bourse/machines.py
@@ -1,7 +1,7 @@
 """What machines tell of themselves, as notes. Pure."""
 
 from honeywood.gateway.dissemination.history import Past
-from honeywood.system.porter.roster import DRAINING, GONE, LOST, READY
+from honeywood.gateway.routing.endpoints import DRAINING, GONE, LOST, READY
 from honeywood.gateway.configuration.check import address, need
 from honeywood.gateway.configuration.outcome import Wrong
 
--- a/honeywood/system/scales/stage.py
+++ b/honeywood/system/scales/stage.py
@@ -6,7 +6,7 @@
 
 from honeywood.judge.counts import EDGES, Counts
 from honeywood.gateway.dissemination.rendezvous import order
-from honeywood.system.porter.answers import GOOD, NOT_RUN
+from honeywood.gateway.routing.answers import GOOD, NOT_RUN
 from honeywood.system.scales.record import ACTIVE, DONE, FULL, REVERTED, TRIAL
 from honeywood.system.scales.verdict import Voter
 
--- a/honeywood/system/stall/program.py
+++ b/honeywood/system/stall/program.py
@@ -9,10 +9,10 @@
 from honeywood.gateway.dissemination.backoff import FIRST, Pauses
 from honeywood.gateway.dissemination.history import CUT, Past
 from honeywood.gateway.dissemination.rendezvous import order
-from honeywood.system.porter.budget import Budget
-from honeywood.system.porter.gate import Gate
-from honeywood.system.porter.roster import LOST, Roster
-from honeywood.system.porter.routes import Table
+from honeywood.gateway.routing.budget import Budget
+from honeywood.gateway.routing.attempts import Gate
+from honeywood.gateway.routing.endpoints import LOST, Roster
+from honeywood.gateway.routing.routes import Table
 from honeywood.system.program import COUNTS, Program
 from honeywood.system.scales.stage import Stage
 from honeywood.system.stall.app import App
--- a/tests/system/test_calls.py
+++ b/tests/system/test_calls.py
@@ -13,6 +13,9 @@
 
 from honeywood.gateway.configuration.config import Limits
 from honeywood.gateway.configuration.settings import read
+from honeywood.gateway.routing import answers
+from honeywood.gateway.routing.answers import PROMISES
+from honeywood.gateway.routing.attempts import Ask
 from honeywood.gateway.rpc import connection as link
 from honeywood.gateway.rpc import stream
 from honeywood.gateway.rpc.client import Caller
@@ -20,9 +23,6 @@
 from honeywood.lab.market import world
 from honeywood.lab.market.boot import boot
 from honeywood.protocol import http
-from honeywood.system.porter import answers
-from honeywood.system.porter.answers import PROMISES
-from honeywood.system.porter.gate import Ask
 from honeywood.system.stall import carry
 from honeywood.system.stall.program import Stall
 from honeywood.transport.buffer import Buffer
--- a/tests/system/test_gate.py
+++ b/tests/system/test_gate.py
@@ -6,12 +6,12 @@
 from ward import each, test
 
 from honeywood.gateway.configuration.config import Config, Limits, Route
-from honeywood.system.porter import answers
-from honeywood.system.porter.budget import Budget
-from honeywood.system.porter.choose import choose
-from honeywood.system.porter.gate import Ask, Gate
-from honeywood.system.porter.roster import Roster
-from honeywood.system.porter.routes import Table, share_out
+from honeywood.gateway.routing import answers
+from honeywood.gateway.routing.attempts import Ask, Gate
+from honeywood.gateway.routing.balancer import choose
+from honeywood.gateway.routing.budget import Budget
+from honeywood.gateway.routing.endpoints import Roster
+from honeywood.gateway.routing.routes import Table, share_out
 from honeywood.system.scales.stage import Stage
 
 
--- a/tests/system/test_market.py
+++ b/tests/system/test_market.py
@@ -14,14 +14,14 @@
 from honeywood.gateway.dissemination.store import Board
 from honeywood.gateway.register import membership as members
 from honeywood.gateway.register.replica import Register
+from honeywood.gateway.routing import answers
+from honeywood.gateway.routing.attempts import Gate
+from honeywood.gateway.routing.budget import Budget
 from honeywood.lab.market import hunt
 from honeywood.lab.market.day import Day, draw, play
 from honeywood.lab.market.faults import Fault
 from honeywood.lab.market.process import FROZEN, Loop, Process
 from honeywood.system.bourse.app import App
-from honeywood.system.porter import answers
-from honeywood.system.porter.budget import Budget
-from honeywood.system.porter.gate import Gate
 from honeywood.system.scales import record
 from honeywood.system.scales.stage import Stage
 from honeywood.system.stall import carry, program
--- a/tests/system/test_rollouts.py
+++ b/tests/system/test_rollouts.py
@@ -6,7 +6,7 @@
 from ward import each, test
 
 from honeywood.gateway.configuration.config import Route
-from honeywood.system.porter.gate import Ask
+from honeywood.gateway.routing.attempts import Ask
 from honeywood.system.scales import record
 from honeywood.system.scales.stage import Stage
 from honeywood.system.scales.verdict import Verdict, Voter
@@ -16,7 +16,7 @@
     """Fronts that share a service's requests, with the real rules; news take `lag` seconds."""
 
     def __init__(self, bad, seed, fronts=12, per_s=400.0, classes=1, lag=0.4, paces=(1.0,)):
-        from honeywood.system.porter.roster import Roster
+        from honeywood.gateway.routing.endpoints import Roster
 
         self.paces = paces  # times of machines beside each other, in turn
         self.draw, self.bad, self.rate, self.lag = random.Random(seed), bad, per_s, lag
