--- a/honeywood/system/scales/stage.py
+++ b/honeywood/gateway/rollout/stage.py
@@ -4,11 +4,11 @@
 from collections import Counter
 from math import ceil
 
-from honeywood.judge.counts import EDGES, Counts
 from honeywood.gateway.dissemination.rendezvous import order
+from honeywood.gateway.rollout.record import ACTIVE, DONE, FULL, REVERTED, TRIAL
+from honeywood.gateway.rollout.verdict import Voter
 from honeywood.gateway.routing.answers import GOOD, NOT_RUN
-from honeywood.system.scales.record import ACTIVE, DONE, FULL, REVERTED, TRIAL
-from honeywood.system.scales.verdict import Voter
+from honeywood.judge.counts import EDGES, Counts
 
 SAFETY = (
     0.8  # of the share that is told: requests end up elsewhere than they began; the slack is kept for that
--- a/honeywood/system/scales/verdict.py
+++ b/honeywood/gateway/rollout/verdict.py
@@ -1,9 +1,9 @@
 """What counts say of a version on trial: at a front of its own ones, at a bourse of all fronts' pooled ones;
 and the next step of the rollout, from the pooled counts and the fronts' votes."""
 
+from honeywood.gateway.rollout.record import DONE, FULL, REVERTED, TRIAL
 from honeywood.judge.counts import Counts, summed
 from honeywood.judge.cut import FAIL_MARGIN, LEAST, Q, sorted_cut, trails
-from honeywood.system.scales.record import DONE, FULL, REVERTED, TRIAL
 
 SLOW_MARGIN = 0.10  # points of slow share (the design's)
 CONFIRM = 1.0  # seconds after which a rejection must still stand (the design's)
--- a/honeywood/lab/prove/register.py
+++ b/honeywood/lab/prove/register.py
@@ -378,7 +378,7 @@
 
 def outcomes(**more):
     """Two bourses that bring one rollout to different ends."""
-    from honeywood.system.scales import record
+    from honeywood.gateway.rollout import record
 
     first = record.start(None, "s", "v2", 14.0, 0.0)
 
--- a/honeywood/system/bourse/orders.py
+++ b/honeywood/system/bourse/orders.py
@@ -2,7 +2,7 @@
 call came, so on a majority just then; without one it is a 503, which sends the caller on to another bourse.
 Only what can't be read is refused without asking."""
 
-from honeywood.system.scales import record as rollouts
+from honeywood.gateway.rollout import record as rollouts
 from honeywood.gateway.configuration import versions as held
 from honeywood.gateway.configuration import config
 from honeywood.gateway.configuration.outcome import Wrong
--- a/honeywood/system/bourse/program.py
+++ b/honeywood/system/bourse/program.py
@@ -18,8 +18,8 @@
 from honeywood.gateway.register.disk import Disk
 from honeywood.gateway.register.membership import replacement
 from honeywood.system.program import COUNTS, Program
-from honeywood.system.scales import record as rollouts
-from honeywood.system.scales.verdict import Verdict
+from honeywood.gateway.rollout import record as rollouts
+from honeywood.gateway.rollout.verdict import Verdict
 from honeywood.gateway.configuration.outcome import Wrong
 
 LOOK = 0.1  # seconds between looks at rollouts, and at whether this disk is where it counts
--- a/honeywood/system/stall/program.py
+++ b/honeywood/system/stall/program.py
@@ -14,7 +14,7 @@
 from honeywood.gateway.routing.endpoints import LOST, Roster
 from honeywood.gateway.routing.routes import Table
 from honeywood.system.program import COUNTS, Program
-from honeywood.system.scales.stage import Stage
+from honeywood.gateway.rollout.stage import Stage
 from honeywood.system.stall.app import App
 from honeywood.system.stall.carry import Carrier
 from honeywood.system.stall.links import Links
--- a/tests/system/test_gate.py
+++ b/tests/system/test_gate.py
@@ -6,13 +6,13 @@
 from ward import each, test
 
 from honeywood.gateway.configuration.config import Config, Limits, Route
+from honeywood.gateway.rollout.stage import Stage
 from honeywood.gateway.routing import answers
 from honeywood.gateway.routing.attempts import Ask, Gate
 from honeywood.gateway.routing.balancer import choose
 from honeywood.gateway.routing.budget import Budget
 from honeywood.gateway.routing.endpoints import Roster
 from honeywood.gateway.routing.routes import Table, share_out
-from honeywood.system.scales.stage import Stage
 
 
 def route(kind="safe", tries=2, prefix="/p/"):
--- a/tests/system/test_market.py
+++ b/tests/system/test_market.py
@@ -14,6 +14,8 @@
 from honeywood.gateway.dissemination.store import Board
 from honeywood.gateway.register import membership as members
 from honeywood.gateway.register.replica import Register
+from honeywood.gateway.rollout import record
+from honeywood.gateway.rollout.stage import Stage
 from honeywood.gateway.routing import answers
 from honeywood.gateway.routing.attempts import Gate
 from honeywood.gateway.routing.budget import Budget
@@ -22,8 +24,6 @@
 from honeywood.lab.market.faults import Fault
 from honeywood.lab.market.process import FROZEN, Loop, Process
 from honeywood.system.bourse.app import App
-from honeywood.system.scales import record
-from honeywood.system.scales.stage import Stage
 from honeywood.system.stall import carry, program
 from honeywood.system.stall.carry import Carrier
 from honeywood.system.stall.program import Stall
--- a/tests/system/test_rollouts.py
+++ b/tests/system/test_rollouts.py
@@ -6,10 +6,10 @@
 from ward import each, test
 
 from honeywood.gateway.configuration.config import Route
+from honeywood.gateway.rollout import record
+from honeywood.gateway.rollout.stage import Stage
+from honeywood.gateway.rollout.verdict import Verdict, Voter
 from honeywood.gateway.routing.attempts import Ask
-from honeywood.system.scales import record
-from honeywood.system.scales.stage import Stage
-from honeywood.system.scales.verdict import Verdict, Voter
 
 
 class Fleet:
