--- a/benchmarks/stall.py
+++ b/benchmarks/stall.py
@@ -22,11 +22,11 @@
 
 from honeywood.gateway.configuration.config import Limits  # noqa: E402
 from honeywood.gateway.configuration.settings import read  # noqa: E402
+from honeywood.gateway.proxy.program import Stall  # noqa: E402
 from honeywood.gateway.rpc.asgi import answer, body_of  # noqa: E402
 from honeywood.gateway.rpc.connection import Link, end_to_end  # noqa: E402
 from honeywood.gateway.rpc.server import Doors  # noqa: E402
 from honeywood.lab.market.boot import boot  # noqa: E402
-from honeywood.system.stall.program import Stall  # noqa: E402
 
 CLIENTS, BODY = 8, b"x" * 1500
 
--- /dev/null
+++ b/honeywood/gateway/proxy/__main__.py
@@ -0,0 +1,3 @@
+from honeywood.system.lean import run
+
+run("honeywood.gateway.proxy.program", "Stall")
--- a/honeywood/system/stall/app.py
+++ b/honeywood/gateway/proxy/app.py
@@ -2,11 +2,11 @@
 
 import json
 
-from honeywood.gateway.rpc.asgi import answer, body_of
-from honeywood.gateway.dissemination.publisher import PATH
-from honeywood.system.stall.carry import AGAIN_S, ours
 from honeywood.gateway.configuration.check import read_json
 from honeywood.gateway.configuration.outcome import Wrong
+from honeywood.gateway.dissemination.publisher import PATH
+from honeywood.gateway.proxy.forwarding import AGAIN_S, ours
+from honeywood.gateway.rpc.asgi import answer, body_of
 
 NEWS_MOST = 8 << 20  # bytes of one ask or answer of news
 
--- a/honeywood/system/stall/carry.py
+++ b/honeywood/gateway/proxy/forwarding.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass
 from typing import Any
 
-from honeywood.gateway.rpc.connection import Broken, end_to_end
 from honeywood.gateway.routing.answers import FAILED, GOOD, NOT_RUN, SILENT, SPOILT, may_pass, meaning
-from honeywood.gateway.routing.balancer import choose
 from honeywood.gateway.routing.attempts import Ask
+from honeywood.gateway.routing.balancer import choose
 from honeywood.gateway.routing.routes import share_out
+from honeywood.gateway.rpc.connection import Broken, end_to_end
 
 HEDGE = 2.0  # usual answer times after which a repeatable request goes to a second machine as well
 HEDGE_LEAST = 0.05  # seconds
--- a/tests/system/test_calls.py
+++ b/tests/system/test_calls.py
@@ -13,6 +13,8 @@
 
 from honeywood.gateway.configuration.config import Limits
 from honeywood.gateway.configuration.settings import read
+from honeywood.gateway.proxy import forwarding as carry
+from honeywood.gateway.proxy.program import Stall
 from honeywood.gateway.routing import answers
 from honeywood.gateway.routing.answers import PROMISES
 from honeywood.gateway.routing.attempts import Ask
@@ -23,8 +25,6 @@
 from honeywood.lab.market import world
 from honeywood.lab.market.boot import boot
 from honeywood.protocol import http
-from honeywood.system.stall import carry
-from honeywood.system.stall.program import Stall
 from honeywood.transport.buffer import Buffer
 
 HEAD = b"HTTP/1.1 %s\r\nX-Try-Id: %s\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\n%s"
--- a/tests/system/test_market.py
+++ b/tests/system/test_market.py
@@ -12,6 +12,10 @@
 from honeywood.gateway.configuration import config
 from honeywood.gateway.configuration.outcome import Wrong
 from honeywood.gateway.dissemination.store import Board
+from honeywood.gateway.proxy import forwarding as carry
+from honeywood.gateway.proxy import program
+from honeywood.gateway.proxy.forwarding import Carrier
+from honeywood.gateway.proxy.program import Stall
 from honeywood.gateway.register import membership as members
 from honeywood.gateway.register.replica import Register
 from honeywood.gateway.rollout import record
@@ -24,9 +28,6 @@
 from honeywood.lab.market.faults import Fault
 from honeywood.lab.market.process import FROZEN, Loop, Process
 from honeywood.system.bourse.app import App
-from honeywood.system.stall import carry, program
-from honeywood.system.stall.carry import Carrier
-from honeywood.system.stall.program import Stall
 
 
 @test("twelve drawn days with all their faults break nothing")
--- a/tests/system/test_sockets.py
+++ b/tests/system/test_sockets.py
@@ -8,9 +8,9 @@
 from ward import each, test
 
 from honeywood.gateway.configuration.settings import read
+from honeywood.gateway.proxy.program import Stall
 from honeywood.gateway.rpc.server import Doors
 from honeywood.lab.market.boot import boot
-from honeywood.system.stall.program import Stall
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Try-Id: %s\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\n"
 GET = b"GET /p0/a%%2Fb?c HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: %s\r\nX-Deadline-Ms: 600\r\n\r\n"
--- a/tests/system/test_terms.py
+++ b/tests/system/test_terms.py
@@ -239,7 +239,7 @@
     import os
     import tempfile
 
-    from honeywood.system.stall.program import Stall
+    from honeywood.gateway.proxy.program import Stall
 
     with tempfile.TemporaryDirectory() as folder:
         path = os.path.join(folder, "boot.toml")
