--- /dev/null
+++ b/honeywood/gateway/controller/__main__.py
@@ -0,0 +1,3 @@
+from honeywood.system.lean import run
+
+run("honeywood.gateway.controller.program", "Bourse")
--- a/honeywood/system/bourse/app.py
+++ b/honeywood/gateway/controller/app.py
@@ -3,13 +3,13 @@
 import json
 from urllib.parse import parse_qs
 
-from honeywood.system.bourse import machines
-from honeywood.gateway.register import replica as register
-from honeywood.gateway.rpc.asgi import answer, body_of
-from honeywood.gateway.dissemination import publisher as mouth
 from honeywood.gateway.configuration import config
 from honeywood.gateway.configuration.check import need, read_json
 from honeywood.gateway.configuration.outcome import Wrong
+from honeywood.gateway.controller import machines
+from honeywood.gateway.dissemination import publisher as mouth
+from honeywood.gateway.register import replica as register
+from honeywood.gateway.rpc.asgi import answer, body_of
 
 MOST = 8 << 20  # bytes of a call's body
 JSON = [(b"content-type", b"application/json")]
--- a/honeywood/system/bourse/machines.py
+++ b/honeywood/gateway/controller/machines.py
@@ -1,9 +1,9 @@
 """What machines tell of themselves, as notes. Pure."""
 
-from honeywood.gateway.dissemination.history import Past
-from honeywood.gateway.routing.endpoints import DRAINING, GONE, LOST, READY
 from honeywood.gateway.configuration.check import address, need
 from honeywood.gateway.configuration.outcome import Wrong
+from honeywood.gateway.dissemination.history import Past
+from honeywood.gateway.routing.endpoints import DRAINING, GONE, LOST, READY
 
 STEP = "instances.heartbeat"
 LAST = 1 << 53  # a stamp above all beats': a life that has left doesn't come back
--- a/honeywood/system/bourse/orders.py
+++ b/honeywood/gateway/controller/orders.py
@@ -2,10 +2,10 @@
 call came, so on a majority just then; without one it is a 503, which sends the caller on to another bourse.
 Only what can't be read is refused without asking."""
 
-from honeywood.gateway.rollout import record as rollouts
-from honeywood.gateway.configuration import versions as held
 from honeywood.gateway.configuration import config
+from honeywood.gateway.configuration import versions as held
 from honeywood.gateway.configuration.outcome import Wrong
+from honeywood.gateway.rollout import record as rollouts
 
 CONFIG, ROLLOUT = "config", "rollout/"  # keys of the register
 FRESH = 1.0  # seconds after which whoever sent an order has gone on; what is older begins nothing
--- a/honeywood/system/bourse/program.py
+++ b/honeywood/gateway/controller/program.py
@@ -4,23 +4,23 @@
 from collections import Counter
 from random import Random
 
-from honeywood.system.bourse.app import App
-from honeywood.system.bourse.machines import Machines
-from honeywood.system.bourse.notes import Notes
-from honeywood.system.bourse.orders import CONFIG, ROLLOUT, TICK, Orders
-from honeywood.gateway.register.replica import Register
-from honeywood.gateway.register.paging import Telling, Whole
-from honeywood.gateway.rpc.server import Doors
-from honeywood.gateway.dissemination.publisher import Ear, Mouth, whole
-from honeywood.gateway.dissemination.local import Own
+from honeywood.gateway.configuration.outcome import Wrong
+from honeywood.gateway.controller.app import App
+from honeywood.gateway.controller.machine_records import Notes
+from honeywood.gateway.controller.machines import Machines
+from honeywood.gateway.controller.orders import CONFIG, ROLLOUT, TICK, Orders
 from honeywood.gateway.dissemination.backoff import Pauses
+from honeywood.gateway.dissemination.local import Own
+from honeywood.gateway.dissemination.publisher import Ear, Mouth, whole
 from honeywood.gateway.dissemination.rendezvous import order, parents
 from honeywood.gateway.register.disk import Disk
 from honeywood.gateway.register.membership import replacement
-from honeywood.system.program import COUNTS, Program
+from honeywood.gateway.register.paging import Telling, Whole
+from honeywood.gateway.register.replica import Register
 from honeywood.gateway.rollout import record as rollouts
 from honeywood.gateway.rollout.verdict import Verdict
-from honeywood.gateway.configuration.outcome import Wrong
+from honeywood.gateway.rpc.server import Doors
+from honeywood.system.program import COUNTS, Program
 
 LOOK = 0.1  # seconds between looks at rollouts, and at whether this disk is where it counts
 MISSED = 3.0  # times contact_s and sync_s together that a member is silent before a spare takes its place
--- a/honeywood/lab/market/world.py
+++ b/honeywood/lab/market/world.py
@@ -10,10 +10,10 @@
 
 from honeywood.gateway.configuration.outcome import Done, Failed, Wrong
 from honeywood.gateway.configuration.settings import read
+from honeywood.gateway.controller.program import Bourse
 from honeywood.gateway.proxy.program import Stall
 from honeywood.lab.market.boot import BOUNDS, boot
 from honeywood.lab.market.process import Loop, Process
-from honeywood.system.bourse.program import Bourse
 
 OUTSIDE = "outside"  # clients, machines and operators, as one end of a cut
 
--- a/honeywood/system/bourse/__main__.py
+++ /dev/null
@@ -1,3 +0,0 @@
-from honeywood.system.lean import run
-
-run("honeywood.system.bourse.program", "Bourse")
--- a/tests/system/test_market.py
+++ b/tests/system/test_market.py
@@ -11,6 +11,7 @@
 
 from honeywood.gateway.configuration import config
 from honeywood.gateway.configuration.outcome import Wrong
+from honeywood.gateway.controller.app import App
 from honeywood.gateway.dissemination.store import Board
 from honeywood.gateway.proxy import forwarding as carry
 from honeywood.gateway.proxy import program
@@ -27,7 +28,6 @@
 from honeywood.lab.market.day import Day, draw, play
 from honeywood.lab.market.faults import Fault
 from honeywood.lab.market.process import FROZEN, Loop, Process
-from honeywood.system.bourse.app import App
 
 
 @test("twelve drawn days with all their faults break nothing")
--- a/tests/system/test_orders.py
+++ b/tests/system/test_orders.py
@@ -8,8 +8,8 @@
 from honeywood.gateway.configuration import versions as held
 from honeywood.gateway.configuration.config import unpack
 from honeywood.gateway.configuration.outcome import Done
+from honeywood.gateway.controller.orders import Orders
 from honeywood.lab.market.boot import BOUNDS
-from honeywood.system.bourse.orders import Orders
 
 CONTENTS = {"x": 1, "y": 2, "z": 3}  # contents under one number, by their routes
 
--- a/tests/system/test_past.py
+++ b/tests/system/test_past.py
@@ -6,10 +6,10 @@
 from ward import test
 
 from honeywood.gateway.configuration.outcome import Wrong
+from honeywood.gateway.controller.machine_records import Notes
+from honeywood.gateway.controller.machines import Machines
 from honeywood.gateway.dissemination.history import KEEP, MOST, Past
 from honeywood.gateway.dissemination.store import FORGOTTEN, Board
-from honeywood.system.bourse.machines import Machines
-from honeywood.system.bourse.notes import Notes
 
 BEAT = {"svc": "s", "ip": "m", "port": 1, "zone": "z", "ver": "v1", "slots": 4, "state": "ready", "cold": 0.0}
 
--- a/tests/system/test_terms.py
+++ b/tests/system/test_terms.py
@@ -11,8 +11,8 @@
 from honeywood.gateway.configuration import config as configs
 from honeywood.gateway.configuration import settings as files
 from honeywood.gateway.configuration.outcome import Wrong
+from honeywood.gateway.controller import machines
 from honeywood.lab.market.boot import boot
-from honeywood.system.bourse import machines
 
 
 def refused(raw):
