--- a/honeywood/gateway/controller/program.py
+++ b/honeywood/gateway/controller/program.py
@@ -13,6 +13,7 @@
 from honeywood.gateway.dissemination.local import Own
 from honeywood.gateway.dissemination.publisher import Ear, Mouth, whole
 from honeywood.gateway.dissemination.rendezvous import order, parents
+from honeywood.gateway.program import COUNTS, Program
 from honeywood.gateway.register.disk import Disk
 from honeywood.gateway.register.membership import replacement
 from honeywood.gateway.register.paging import Telling, Whole
@@ -20,7 +21,6 @@
 from honeywood.gateway.rollout import record as rollouts
 from honeywood.gateway.rollout.verdict import Verdict
 from honeywood.gateway.rpc.server import Doors
-from honeywood.system.program import COUNTS, Program
 
 LOOK = 0.1  # seconds between looks at rollouts, and at whether this disk is where it counts
 MISSED = 3.0  # times contact_s and sync_s together that a member is silent before a spare takes its place
--- a/honeywood/system/program.py
+++ b/honeywood/gateway/program.py
@@ -11,9 +11,9 @@
 
 import structlog
 
-from honeywood.gateway.rpc.client import Caller
 from honeywood.gateway.configuration.outcome import Wrong
 from honeywood.gateway.configuration.settings import read
+from honeywood.gateway.rpc.client import Caller
 
 FILE = "HONEYWOOD_NODE_FILE"
 REREAD = 2.0  # seconds between looks at whether the settings file has changed
--- a/honeywood/gateway/proxy/__main__.py
+++ b/honeywood/gateway/proxy/__main__.py
@@ -1,3 +1,3 @@
-from honeywood.system.lean import run
+from honeywood.gateway.startup import run
 
 run("honeywood.gateway.proxy.program", "Stall")
--- a/honeywood/gateway/proxy/program.py
+++ b/honeywood/gateway/proxy/program.py
@@ -8,6 +8,7 @@
 from honeywood.gateway.dissemination.history import CUT, Past
 from honeywood.gateway.dissemination.publisher import HOLD, Ear, Mouth, whole
 from honeywood.gateway.dissemination.rendezvous import order
+from honeywood.gateway.program import COUNTS, Program
 from honeywood.gateway.proxy.app import App
 from honeywood.gateway.proxy.connections import Links
 from honeywood.gateway.proxy.forwarding import Carrier
@@ -18,7 +19,6 @@
 from honeywood.gateway.routing.routes import Table
 from honeywood.gateway.rpc.connection import Link
 from honeywood.gateway.rpc.server import Doors
-from honeywood.system.program import COUNTS, Program
 
 SURE, SURE_ROLLOUT = 0.4, 0.2  # seconds between asks that make sure of the news; while a version is on trial
 ASKED = 40  # such asks a second at one bourse; where there are more fronts they ask less often,
--- a/tests/system/test_lean.py
+++ b/tests/system/test_lean.py
@@ -25,7 +25,7 @@
             file.write(text)
         code = (
             "import atexit, sys; atexit.register(lambda: print(sorted(sys.modules)))\n"
-            f"from honeywood.system.lean import run\nrun('honeywood.system.{role}.program', '{role.title()}')"
+            f"from honeywood.gateway.startup import run\nrun('honeywood.system.{role}.program', '{role.title()}')"
         )
         process = subprocess.Popen(
             [sys.executable, "-c", code],
