--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	$(VENV)/bin/python -m honeywood lab demo
 
 market: $(VENV)/made
-	$(VENV)/bin/python -m honeywood.lab.market.loopback
+	$(VENV)/bin/python -m honeywood.lab.emulator.loopback
 
 $(VENV)/made: pyproject.toml
 	python3 -m venv $(VENV)
--- a/benchmarks/stall.py
+++ b/benchmarks/stall.py
@@ -26,7 +26,7 @@
 from honeywood.gateway.rpc.asgi import answer, body_of  # noqa: E402
 from honeywood.gateway.rpc.connection import Link, end_to_end  # noqa: E402
 from honeywood.gateway.rpc.server import Doors  # noqa: E402
-from honeywood.lab.market.boot import boot  # noqa: E402
+from honeywood.lab.emulator.boot import boot  # noqa: E402
 
 CLIENTS, BODY = 8, b"x" * 1500
 
--- a/honeywood/cli/market.py
+++ b/honeywood/cli/emulator.py
@@ -36,8 +36,8 @@
 @shape
 def run(seed, chart, **given):
     """One day of a seed, and what came of it."""
-    from honeywood.lab.market import hunt, report
-    from honeywood.lab.market.day import draw
+    from honeywood.lab.emulator import hunt, report
+    from honeywood.lab.emulator.day import draw
 
     day = draw(seed, **given)
     found = hunt.played(day)
@@ -57,7 +57,7 @@
     """Many days with drawn faults, to find a broken rule; failing days are shrunk."""
     from rich.progress import Progress
 
-    from honeywood.lab.market import hunt as hunts
+    from honeywood.lab.emulator import hunt as hunts
 
     with Progress(transient=True) as shown:
         bar = shown.add_task("days", total=days)
@@ -86,8 +86,8 @@
 @click.argument("file", type=click.Path(exists=True))
 def replay(file):
     """The days of a FILE that a hunt wrote."""
-    from honeywood.lab.market import hunt as hunts
-    from honeywood.lab.market import report
+    from honeywood.lab.emulator import hunt as hunts
+    from honeywood.lab.emulator import report
 
     with open(file) as text:
         days = [hunts.read(plain) for plain in json.load(text)]
@@ -102,8 +102,8 @@
 @click.option("--days", type=click.IntRange(1), default=8, show_default=True)
 def sweep(sizes, days):
     """The same days at several numbers of fronts, the load a front alike."""
-    from honeywood.lab.market import hunt as hunts
-    from honeywood.lab.market import report
+    from honeywood.lab.emulator import hunt as hunts
+    from honeywood.lab.emulator import report
 
     numbers = [int(one) for one in sizes.split(",")]
     click.echo(report.sweep(numbers, hunts.played, range(days)))
@@ -116,8 +116,8 @@
 @shape
 def report_(days, first, chart, **given):
     """By kind of fault: worth beside that of a router with sight of all machines."""
-    from honeywood.lab.market import hunt as hunts
-    from honeywood.lab.market import report
+    from honeywood.lab.emulator import hunt as hunts
+    from honeywood.lab.emulator import report
 
     text, played = report.bound(range(first, first + days), hunts.played, **given)
     click.echo(text)
--- a/honeywood/cli/lab.py
+++ b/honeywood/cli/lab.py
@@ -100,6 +100,6 @@
 @click.argument("words", nargs=-1, type=click.UNPROCESSED)
 def market(words):
     """The whole system in a world of its own: run, hunt, replay, sweep, report, prove."""
-    from honeywood.cli.market import command as group
+    from honeywood.cli.emulator import command as group
 
     group.main(list(words), prog_name="honeywood lab market")
--- a/honeywood/lab/market/day.py
+++ b/honeywood/lab/emulator/day.py
@@ -7,11 +7,11 @@
 from collections import Counter
 from dataclasses import dataclass, field, replace
 
-from honeywood.lab.market import faults
-from honeywood.lab.market.boot import BOUNDS
-from honeywood.lab.market.machines import BEAT_S, LEAVES, LEFT, Hall
-from honeywood.lab.market.rules import PROMISES, Book
-from honeywood.lab.market.world import OUTSIDE, World
+from honeywood.lab.emulator import faults
+from honeywood.lab.emulator.boot import BOUNDS
+from honeywood.lab.emulator.machines import BEAT_S, LEAVES, LEFT, Hall
+from honeywood.lab.emulator.rules import PROMISES, Book
+from honeywood.lab.emulator.world import OUTSIDE, World
 
 AIM, DEADLINE, LATE = 0.25, 0.8, 0.3  # of requests, seconds; worth of one that comes after its aim
 CALM = 2.0  # seconds before traffic in which programs find one another
--- a/honeywood/lab/market/faults.py
+++ b/honeywood/lab/emulator/faults.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 from random import Random
 
-from honeywood.lab.market.process import FROZEN, SPOILT
-from honeywood.lab.market.world import OUTSIDE
+from honeywood.lab.emulator.process import FROZEN, SPOILT
+from honeywood.lab.emulator.world import OUTSIDE
 
 DRAWN_S = 8.0
 AGAIN_S = 0.6  # seconds after which a process that was killed is started again
--- a/honeywood/lab/market/hunt.py
+++ b/honeywood/lab/emulator/hunt.py
@@ -6,8 +6,8 @@
 from multiprocessing import get_context
 from time import monotonic
 
-from honeywood.lab.market import day as days
-from honeywood.lab.market.faults import Fault
+from honeywood.lab.emulator import day as days
+from honeywood.lab.emulator.faults import Fault
 
 
 def played(day):
--- a/honeywood/lab/market/loopback.py
+++ b/honeywood/lab/emulator/loopback.py
@@ -1,5 +1,5 @@
 """The system on loopback, as it happens: three bourses and two stalls as processes of their own, stand-in
-machines, a client, a configuration and a rollout. `python -m honeywood.lab.market.loopback`, or `make
+machines, a client, a configuration and a rollout. `python -m honeywood.lab.emulator.loopback`, or `make
 market`."""
 
 import asyncio
@@ -13,7 +13,7 @@
 from honeywood.gateway.configuration.outcome import Failed
 from honeywood.gateway.rpc.client import Caller
 from honeywood.gateway.rpc.connection import Broken, Link
-from honeywood.lab.market.boot import boot
+from honeywood.lab.emulator.boot import boot
 from standins.sorting import Machine
 
 BOURSES, STALLS = [f"127.0.0.{n}" for n in (11, 12, 13)], [f"127.0.0.{n}" for n in (21, 22)]
--- a/honeywood/lab/market/report.py
+++ b/honeywood/lab/emulator/report.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from dataclasses import replace
 
-from honeywood.lab.market import day as days
+from honeywood.lab.emulator import day as days
 
 
 def table(head, rows):
--- a/honeywood/lab/market/world.py
+++ b/honeywood/lab/emulator/world.py
@@ -12,8 +12,8 @@
 from honeywood.gateway.configuration.settings import read
 from honeywood.gateway.controller.program import Bourse
 from honeywood.gateway.proxy.program import Stall
-from honeywood.lab.market.boot import BOUNDS, boot
-from honeywood.lab.market.process import Loop, Process
+from honeywood.lab.emulator.boot import BOUNDS, boot
+from honeywood.lab.emulator.process import Loop, Process
 
 OUTSIDE = "outside"  # clients, machines and operators, as one end of a cut
 
--- a/tests/system/test_calls.py
+++ b/tests/system/test_calls.py
@@ -22,8 +22,8 @@
 from honeywood.gateway.rpc import stream
 from honeywood.gateway.rpc.client import Caller
 from honeywood.gateway.rpc.server import Door, Doors
-from honeywood.lab.market import world
-from honeywood.lab.market.boot import boot
+from honeywood.lab.emulator import world
+from honeywood.lab.emulator.boot import boot
 from honeywood.protocol import http
 from honeywood.transport.buffer import Buffer
 
--- a/tests/system/test_lean.py
+++ b/tests/system/test_lean.py
@@ -10,7 +10,7 @@
 from test_sockets import free
 from ward import each, test
 
-from honeywood.lab.market.boot import boot
+from honeywood.lab.emulator.boot import boot
 
 UNUSED = ("_ssl", "click", "multiprocessing", "hashlib")
 
--- a/tests/system/test_links.py
+++ b/tests/system/test_links.py
@@ -13,7 +13,7 @@
 from honeywood.gateway.dissemination.local import Own
 from honeywood.gateway.dissemination.publisher import Ear, Mouth, whole
 from honeywood.gateway.dissemination.store import Board
-from honeywood.lab.market.world import Loop
+from honeywood.lab.emulator.world import Loop
 
 
 def met(fronts="fghijk", until=4.0, **more):
--- a/tests/system/test_market.py
+++ b/tests/system/test_market.py
@@ -24,10 +24,10 @@
 from honeywood.gateway.routing import answers
 from honeywood.gateway.routing.attempts import Gate
 from honeywood.gateway.routing.budget import Budget
-from honeywood.lab.market import hunt
-from honeywood.lab.market.day import Day, draw, play
-from honeywood.lab.market.faults import Fault
-from honeywood.lab.market.process import FROZEN, Loop, Process
+from honeywood.lab.emulator import hunt
+from honeywood.lab.emulator.day import Day, draw, play
+from honeywood.lab.emulator.faults import Fault
+from honeywood.lab.emulator.process import FROZEN, Loop, Process
 
 
 @test("twelve drawn days with all their faults break nothing")
@@ -50,7 +50,7 @@
 AGAIN = """
 import sys
 kept = [bytearray(n % 999) for n in range(int(sys.argv[1]))]
-from honeywood.lab.market.day import draw, play
+from honeywood.lab.emulator.day import draw, play
 print([play(draw(seed)) for seed in (31, 33, 36)])
 """
 
--- a/tests/system/test_orders.py
+++ b/tests/system/test_orders.py
@@ -9,7 +9,7 @@
 from honeywood.gateway.configuration.config import unpack
 from honeywood.gateway.configuration.outcome import Done
 from honeywood.gateway.controller.orders import Orders
-from honeywood.lab.market.boot import BOUNDS
+from honeywood.lab.emulator.boot import BOUNDS
 
 CONTENTS = {"x": 1, "y": 2, "z": 3}  # contents under one number, by their routes
 
--- a/tests/system/test_parts.py
+++ b/tests/system/test_parts.py
@@ -11,7 +11,7 @@
 from honeywood.gateway.register import paging as whole
 from honeywood.gateway.register import parts
 from honeywood.gateway.register.parts import KEPT, OPEN, PART, Hearer, Teller
-from honeywood.lab.market.boot import BOUNDS
+from honeywood.lab.emulator.boot import BOUNDS
 
 LONG = {"rows": {f"k{n}": [[n, "a"], [n, "a"], "x" * 1000] for n in range(300)}}
 
--- a/tests/system/test_terms.py
+++ b/tests/system/test_terms.py
@@ -12,7 +12,7 @@
 from honeywood.gateway.configuration import settings as files
 from honeywood.gateway.configuration.outcome import Wrong
 from honeywood.gateway.controller import machines
-from honeywood.lab.market.boot import boot
+from honeywood.lab.emulator.boot import boot
 
 
 def refused(raw):
--- a/tests/system/timeline.py
+++ b/tests/system/timeline.py
@@ -1,11 +1,11 @@
 """Timelines drawn as text: a column a front (or bourse, machine, operator), a row a moment.
 
-The world is the emulator's (honeywood/lab/market/world.py): real programs, one clock that jumps. Cells are
+The world is the emulator's (honeywood/lab/emulator/world.py): real programs, one clock that jumps. Cells are
 words of World.say.
 """
 
-from honeywood.lab.market import world
-from honeywood.lab.market.process import FROZEN
+from honeywood.lab.emulator import world
+from honeywood.lab.emulator.process import FROZEN
 
 
 class World(world.World):
