--- a/honeywood/cli/emulator.py
+++ b/honeywood/cli/emulator.py
@@ -137,8 +137,8 @@
     """All orders of messages and losses of the register's rules, up to a depth; then long ways by chance."""
     from random import Random
 
-    from honeywood.lab.prove import register
-    from honeywood.lab.prove.explore import explore, walk
+    from honeywood.lab.model import register
+    from honeywood.lab.model.explore import explore, walk
 
     def model(**more):
         return register.versions(writers, **more) if what == "versions" else register.outcomes(**more)
--- a/tests/system/test_disk.py
+++ b/tests/system/test_disk.py
@@ -10,8 +10,8 @@
 from honeywood.gateway.register.disk import Disk
 from honeywood.gateway.register.files import Files
 from honeywood.gateway.register.replica import BORN
-from honeywood.lab.prove import power
-from honeywood.lab.prove.power import (
+from honeywood.lab.model import power
+from honeywood.lab.model.power import (
     DOUBT,
     FULL,
     GONE,
--- a/tests/system/test_prove.py
+++ b/tests/system/test_prove.py
@@ -7,9 +7,9 @@
 from honeywood.gateway.register import acceptor
 from honeywood.gateway.register import membership as members
 from honeywood.gateway.register import proposer as round
-from honeywood.lab.prove import register
-from honeywood.lab.prove.explore import explore, follow, walk
-from honeywood.lab.prove.register import FIVE, REPLACED, THREE, outcomes, versions
+from honeywood.lab.model import register
+from honeywood.lab.model.explore import explore, follow, walk
+from honeywood.lab.model.register import FIVE, REPLACED, THREE, outcomes, versions
 
 
 @test("one writer, a lost disk and lost power: all states, whole, none breaks an invariant")
