--- a/Makefile
+++ b/Makefile
@@ -1,16 +1,16 @@
 VENV ?= .venv-dev
 
-.PHONY: test demo market
+.PHONY: test demo emulate
 test: $(VENV)/made
 	$(VENV)/bin/ruff check --no-cache honeywood tests standins benchmarks
 	$(VENV)/bin/ruff format --no-cache --check honeywood tests standins benchmarks
 	PYTHONDONTWRITEBYTECODE=1 $(VENV)/bin/python -m pytest
-	PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=.:tests/system $(VENV)/bin/python -m ward --path tests/system
+	PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=.:tests/gateway $(VENV)/bin/python -m ward --path tests/gateway
 
 demo: $(VENV)/made
 	$(VENV)/bin/python -m honeywood lab demo
 
-market: $(VENV)/made
+emulate: $(VENV)/made
 	$(VENV)/bin/python -m honeywood.lab.emulator.loopback
 
 $(VENV)/made: pyproject.toml
--- a/benchmarks/stall.py
+++ b/benchmarks/proxy.py
@@ -1,9 +1,9 @@
-"""Processor time a request costs a stall, beside what uvicorn and httpcore cost alone in the same place.
+"""Processor time a request costs a proxy, beside what uvicorn and httpcore cost alone in the same place.
 
-    python benchmarks/stall.py [REQUESTS]
+    python benchmarks/proxy.py [REQUESTS]
 
 A child process is client and machine; this one serves, first bare (each request read, exchanged on a kept
-connection, answered), then as a stall. Prints milliseconds a request and the difference: our own code.
+connection, answered), then as a proxy. Prints milliseconds a request and the difference: our own code.
 """
 
 import asyncio
@@ -22,10 +22,10 @@
 
 from honeywood.gateway.configuration.config import Limits  # noqa: E402
 from honeywood.gateway.configuration.settings import read  # noqa: E402
-from honeywood.gateway.proxy.program import Stall  # noqa: E402
+from honeywood.gateway.proxy.program import Proxy  # noqa: E402
 from honeywood.gateway.rpc.asgi import answer, body_of  # noqa: E402
-from honeywood.gateway.rpc.connection import Link, end_to_end  # noqa: E402
-from honeywood.gateway.rpc.server import Doors  # noqa: E402
+from honeywood.gateway.rpc.connection import Connection, end_to_end  # noqa: E402
+from honeywood.gateway.rpc.server import HttpServer  # noqa: E402
 from honeywood.lab.emulator.boot import boot  # noqa: E402
 
 CLIENTS, BODY = 8, b"x" * 1500
@@ -81,7 +81,7 @@
 
     async def __call__(self, scope, receive, send):
         await body_of(receive, 1 << 20)
-        link = self.links.pop() if self.links else await Link.to("127.0.0.1", self.port, 1.0)
+        link = self.links.pop() if self.links else await Connection.to("127.0.0.1", self.port, 1.0)
         until = asyncio.get_running_loop().time() + 1.0
         reply = await link.exchange(b"GET", scope["target"], scope["headers"], b"", until)
         self.links.append(link)
@@ -94,24 +94,24 @@
 
 
 async def measure(app, port, pipe, count):
-    doors = Doors(app)
-    await doors.open([("127.0.0.1", port)])
+    server = HttpServer(app)
+    await server.open([("127.0.0.1", port)])
     loop = asyncio.get_running_loop()
     for n in (count // 10, count):
         began = time.process_time()
         pipe.send((port, n))
         await loop.run_in_executor(None, pipe.recv)
         took = time.process_time() - began
-    await doors.close(0.1)
+    await server.close(0.1)
     return took / count * 1000
 
 
 async def work(count, pipe):
     port = pipe.recv()
-    stall = Stall(read(boot("127.0.0.1", bear=0, ports=(18180, 18181, 18182, 7000, 7010))))
-    stall.hear("config", json.dumps(config(5)))
+    proxy = Proxy(read(boot("127.0.0.1", bear=0, ports=(18180, 18181, 18182, 7000, 7010))))
+    proxy.hear("config", json.dumps(config(5)))
     for n in range(4):
-        stall.hear(
+        proxy.hear(
             f"machine/i-{n}",
             {
                 "svc": "s",
@@ -127,9 +127,9 @@
     bare, whole = [], []
     for turn in range(3):
         bare.append(await measure(Bare(port), 18190 + turn, pipe, count))
-        stall.app.ready_port = stall.app.news_port = 0
-        whole.append(await measure(stall.app, 18195 + turn, pipe, count))
-    print("| turn | libraries, ms | stall, ms | own code, ms |\n| --- | --- | --- | --- |")
+        proxy.app.ready_port = proxy.app.news_port = 0
+        whole.append(await measure(proxy.app, 18195 + turn, pipe, count))
+    print("| turn | libraries, ms | proxy, ms | own code, ms |\n| --- | --- | --- | --- |")
     for turn, (a, b) in enumerate(zip(bare, whole)):
         print(f"| {turn + 1} | {a:.3f} | {b:.3f} | {b - a:.3f} |")
     pipe.send(None)
--- a/honeywood/cli/emulator.py
+++ b/honeywood/cli/emulator.py
@@ -1,4 +1,4 @@
-"""`honeywood lab market ...`: the whole system in a world of its own, with faults drawn by seed."""
+"""`honeywood lab emulator ...`: the whole system in a world of its own, with faults drawn by seed."""
 
 import json
 import sys
@@ -6,7 +6,7 @@
 import click
 
 
-@click.group("market")
+@click.group("emulator")
 def command():
     """Plays days of the system on one simulated clock; its worlds, machines and clients are simulated."""
 
@@ -21,7 +21,7 @@
             type=click.IntRange(0),
             default=1,
             show_default=True,
-            help="Disks that may be lost at once; 2 bear + 1 bourses.",
+            help="Disks that may be lost at once; 2 bear + 1 controllers.",
         ),
         click.option("--changes", type=click.IntRange(0), default=0, help="Of the configuration, besides."),
         click.option("--link", type=float, default=0.0, help="Bytes a second that a front's link takes."),
@@ -133,7 +133,7 @@
 @click.option(
     "--walks", type=click.IntRange(0), default=0, show_default=True, help="Long ways by chance besides."
 )
-def prove(what, writers, depth, most, walks):
+def model(what, writers, depth, most, walks):
     """All orders of messages and losses of the register's rules, up to a depth; then long ways by chance."""
     from random import Random
 
--- a/honeywood/cli/lab.py
+++ b/honeywood/cli/lab.py
@@ -41,9 +41,9 @@
             key,
             "--make-key",
             "--customer",
-            "carrier-1",
+            "forwarder-1",
             "-o",
-            f"{folder}/carrier-1.trace",
+            f"{folder}/forwarder-1.trace",
             paths[0],
         ],
         ["plot", "-o", f"{folder}/demo.png", paths[0]],
@@ -96,10 +96,10 @@
     click.echo(table(spans(logs, seconds)))
 
 
-@command.command("market", context_settings={"ignore_unknown_options": True, "help_option_names": []})
+@command.command("emulator", context_settings={"ignore_unknown_options": True, "help_option_names": []})
 @click.argument("words", nargs=-1, type=click.UNPROCESSED)
-def market(words):
-    """The whole system in a world of its own: run, hunt, replay, sweep, report, prove."""
+def emulator(words):
+    """The whole system in a world of its own: run, hunt, replay, sweep, report, model."""
     from honeywood.cli.emulator import command as group
 
-    group.main(list(words), prog_name="honeywood lab market")
+    group.main(list(words), prog_name="honeywood lab emulator")
--- a/honeywood/gateway/__init__.py
+++ b/honeywood/gateway/__init__.py
@@ -1,4 +1,4 @@
-"""The system: stalls on edge machines carry requests, bourses on core machines keep what must last.
+"""The system: proxies on edge machines carry requests, controllers on core machines keep what must last.
 
 Start reading at proxy/program.py and controller/program.py; docs/design/system.md says why.
 """
--- a/honeywood/gateway/configuration/settings.py
+++ b/honeywood/gateway/configuration/settings.py
@@ -45,13 +45,13 @@
     link: float  # bytes a second that the machine's link carries
 
     @property
-    def stall_port(self):
-        """Where stalls listen for each other."""
+    def proxy_port(self):
+        """Where proxies listen for each other."""
         return self.ports[0]
 
     @property
-    def bourse_port(self):
-        """Where bourses listen for each other and for stalls."""
+    def controller_port(self):
+        """Where controllers listen for each other and for proxies."""
         return self.ports[0] + 1
 
 
--- a/honeywood/gateway/controller/__init__.py
+++ b/honeywood/gateway/controller/__init__.py
@@ -1,4 +1,4 @@
 """The program on core machines: hears machines and operators, keeps the register, steers rollouts.
 
-Start reading at program.py, then app.py (calls) and register.py (what lasts).
+Start reading at program.py, then app.py (calls) and orders.py.
 """
--- a/honeywood/gateway/controller/__main__.py
+++ b/honeywood/gateway/controller/__main__.py
@@ -1,3 +1,3 @@
 from honeywood.gateway.startup import run
 
-run("honeywood.gateway.controller.program", "Bourse")
+run("honeywood.gateway.controller.program", "Controller")
--- a/honeywood/gateway/controller/app.py
+++ b/honeywood/gateway/controller/app.py
@@ -1,4 +1,4 @@
-"""The bourse's ASGI application: one dispatch of machines', operators' and our own calls."""
+"""The controller's ASGI application: one dispatch of machines', operators' and our own calls."""
 
 import json
 from urllib.parse import parse_qs
@@ -7,7 +7,7 @@
 from honeywood.gateway.configuration.check import need, read_json
 from honeywood.gateway.configuration.outcome import Wrong
 from honeywood.gateway.controller import machines
-from honeywood.gateway.dissemination import publisher as mouth
+from honeywood.gateway.dissemination import publisher as publisher
 from honeywood.gateway.register import replica as register
 from honeywood.gateway.rpc.asgi import answer, body_of
 
@@ -16,8 +16,8 @@
 
 
 class App:
-    def __init__(self, bourse):
-        self.bourse, self.refused = bourse, 0
+    def __init__(self, controller):
+        self.controller, self.refused = controller, 0
         self.calls = {
             ("POST", "v1", "rpc", "instances.heartbeat"): self.heartbeat,
             ("POST", "v1", "rpc", "instances.leave"): self.leave,
@@ -35,7 +35,7 @@
         asked = parse_qs(scope["query_string"].decode("latin-1"))
         named, of = (asked.get(key, [""])[0] for key in ("call", "of"))
         place = (scope["method"], *scope["path"].strip("/").split("/"))
-        inside = scope["server"][1] == self.bourse.settings.bourse_port
+        inside = scope["server"][1] == self.controller.settings.controller_port
         call = self.ours.get(place) if inside else self.calls.get((*place, named))
         try:
             if call is None:
@@ -46,7 +46,9 @@
             found = await call(of, body, peer)
         except Wrong as wrong:
             failed, self.refused = wrong.failed, self.refused + 1
-            self.bourse.say("refused", 1.0, step=failed.step, peer=peer, why=failed.why, status=failed.status)
+            self.controller.say(
+                "refused", 1.0, step=failed.step, peer=peer, why=failed.why, status=failed.status
+            )
             found = json.dumps({"step": failed.step, "peer": peer, "why": failed.why}).encode()
             return await answer(send, failed.status, JSON, found)
         if not isinstance(found, bytes):
@@ -56,29 +58,29 @@
     # machines
     async def heartbeat(self, of, body, peer):
         stamp, value = machines.beat(of, read_json(body, machines.STEP, peer), peer)
-        await self.bourse.beat(of, stamp, value)
+        await self.controller.beat(of, stamp, value)
         return {}
 
     async def leave(self, of, body, peer):
-        await self.bourse.leave(of)
+        await self.controller.leave(of)
         return {}
 
     # operators
     async def replace(self, of, body, peer):
-        found, ver = await self.bourse.orders.replace(config.read(body, peer).version, body, peer)
+        found, ver = await self.controller.orders.replace(config.read(body, peer).version, body, peer)
         return {"outcome": found, "ver": f"{ver:08x}"}
 
     async def read(self, of, body, peer):
-        return config.unpack(await self.bourse.orders.configuration(peer), peer)
+        return config.unpack(await self.controller.orders.configuration(peer), peer)
 
     async def start(self, of, body, peer):
         order = read_json(body, "rollouts.start", peer)
         svc, to_ver = (need(order, key, str, "rollouts.start") for key in ("svc", "to_ver"))
         over_s = need(order, "over_s", float, "rollouts.start", least=0.001)
-        return self.told(await self.bourse.orders.order(svc, to_ver, over_s, peer))
+        return self.told(await self.controller.orders.order(svc, to_ver, over_s, peer))
 
     async def rollout(self, of, body, peer):
-        return self.told(await self.bourse.orders.rollout(of, peer))
+        return self.told(await self.controller.orders.rollout(of, peer))
 
     @staticmethod
     def told(record):
@@ -86,8 +88,8 @@
 
     # our own
     async def news(self, of, body, peer):
-        ask = read_json(body, mouth.PATH, peer)
-        return {**await self.bourse.mouth.serve(ask, peer), **self.bourse.beside(ask["who"])}
+        ask = read_json(body, publisher.PATH, peer)
+        return {**await self.controller.publisher.serve(ask, peer), **self.controller.beside(ask["who"])}
 
     async def register(self, of, body, peer):
-        return await self.bourse.telling(read_json(body, register.PATH, peer), peer)
+        return await self.controller.telling(read_json(body, register.PATH, peer), peer)
--- a/honeywood/gateway/controller/machine_records.py
+++ b/honeywood/gateway/controller/machine_records.py
@@ -1,11 +1,12 @@
-"""Notes of machines on this bourse's disk, a row each: written when they change, one write at a time."""
+"""MachineRecords of machines on this controller's disk, a row each: written when they change, one write at a
+time."""
 
 import asyncio
 
 from honeywood.gateway.configuration.outcome import Wrong
 
 
-class Notes:
+class MachineRecords:
     """`write` puts {id: note or None} on disk, or raises outcome.Wrong. While it does, at most one more write
     waits, with all that changes meanwhile: a disk that hangs leaves nothing queued behind it but that."""
 
--- a/honeywood/gateway/controller/machines.py
+++ b/honeywood/gateway/controller/machines.py
@@ -2,7 +2,7 @@
 
 from honeywood.gateway.configuration.check import address, need
 from honeywood.gateway.configuration.outcome import Wrong
-from honeywood.gateway.dissemination.history import Past
+from honeywood.gateway.dissemination.history import History
 from honeywood.gateway.routing.endpoints import DRAINING, GONE, LOST, READY
 
 STEP = "instances.heartbeat"
@@ -32,61 +32,61 @@
 
 
 class Machines:
-    """Machines at one bourse: notes only of what has changed; the rest are signs of life."""
+    """Machines at one controller: notes only of what has changed; the rest are signs of life."""
 
-    def __init__(self, board, beat_s):
-        self.board, self.silence, self.heard, self.past = board, MISSED * beat_s, {}, Past(board)
-        self.changed = lambda id, note: None  # told of each note on the board that changes
+    def __init__(self, store, beat_s):
+        self.store, self.silence, self.heard, self.past = store, MISSED * beat_s, {}, History(store)
+        self.changed = lambda id, note: None  # told of each note on the store that changes
 
     def beat(self, now, id, stamp, value):
         """Takes a beat; whether it tells that the machine leaves service."""
-        held = self.board.get(f"machine/{id}")
+        held = self.store.get(f"machine/{id}")
         if held is not None and held["state"] == GONE:
             return value["state"] == DRAINING  # a beat that comes after its machine has left
         self.alive(now, id, stamp)
-        self.board.put(f"beat/{id}", stamp, None)
+        self.store.put(f"beat/{id}", stamp, None)
         if held is None or any(held.get(key) != value[key] for key in value if key != "cold"):
-            self.board.put(f"machine/{id}", stamp, value)
+            self.store.put(f"machine/{id}", stamp, value)
         return value["state"] == DRAINING
 
     def hear(self, now, id, value):
-        """A note of a machine has come to the board, from here or from others."""
+        """A note of a machine has come to the store, from here or from others."""
         self.past.hear(now, id, value["state"])
         if value["state"] in (GONE, LOST):
             self.heard.pop(id, None)
         if value["state"] == GONE:
-            self.board.drop(f"beat/{id}")
-        self.changed(id, [self.board.notes[f"machine/{id}"][0], value])
+            self.store.drop(f"beat/{id}")
+        self.changed(id, [self.store.notes[f"machine/{id}"][0], value])
 
     def recall(self, notes):
         """Takes what an earlier life kept: any newer note wins, and who doesn't beat is lost as ever."""
         for id, stamp, value in notes:
-            self.board.put(f"machine/{id}", stamp, {**value, "cold": 0.0})
+            self.store.put(f"machine/{id}", stamp, {**value, "cold": 0.0})
 
     def alive(self, now, id, stamp):
         self.heard[id] = now, stamp
 
     def leave(self, id):
         """Also of one that is not known here: others may know it."""
-        self.board.put(f"machine/{id}", [LAST, 0], {"state": GONE})
+        self.store.put(f"machine/{id}", [LAST, 0], {"state": GONE})
 
     def look(self, now):
         """Takes for lost whoever has been silent for long; its next beat brings it back. Forgets lives that
         were over long ago."""
         for id in self.past.look(now):
             self.changed(id, None)
-        known = {key.partition("/")[2]: value for key, value in self.board.under("machine/")}
+        known = {key.partition("/")[2]: value for key, value in self.store.under("machine/")}
         for id in self.heard.keys() - known:
             del self.heard[id]
-        for key, _ in self.board.under("beat/"):
+        for key, _ in self.store.under("beat/"):
             if key.partition("/")[2] not in known:
-                self.board.drop(key)
+                self.store.drop(key)
         for id, value in known.items():
             if value["state"] not in (READY, DRAINING):
                 continue
             at, _ = self.heard.setdefault(id, (now, None))
             if now - at > self.silence:
-                last = self.board.notes.get(f"beat/{id}")
-                held = self.board.notes[f"machine/{id}"][0]
+                last = self.store.notes.get(f"beat/{id}")
+                held = self.store.notes[f"machine/{id}"][0]
                 stamp = [max(held[0], last[0][0] if last else 0), 1]
-                self.board.put(f"machine/{id}", stamp, {**value, "state": LOST})
+                self.store.put(f"machine/{id}", stamp, {**value, "state": LOST})
--- a/honeywood/gateway/controller/orders.py
+++ b/honeywood/gateway/controller/orders.py
@@ -1,6 +1,6 @@
 """What operators read and order. Every answer rests on a round or read of the register that began after the
-call came, so on a majority just then; without one it is a 503, which sends the caller on to another bourse.
-Only what can't be read is refused without asking."""
+call came, so on a majority just then; without one it is a 503, which sends the caller on to another
+controller. Only what can't be read is refused without asking."""
 
 from honeywood.gateway.configuration import config
 from honeywood.gateway.configuration import versions as held
@@ -15,11 +15,11 @@
 
 
 class Orders:
-    """The operators' calls of one bourse: `publish` tells all of what a majority's disks hold."""
+    """The operators' calls of one controller: `publish` tells all of what a majority's disks hold."""
 
-    def __init__(self, bourse):
-        self.register, self.publish, self.say = bourse.register, bourse.publish, bourse.say
-        self.bourse, self.clock = bourse, bourse.clock
+    def __init__(self, controller):
+        self.register, self.publish, self.say = controller.register, controller.publish, controller.say
+        self.controller, self.clock = controller, controller.clock
         self.ticked, self.thawed = self.clock(), self.clock() - FRESH
 
     async def tick(self):
@@ -59,7 +59,7 @@
     async def replace(self, version, raw, peer):
         """(outcome, version held) of an order; 412 where its number stands for another content."""
         mark = held.digest(raw)
-        told, found, value = self.bourse.board.notes.get(CONFIG), None, None
+        told, found, value = self.controller.store.notes.get(CONFIG), None, None
         if told is not None and told[0][0] >= version:  # likely a copy: a read is cheaper than a round
             value = await self._read(REPLACE, CONFIG, peer)
             found = held.outcome(value, version, mark)
@@ -77,9 +77,9 @@
 
     async def order(self, svc, to_ver, over_s, peer):
         """The record once a rollout has begun, or that in which this order was taken before."""
-        came, again_s = self.clock(), self.bourse.settings.bounds["ack_s"] + AGAIN
+        came, again_s = self.clock(), self.controller.settings.bounds["ack_s"] + AGAIN
         if self.late:
-            raise Wrong(START, "this bourse stood still; the order may be an old one", peer, 503)
+            raise Wrong(START, "this controller stood still; the order may be an old one", peer, 503)
         value = await self._read(START, CONFIG, peer)
         if value is not None and svc not in config.read(config.unpack(value["text"])).services:
             raise Wrong(START, f"svc {svc!r} is not known", peer)
@@ -87,7 +87,7 @@
         def begun(value):
             if self.clock() - came > FRESH:
                 raise Wrong(START, "too late; it is no longer waited for", peer, 503)
-            since = 0.0 if value is None else self.bourse.since(value)
+            since = 0.0 if value is None else self.controller.since(value)
             return rollouts.start(value, svc, to_ver, over_s, since, again_s)
 
         value = await self._change(START, ROLLOUT + svc, begun, peer)
--- a/honeywood/gateway/controller/program.py
+++ b/honeywood/gateway/controller/program.py
@@ -1,4 +1,4 @@
-"""The bourse's program: what it tells and keeps, and the loops that bring it there."""
+"""The controller's program: what it tells and keeps, and the loops that bring it there."""
 
 import asyncio
 from collections import Counter
@@ -6,63 +6,66 @@
 
 from honeywood.gateway.configuration.outcome import Wrong
 from honeywood.gateway.controller.app import App
-from honeywood.gateway.controller.machine_records import Notes
+from honeywood.gateway.controller.machine_records import MachineRecords
 from honeywood.gateway.controller.machines import Machines
 from honeywood.gateway.controller.orders import CONFIG, ROLLOUT, TICK, Orders
-from honeywood.gateway.dissemination.backoff import Pauses
-from honeywood.gateway.dissemination.local import Own
-from honeywood.gateway.dissemination.publisher import Ear, Mouth, whole
+from honeywood.gateway.dissemination.backoff import Backoff
+from honeywood.gateway.dissemination.local import LocalRecords
+from honeywood.gateway.dissemination.publisher import Subscriber, Publisher, whole
 from honeywood.gateway.dissemination.rendezvous import order, parents
 from honeywood.gateway.program import COUNTS, Program
 from honeywood.gateway.register.disk import Disk
 from honeywood.gateway.register.membership import replacement
-from honeywood.gateway.register.paging import Telling, Whole
+from honeywood.gateway.register.paging import PagedResponder, PagedCaller
 from honeywood.gateway.register.replica import Register
 from honeywood.gateway.rollout import record as rollouts
 from honeywood.gateway.rollout.verdict import Verdict
-from honeywood.gateway.rpc.server import Doors
+from honeywood.gateway.rpc.server import HttpServer
 
 LOOK = 0.1  # seconds between looks at rollouts, and at whether this disk is where it counts
 MISSED = 3.0  # times contact_s and sync_s together that a member is silent before a spare takes its place
 SURVEY = 1.0  # seconds between looks at the register
-NEAR = 0.5  # seconds that another bourse holds an ask while there is nothing new
+NEAR = 0.5  # seconds that another controller holds an ask while there is nothing new
 HEARD = 1.6  # seconds from its sending for which an ask that was answered shows contact
-BOURSE_LOST = 3.0  # seconds after which a bourse that neither asks nor answers vouches for no front
-REST = 0.5  # seconds at most for which a bourse that doesn't answer isn't asked
+CONTROLLER_LOST = 3.0  # seconds after which a controller that neither asks nor answers vouches for no front
+REST = 0.5  # seconds at most for which a controller that doesn't answer isn't asked
 FRONT_LOST = 3.0  # seconds after which a front that asks no more shares nothing
-LATE = 0.5  # seconds beyond a bourse's turn after which what it decided before is looked at again
-SPREAD = 0.15  # seconds by which bourses act after each other
+LATE = 0.5  # seconds beyond a controller's turn after which what it decided before is looked at again
+SPREAD = 0.15  # seconds by which controllers act after each other
 TELL = 0.8  # seconds in which enough others must know of a leaving before it is acknowledged
 KEPT = 0.2  # seconds that an acknowledgement waits for this disk besides
 NOTING = 0.5  # seconds between looks at whether notes of machines have changed
 
 
-class Bourse(Program):
+class Controller(Program):
     def __init__(self, *given, random=None, disk=Disk):
         super().__init__(*given)
         s, self.random = self.settings, random or Random()
-        self.app, self.mouth = App(self), Mouth(self.board_life(), self.hear, self.met, s.link)
-        self.board = self.mouth.board
-        self.own = Own(self.board, int(self.life, 16), self.mine)
-        self.register = Register(s, Whole(self.caller), self.random, self.say, disk)
-        self.telling = Telling(self.register.serve, self.clock)
+        self.app, self.publisher = App(self), Publisher(self.store_incarnation(), self.hear, self.met, s.link)
+        self.store = self.publisher.store
+        self.own = LocalRecords(self.store, int(self.life, 16), self.mine)
+        self.register = Register(s, PagedCaller(self.caller), self.random, self.say, disk)
+        self.telling = PagedResponder(self.register.serve, self.clock)
         self.orders = Orders(self)
-        self.machines, self.notes = Machines(self.board, s.beat_s), Notes(self.register.keep_notes)
+        self.machines, self.notes = Machines(self.store, s.beat_s), MachineRecords(self.register.keep_notes)
         self.machines.changed = self.notes.change
-        self.ear = Ear(self.mouth, self.caller, self.who, Pauses(self.random, REST))
+        self.subscriber = Subscriber(self.publisher, self.caller, self.who, Backoff(self.random, REST))
         self.fronts, self.others, self.verdicts = {}, {}, {}
-        self.reached, self.heard_all = {}, {}  # when each other bourse was asked that answered; that told all
+        self.reached, self.heard_all = (
+            {},
+            {},
+        )  # when each other controller was asked that answered; that told all
         self.fleet, self.chains = {}, {}
-        self.bourses, self.waits = [ip for ip, _ in s.seeds], []
+        self.controllers, self.waits = [ip for ip, _ in s.seeds], []
         self.asking, self.known_at = set(), {}
-        self.contact, self.began = {}, self.clock()  # since when each other bourse has been in contact
+        self.contact, self.began = {}, self.clock()  # since when each other controller has been in contact
 
     def config_held(self):
-        held = self.board.notes.get(CONFIG)
+        held = self.store.notes.get(CONFIG)
         return f"{held[0][0]:08x}" if held else None
 
-    def found(self, bourses):
-        self.bourses += [ip for ip in bourses if ip not in self.bourses]
+    def found(self, controllers):
+        self.controllers += [ip for ip in controllers if ip not in self.controllers]
 
     def who(self):
         return {"ip": self.settings.ip, "node": self.settings.node, "private": True}
@@ -73,13 +76,13 @@
         if who.get("front"):
             self.fronts[who.get("node")] = now, [who.get("zone"), who.get("ip")]
         elif who.get("private"):
-            self.found([who.get("ip")])  # of more than three bourses not all are among the seeds of each
+            self.found([who.get("ip")])  # of more than three controllers not all are among the seeds of each
             self.others[who.get("ip")] = now, rev
             for wait in self.waits:
                 wait.set()
 
     def mine(self, key):
-        """Whether a note is this bourse's own, of this life or an earlier one."""
+        """Whether a note is this controller's own, of this life or an earlier one."""
         return key == f"bourse/{self.settings.ip}" or key.startswith(f"fleet/{self.settings.ip}/")
 
     def hear(self, key, value):
@@ -96,14 +99,14 @@
 
     @property
     def joined(self):
-        """Whether enough other bourses answer this one, there and back, that nothing told here is lost:
+        """Whether enough other controllers answer this one, there and back, that nothing told here is lost:
         one that is cut off in one direction still hears others ask."""
         now = self.clock()
         return self._enough(ip for ip, at in self.reached.items() if now - at < HEARD)
 
     def _enough(self, others):
         """Whether so many members are among the `others` that one stays, itself counted if it is one, when as
-        many as may be are lost. While none are known, any bourse counts."""
+        many as may be are lost. While none are known, any controller counts."""
         members, s = self.register.members, self.settings
         some = sum(ip in members or not members for ip in others)
         return some + (s.ip in members or not members) > s.bear
@@ -111,13 +114,13 @@
     # machines
     async def beat(self, id, stamp, value):
         if not self.joined:
-            raise Wrong("instances.heartbeat", "cut off from the other bourses", "", 503)
+            raise Wrong("instances.heartbeat", "cut off from the other controllers", "", 503)
         if self.machines.beat(self.clock(), id, stamp, value):
             await asyncio.gather(self._known(), self._kept())
 
     async def leave(self, id):
         if not self.joined:
-            raise Wrong("instances.leave", "cut off from the other bourses", "", 503)
+            raise Wrong("instances.leave", "cut off from the other controllers", "", 503)
         self.machines.leave(id)
         await asyncio.gather(self._known(), self._kept())
 
@@ -134,8 +137,8 @@
             self.say("notes not kept", 5.0, why=str(wrong))
 
     async def _known(self):
-        """Waits until enough other bourses have what the board says now."""
-        rev, until, wait = self.board.rev, self.clock() + TELL, asyncio.Event()
+        """Waits until enough other controllers have what the store says now."""
+        rev, until, wait = self.store.rev, self.clock() + TELL, asyncio.Event()
         self.waits.append(wait)
         try:
             while not self._enough(ip for ip, (_, at) in self.others.items() if at >= rev):
@@ -143,7 +146,7 @@
                 async with asyncio.timeout(until - self.clock()):
                     await wait.wait()
         except TimeoutError:
-            raise Wrong("instances", "too few other bourses heard it in time", "", 503) from None
+            raise Wrong("instances", "too few other controllers heard it in time", "", 503) from None
         finally:
             self.waits.remove(wait)
 
@@ -151,33 +154,33 @@
     def publish(self, key, value):
         """Tells of what a majority's disks hold."""
         if key == CONFIG and value is not None:
-            self.board.put(CONFIG, [value["ver"]], value["text"])
+            self.store.put(CONFIG, [value["ver"]], value["text"])
         elif value is not None:
-            self.board.put(key, [value["n"]], value)
+            self.store.put(key, [value["n"]], value)
 
     # loops
     async def listen(self, ip):
         asked = self.clock()  # an answer may have lain here unread while this process was frozen
-        reply = await self.ear.ask(ip, self.settings.bourse_port, NEAR)
+        reply = await self.subscriber.ask(ip, self.settings.controller_port, NEAR)
         if reply.ok:
             if asked - self.reached.get(ip, -HEARD) >= HEARD:
                 self.contact[ip] = asked
             self.reached[ip] = asked
             if whole(reply.value):
                 self.heard_all[ip] = asked
-        await asyncio.sleep(min(REST, self.ear.pauses.rest(ip, self.clock())))
+        await asyncio.sleep(min(REST, self.subscriber.backoff.rest(ip, self.clock())))
 
     def meet(self):
-        """A loop for each other bourse that is known."""
-        for ip in self.bourses:
+        """A loop for each other controller that is known."""
+        for ip in self.controllers:
             if ip != self.settings.ip and ip not in self.asking:
                 self.asking.add(ip)
                 self.loop(lambda ip=ip: self.listen(ip), 0.05)
 
     async def settle(self):
-        """Brings this disk to where it counts, and a spare bourse into a lost member's place."""
+        """Brings this disk to where it counts, and a spare controller into a lost member's place."""
         if not self.register.settled:
-            return await self.register.settle(self.bourses)
+            return await self.register.settle(self.controllers)
         now, s = self.clock(), self.settings
         heard = {
             ip: max(self.reached.get(ip, self.began), self.others.get(ip, (self.began, 0))[0])
@@ -203,17 +206,18 @@
             self.machines.look(now)  # parts of what others know are no silence of the machines they hear
         for node, (at, place) in self.fronts.items():
             key, place = f"fleet/{self.settings.ip}/{node}", place if now - at < FRONT_LOST else None
-            if self.board.get(key) != place:
+            if self.store.get(key) != place:
                 self.own.tell(key, place)
         self.look_at_fleet()
 
     def look_at_fleet(self):
-        """The fronts that share in the traffic, {node: (zone, ip)}: all that ask a bourse which is heard."""
+        """The fronts that share in the traffic, {node: (zone, ip)}: all that ask a controller which is
+        heard."""
         now, ip = self.clock(), self.settings.ip
-        heard = {ip} | {one for one, at in self.reached.items() if now - at < BOURSE_LOST}
-        heard |= {one for one, (at, _) in self.others.items() if now - at < BOURSE_LOST}
+        heard = {ip} | {one for one, at in self.reached.items() if now - at < CONTROLLER_LOST}
+        heard |= {one for one, (at, _) in self.others.items() if now - at < CONTROLLER_LOST}
         fleet = {}
-        for key, place in self.board.under("fleet/"):
+        for key, place in self.store.under("fleet/"):
             _, told_by, node = key.split("/", 2)
             if place is not None and told_by in heard:
                 fleet[node] = tuple(place)
@@ -229,7 +233,7 @@
             node, zone = who.get("node"), who.get("zone")
             if node not in self.chains:
                 self.chains[node] = parents(node, zone, self.fleet)
-            held = self.board.notes.get(f"count/{node}/{who.get('life')}")
+            held = self.store.notes.get(f"count/{node}/{who.get('life')}")
             found |= {"fleet": [len(self.fleet), self.chains[node]], "counted": held[0][0] if held else 0}
         return found
 
@@ -238,7 +242,7 @@
         knows of fronts' counts may be as old as its cut or its standstill."""
         if not self.joined:
             return
-        for key, record in self.board.under(ROLLOUT):
+        for key, record in self.store.under(ROLLOUT):
             if record["state"] != rollouts.ACTIVE:
                 self.verdicts.pop(record["svc"], None)
                 continue
@@ -255,7 +259,7 @@
             decided = self.clock()
             await asyncio.sleep(wait)
             late = self.clock() - decided - wait > LATE or not self.joined
-            if late or self.board.get(key) != record:
+            if late or self.store.get(key) != record:
                 continue
             found = await self.register.change(
                 key,
@@ -269,17 +273,17 @@
 
     def since(self, record):
         """For how many seconds the record's `n` has been known at least: here, or at a front, whose steady
-        clocks go on where all bourses begin anew."""
+        clocks go on where all controllers begin anew."""
         n, at = self.known_at.get(record["svc"], (0, 0.0))
         known = [self.clock() - at] if n == record["n"] else []
-        told = [note["known"].get(record["svc"], (0, 0.0)) for _, note in self.board.under("count/")]
+        told = [note["known"].get(record["svc"], (0, 0.0)) for _, note in self.store.under("count/")]
         return max([*known, *(seconds for n, seconds in told if n == record["n"])], default=0.0)
 
     def counted(self, record):
         """All fronts' counts since the order, those of fronts that have died too; of the fronts that share
         in the traffic their votes on this stage, and whether all follow it and have nothing out where it
         leaves."""
-        told = sorted(self.board.heard("count/"), key=lambda one: one[2])
+        told = sorted(self.store.heard("count/"), key=lambda one: one[2])
         notes, last = [note for _, note, _ in told], {}
         for key, note, _ in told:  # the life last heard of is the one that lives, whatever its clock said
             last[key.split("/")[1]] = note
@@ -299,12 +303,12 @@
 
     async def count(self):
         """A line of what stands now."""
-        states = Counter(value["state"] for _, value in self.board.under("machine/"))
+        states = Counter(value["state"] for _, value in self.store.under("machine/"))
         self.say(
             "counts",
             machines=dict(states),
             fronts=len(self.fleet),
-            told=dict(self.mouth.told),
+            told=dict(self.publisher.told),
             called=dict(self.caller.carried),
             joined=self.joined,
             sound=self.register.sound,
@@ -316,12 +320,12 @@
     async def run(self):
         s = self.settings
         await self.register.open()
-        doors = Doors(self.app)
-        await doors.open([s.listen["ctl"], (s.ip, s.bourse_port)])
+        server = HttpServer(self.app)
+        await server.open([s.listen["ctl"], (s.ip, s.controller_port)])
         self.say("started", role=s.role)
         self.begin()
         await self.until_stopped()
-        await doors.close(s.bounds["grace_s"] - 1.0)
+        await server.close(s.bounds["grace_s"] - 1.0)
         self.say("stopped")
 
     def begin(self):
--- a/honeywood/gateway/dissemination/__init__.py
+++ b/honeywood/gateway/dissemination/__init__.py
@@ -1,4 +1,4 @@
 """News: what every program is to know, passed on by whoever heard it; the highest stamp of a key wins.
 
-Start reading at board.py, then ring.py (who knows whom) and ear.py (the loop that asks).
+Start reading at store.py, then rendezvous.py (who knows whom) and subscriber.py (the loop that asks).
 """
--- a/honeywood/gateway/dissemination/backoff.py
+++ b/honeywood/gateway/dissemination/backoff.py
@@ -28,7 +28,7 @@
         return wait
 
 
-class Pauses:
+class Backoff:
     """Peers that didn't answer, and until when each is left alone: longer each time, up to `most` seconds,
     and by chance down to half of it, so that not all ask one that returns in the same moment."""
 
--- a/honeywood/gateway/dissemination/chunk.py
+++ b/honeywood/gateway/dissemination/chunk.py
@@ -1,5 +1,5 @@
-"""Notes that are too long for one answer, piece by piece: whoever is asked next goes on where the last answer
-ended, and the whole is taken only if its length and mark are those that were told. Pure."""
+"""MachineRecords that are too long for one answer, piece by piece: whoever is asked next goes on where the
+last answer ended, and the whole is taken only if its length and mark are those that were told. Pure."""
 
 import json
 from _blake2 import blake2b  # hashlib would bring OpenSSL
@@ -15,7 +15,7 @@
     return {"mark": marked, "of": len(text), "at": at, "text": text[at : at + room]}
 
 
-class Pieces:
+class ChunkCollector:
     """What has been collected of long notes: at most one value a key, the newest that was begun."""
 
     def __init__(self):
@@ -26,8 +26,8 @@
         return {key: [stamp, marked, len(text)] for key, (stamp, marked, text) in self.open.items()}
 
     def take(self, piece):
-        """Takes the next piece; (key, stamp, value) once all are there and whole, else None. Pieces that
-        don't fit what is there change nothing, but the first of another value begins anew."""
+        """Takes the next piece; (key, stamp, value) once all are there and whole, else None. ChunkCollector
+        that don't fit what is there change nothing, but the first of another value begins anew."""
         key, stamp, marked = piece["key"], piece["stamp"], piece["mark"]
         held, known, text = self.open.get(key, (None, None, ""))
         if piece["at"] == 0 and (held is None or stamp > held or (stamp == held and marked != known)):
--- a/honeywood/gateway/dissemination/history.py
+++ b/honeywood/gateway/dissemination/history.py
@@ -7,7 +7,7 @@
 from honeywood.gateway.routing.endpoints import GONE, LOST
 
 KEEP = 120.0  # seconds for which a life that is over is told of: above any late beat's, and CUT by far
-CUT = 60.0  # seconds without a bourse that hears a majority after which a front doubts what it knows
+CUT = 60.0  # seconds without a controller that hears a majority after which a front doubts what it knows
 MOST = 2000  # lives that are over and told of; beyond them the oldest are dropped sooner
 
 
@@ -16,14 +16,14 @@
     return isinstance(value, dict) and value.get("state") in (GONE, LOST)
 
 
-class Past:
-    """The lives on a board that are over, the one that ended first in front."""
+class History:
+    """The lives on a store that are over, the one that ended first in front."""
 
-    def __init__(self, board):
-        self.board, self.over = board, {}
+    def __init__(self, store):
+        self.store, self.over = store, {}
 
     def hear(self, now, id, state):
-        """A note on the board says that a machine is in `state`."""
+        """A note on the store says that a machine is in `state`."""
         self.over.pop(id, None)
         if state in (GONE, LOST):
             self.over[id] = now, state
@@ -36,6 +36,6 @@
             if now - at < KEEP and len(self.over) <= MOST:
                 break
             del self.over[id]
-            self.board.forget(id, for_good=state == GONE)
+            self.store.forget(id, for_good=state == GONE)
             dropped.append(id)
         return dropped
--- a/honeywood/gateway/dissemination/local.py
+++ b/honeywood/gateway/dissemination/local.py
@@ -1,12 +1,12 @@
-"""Notes that a program tells of itself. Its clock may have been set back since its last life: who hears
-one of its own notes from before goes above the stamp (as OSPF does, RFC 2328, 13.4)."""
+"""MachineRecords that a program tells of itself. Its clock may have been set back since its last life: who
+hears one of its own notes from before goes above the stamp (as OSPF does, RFC 2328, 13.4)."""
 
 
-class Own:
-    """Keys of ours on the board; stamps are [incarnation, a number that rises]. `mine` knows our keys."""
+class LocalRecords:
+    """Keys of ours on the store; stamps are [incarnation, a number that rises]. `mine` knows our keys."""
 
-    def __init__(self, board, incarnation, mine):
-        self.board, self.incarnation, self.mine, self.n, self.values = board, incarnation, mine, 0, {}
+    def __init__(self, store, incarnation, mine):
+        self.store, self.incarnation, self.mine, self.n, self.values = store, incarnation, mine, 0, {}
         self.telling = False
 
     def tell(self, key, value):
@@ -14,16 +14,16 @@
         self.n += 1
         self.telling = True
         try:
-            self.board.put(key, [self.incarnation, self.n], value)
+            self.store.put(key, [self.incarnation, self.n], value)
         finally:
             self.telling = False
 
     def heard(self, key):
-        """A note has come to the board: where it is of an earlier life of ours, all is told again above it;
+        """A note has come to the store: where it is of an earlier life of ours, all is told again above it;
         what this life hasn't told is taken back with the value None."""
         if self.telling or not self.mine(key):
             return
-        past = self.board.notes[key][0][0]
+        past = self.store.notes[key][0][0]
         again = {key: self.values.get(key)}
         if past >= self.incarnation:
             self.incarnation, again = past + 1, {**self.values, **again}
--- a/honeywood/gateway/dissemination/publisher.py
+++ b/honeywood/gateway/dissemination/publisher.py
@@ -1,4 +1,4 @@
-"""Telling and asking for news between programs. A program asks another and is answered once there is
+"""PagedResponder and asking for news between programs. A program asks another and is answered once there is
 something new, or after a while; so news pass at once, and each answer is a sign of life.
 
 Every answer is short enough for the links it crosses: what doesn't fit comes with the next ask, which goes
@@ -11,27 +11,30 @@
 from honeywood.gateway.configuration.check import need
 from honeywood.gateway.configuration.outcome import Wrong
 from honeywood.gateway.dissemination.backoff import Pace, part
-from honeywood.gateway.dissemination.chunk import Pieces
-from honeywood.gateway.dissemination.store import Board
+from honeywood.gateway.dissemination.chunk import ChunkCollector
+from honeywood.gateway.dissemination.store import Store
 
 PATH = "/news"
 HOLD = 1.0  # seconds an ask is held while there is nothing new
 MARGIN = 0.5  # seconds that an answer may take besides
 BUNDLE = 0.02  # seconds waited after a note for others that come with it
 QUIET = ("beat/",)  # notes that wake nobody
-LAZY = {"count/": 0.2, "fleet/": 0.1}  # notes that wake bourses alone, with others that come in these seconds
+LAZY = {
+    "count/": 0.2,
+    "fleet/": 0.1,
+}  # notes that wake controllers alone, with others that come in these seconds
 SMALL = 2048  # bytes of an answer that waits for nothing
 PATIENCE = 0.25  # seconds that an answer waits for its turn on the link; then its asker is sent away
 FAST = 125e6  # bytes a second of a link that nothing is said of
 
 
-class Mouth:
-    """A board whose changes wake those who wait; what others told of themselves goes to `met`. `rate` is what
+class Publisher:
+    """A store whose changes wake those who wait; what others told of themselves goes to `met`. `rate` is what
     the program's link carries in bytes a second; `told` counts the bytes of answers by kind of note."""
 
     def __init__(self, life, hear, met=lambda who, rev: None, rate=FAST):
-        self.board, self.hear, self.met, self.waiting = Board(life, self._told), hear, met, {}
-        self.most, self.pace, self.pieces = part(rate), Pace(rate), Pieces()
+        self.store, self.hear, self.met, self.waiting = Store(life, self._told), hear, met, {}
+        self.most, self.pace, self.pieces = part(rate), Pace(rate), ChunkCollector()
         self.told, self.due = Counter(), False
 
     def _told(self, key, value):
@@ -46,7 +49,7 @@
             next(iter(self.waiting)).get_loop().call_later(lag, self._wake, False)
 
     def _wake(self, everybody):
-        """Wakes those who wait, in the order in which they came; or bourses alone."""
+        """Wakes those who wait, in the order in which they came; or controllers alone."""
         self.due = self.due and everybody
         for waiter, private in list(self.waiting.items()):
             if (everybody or private) and not waiter.done():
@@ -64,16 +67,16 @@
 
     def hear_answer(self, answer):
         """Takes what another's answer told."""
-        self.board.hear(answer["notes"])
+        self.store.hear(answer["notes"])
         whole = self.pieces.take(answer["piece"]) if answer.get("piece") else None
         if whole:
-            self.board.hear([whole])
+            self.store.hear([whole])
 
     async def serve(self, ask, peer):
         """The answer to another's ask: {"who", "life", "rev", "digest", "notes", "hold", "held", "have",
         "most"}."""
         who, rev = need(ask, "who", dict, PATH), need(ask, "rev", int, PATH)
-        rev = rev if ask.get("life") == self.board.life else 0
+        rev = rev if ask.get("life") == self.store.life else 0
         self.met(who, rev)
         notes = need(ask, "notes", list, PATH, [])
         if not all(isinstance(note, list) and len(note) == 3 for note in notes):
@@ -89,9 +92,9 @@
         most = min(self.most, need(ask, "most", int, PATH, self.most, least=1))
         hold = min(HOLD, need(ask, "hold", float, PATH, 0.0, least=0))
         private = bool(who.get("private"))
-        self.board.hear(notes)
-        if not private and ask.get("digest") == f"{self.board.digest:x}":
-            rev = self.board.rev  # it has heard the same from others
+        self.store.hear(notes)
+        if not private and ask.get("digest") == f"{self.store.digest:x}":
+            rev = self.store.rev  # it has heard the same from others
         found = await self._found(rev, private, held, hold)
         return await self._answer(found, rev, most, have, private)
 
@@ -100,7 +103,7 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + hold
         while True:
-            found, left = self.board.since(self.board.life, rev, private, held), until - loop.time()
+            found, left = self.store.since(self.store.life, rev, private, held), until - loop.time()
             if found or left <= 0:
                 return found  # looked up after the wait, as notes that wake nobody may have come in it
             if await self.changed(left, private):
@@ -108,20 +111,20 @@
 
     async def _answer(self, found, rev, most, have, private):
         now = asyncio.get_running_loop().time()
-        notes, piece, reached = self.board.tell(found, most, have)
-        sizes = [(key, self.board.size(key)) for key, *_ in notes]
+        notes, piece, reached = self.store.tell(found, most, have)
+        sizes = [(key, self.store.size(key)) for key, *_ in notes]
         sizes += [(piece["key"], len(piece["text"]))] if piece else []
         size = sum(size for _, size in sizes)
         if size > SMALL and not private and self.pace.behind(now) > PATIENCE:
             self.told["sent away"] += 1
-            return {"life": self.board.life, "rev": rev, "notes": [], "later": self.pace.behind(now)}
+            return {"life": self.store.life, "rev": rev, "notes": [], "later": self.pace.behind(now)}
         if size > SMALL:
             turn = self.pace.take(now, size)
-            await asyncio.sleep(0.0 if private else turn)  # bourses are few, and don't wait behind fronts
+            await asyncio.sleep(0.0 if private else turn)  # controllers are few, and don't wait behind fronts
         for key, size in sizes:
             self.told[key.partition("/")[0]] += size
         more = {"piece": piece, "more": True} if piece else {"more": len(notes) < len(found)}
-        return {"life": self.board.life, "rev": reached, "notes": notes, **more}
+        return {"life": self.store.life, "rev": reached, "notes": notes, **more}
 
 
 def whole(answer):
@@ -129,25 +132,25 @@
     return not answer.get("more") and "later" not in answer
 
 
-class Ear:
+class Subscriber:
     """Asks one peer after the other; `who` says who asks, `own` gives the notes that go along to one. Peers
-    that don't answer are in `pauses`."""
+    that don't answer are in `backoff`."""
 
-    def __init__(self, mouth, caller, who, pauses, own=lambda ip: []):
-        self.mouth, self.caller, self.who, self.own, self.known = mouth, caller, who, own, {}
-        self.pauses = pauses
+    def __init__(self, publisher, caller, who, backoff, own=lambda ip: []):
+        self.publisher, self.caller, self.who, self.own, self.known = publisher, caller, who, own, {}
+        self.backoff = backoff
 
     async def ask(self, ip, port, hold):
         """One ask; Done with the answer, or Failed."""
         life, rev = self.known.get((ip, port), ("", 0))
         body = {"who": self.who(), "life": life, "rev": rev, "notes": self.own(ip), "hold": hold}
-        body["digest"], body["most"] = f"{self.mouth.board.digest:x}", self.mouth.most
-        body["held"], body["have"] = self.mouth.board.held(), self.mouth.pieces.have()
+        body["digest"], body["most"] = f"{self.publisher.store.digest:x}", self.publisher.most
+        body["held"], body["have"] = self.publisher.store.held(), self.publisher.pieces.have()
         reply = await self.caller.call(ip, port, PATH, body, hold + MARGIN, again=True)
         if reply.ok:
-            self.pauses.answered(ip, asyncio.get_running_loop().time() + reply.value.get("later", 0.0))
-            self.mouth.hear_answer(reply.value)
+            self.backoff.answered(ip, asyncio.get_running_loop().time() + reply.value.get("later", 0.0))
+            self.publisher.hear_answer(reply.value)
             self.known[ip, port] = reply.value["life"], reply.value["rev"]
         else:
-            self.pauses.silent(ip, asyncio.get_running_loop().time())
+            self.backoff.silent(ip, asyncio.get_running_loop().time())
         return reply
--- a/honeywood/gateway/dissemination/rendezvous.py
+++ b/honeywood/gateway/dissemination/rendezvous.py
@@ -18,7 +18,7 @@
     """The addresses that a front asks for news, the nearest relay first, out of {node: (zone, ip)}.
 
     The fronts of a zone stand in one order; each hears from the one FAN places nearer its start, the first
-    from a bourse. Who knows no others, or is not known yet, has no relay and asks a bourse.
+    from a controller. Who knows no others, or is not known yet, has no relay and asks a controller.
     """
     ranks = order([name for name, (place, _) in fronts.items() if place == zone], zone)
     if node not in ranks:
--- a/honeywood/gateway/dissemination/store.py
+++ b/honeywood/gateway/dissemination/store.py
@@ -1,8 +1,8 @@
-"""A board of notes. A note is a key, a stamp that only rises, and a value; boards that have heard the same
+"""A store of notes. A note is a key, a stamp that only rises, and a value; stores that have heard the same
 notes in any order, any number of times, are alike. Nothing is ever taken back but by a higher stamp.
 
-Each board counts its own changes, so that whoever asks again is told only what is new since; its digest
-tells two boards apart that have heard the same from different sides.
+Each store counts its own changes, so that whoever asks again is told only what is new since; its digest
+tells two stores apart that have heard the same from different sides.
 """
 
 import json
@@ -15,7 +15,7 @@
 DOUBTED = [-1]  # the stamp of what may be out of date: below all others
 LIVES = ("machine/", "beat/")  # notes of lives that end and are forgotten
 FORGOTTEN = 1 << 14  # names that are remembered as never to be heard of again, the newest
-PRIVATE = ("beat/", "count/", "fleet/")  # for bourses only
+PRIVATE = ("beat/", "count/", "fleet/")  # for controllers only
 LARGE = ("config",)  # notes that are worth saying which of them one holds, so that they come once
 PAST = 3  # earlier values of a large note, for those who have begun to collect one
 ROOM = 1024  # bytes of an answer that are worth a piece
@@ -29,8 +29,8 @@
     return int.from_bytes(blake2b(name.encode(), digest_size=8).digest(), "big")
 
 
-class Board:
-    """Notes by key. `life` tells boards apart whose counts began anew."""
+class Store:
+    """MachineRecords by key. `life` tells stores apart whose counts began anew."""
 
     def __init__(self, life, told=lambda key, value: None):
         self.life, self.told, self.notes, self.rev = life, told, {}, 0
@@ -65,9 +65,9 @@
         self.sizes.pop(key, None)
 
     def _sum(self, key):
-        """Puts a note that everybody may hear into the digest, or takes it out: boards that hold the same
+        """Puts a note that everybody may hear into the digest, or takes it out: stores that hold the same
         notes with the same stamps have the same, whatever came first. Lives that are over are left out: each
-        board forgets them in its own time."""
+        store forgets them in its own time."""
         if key in self.notes and not key.startswith(PRIVATE) and not over(self.notes[key][1]):
             named = f"{key}|{self.notes[key][0]}".encode()
             self.digest ^= int.from_bytes(blake2b(named, digest_size=8).digest(), "big")
@@ -113,7 +113,7 @@
         return {key: self.notes[key][0] for key in LARGE if key in self.notes}
 
     def since(self, life, rev, private, held=None):
-        """Notes that one who heard all up to `rev` of `life`, and has `held` from others, has not:
+        """MachineRecords that one who heard all up to `rev` of `life`, and has `held` from others, has not:
         [(key, stamp, value)]."""
         start = rev if life == self.life else 0
         if start >= self.rev:
--- a/honeywood/gateway/program.py
+++ b/honeywood/gateway/program.py
@@ -42,8 +42,8 @@
         self.log = structlog.get_logger().bind(node=self.settings.node, life=self.life)
         gc.set_threshold(COLLECT, 50, 100)
 
-    def board_life(self):
-        """What tells boards apart whose counts began anew, also where a clock was set back."""
+    def store_incarnation(self):
+        """What tells stores apart whose counts began anew, also where a clock was set back."""
         return f"{self.life}.{self.random.getrandbits(32):08x}"
 
     def load(self):
@@ -82,8 +82,8 @@
         except (OSError, UnicodeDecodeError, Wrong) as wrong:
             self.say("settings not taken", 5.0, why=str(wrong))
 
-    def found(self, bourses):
-        """Bourses that are told of."""
+    def found(self, controllers):
+        """Controllers that are told of."""
 
     def loop(self, step, every):
         """Runs `step` again and again, `every` seconds after it ended; what it raises is logged."""
--- a/honeywood/gateway/proxy/__main__.py
+++ b/honeywood/gateway/proxy/__main__.py
@@ -1,3 +1,3 @@
 from honeywood.gateway.startup import run
 
-run("honeywood.gateway.proxy.program", "Stall")
+run("honeywood.gateway.proxy.program", "Proxy")
--- a/honeywood/gateway/proxy/app.py
+++ b/honeywood/gateway/proxy/app.py
@@ -1,4 +1,4 @@
-"""The stall's ASGI application: clients, the platform's readiness calls, and news."""
+"""The proxy's ASGI application: clients, the platform's readiness calls, and news."""
 
 import json
 
@@ -12,26 +12,26 @@
 
 
 class App:
-    def __init__(self, stall):
-        self.stall = stall
-        self.ready_port = stall.settings.listen["ready"][1]
-        self.news_port = stall.settings.stall_port
+    def __init__(self, proxy):
+        self.proxy = proxy
+        self.ready_port = proxy.settings.listen["ready"][1]
+        self.news_port = proxy.settings.proxy_port
 
     @property
     def limits(self):
-        return self.stall.limits
+        return self.proxy.limits
 
     async def __call__(self, scope, receive, send):
         port = scope["server"][1]
         if port == self.ready_port:
-            return await answer(send, 200 if self.stall.ready else 503)
+            return await answer(send, 200 if self.proxy.ready else 503)
         if port == self.news_port:
             return await self.news(scope, receive, send)
         early = scope.get("early")
         found = await (early if early is not None else self.client(scope, receive))
         headers = found.headers
         behind = scope.get("behind", bool)  # what has begun behind this one is answered before the end
-        if self.stall.stopping.is_set() and not behind():
+        if self.proxy.stopping.is_set() and not behind():
             headers = [*headers, (b"connection", b"close")]
         if found.rest is None:
             return await answer(send, found.status, headers, found.body)
@@ -45,38 +45,38 @@
         """Begins with a request that stands behind another, where it may be repeated and has no body."""
         fields = dict(scope["headers"])
         if (
-            self.stall.stopping.is_set()  # what stands behind an answer that closes isn't read
+            self.proxy.stopping.is_set()  # what stands behind an answer that closes isn't read
             or scope["server"][1] in (self.ready_port, self.news_port)
             or fields.get(b"content-length", b"0") != b"0"
         ):
             return None
-        table = self.stall.table
+        table = self.proxy.table
         route = table.find(fields.get(b"host", b""), scope["raw_path"]) if table else None
         if route is None or not route.safe or b"transfer-encoding" in fields:
             return None
-        return self.stall.start(self.carry(scope, route, fields, b""))
+        return self.proxy.start(self.carry(scope, route, fields, b""))
 
     async def client(self, scope, receive):
-        stall, fields = self.stall, dict(scope["headers"])
-        if stall.table is None:
+        proxy, fields = self.proxy, dict(scope["headers"])
+        if proxy.table is None:
             return ours(503, "no configuration yet", AGAIN_S)
-        route = stall.table.find(fields.get(b"host", b""), scope["raw_path"])
+        route = proxy.table.find(fields.get(b"host", b""), scope["raw_path"])
         if route is None:
             return ours(404, "no route")
-        body = await body_of(receive, stall.limits.body_bytes)
+        body = await body_of(receive, proxy.limits.body_bytes)
         if body is None:
             return ours(413, "the body is too long")
         return await self.carry(scope, route, fields, body)
 
     async def carry(self, scope, route, fields, body):
         left = scope.get("left", lambda: False)
-        return await self.stall.carrier.carry(
+        return await self.proxy.forwarder.carry(
             route, scope["method"].encode(), scope["target"], scope["headers"], fields, body, left
         )
 
     async def hear(self, raw, peer):
         """The answer to another front's ask for news."""
-        return await self.stall.mouth.serve(read_json(raw, PATH, peer), peer)
+        return await self.proxy.publisher.serve(read_json(raw, PATH, peer), peer)
 
     async def news(self, scope, receive, send):
         peer = scope["client"][0]
--- a/honeywood/gateway/proxy/connections.py
+++ b/honeywood/gateway/proxy/connections.py
@@ -13,11 +13,11 @@
 UNLEARNT_S = 10.0  # seconds after which that is forgotten again
 
 
-class Links:
+class ConnectionPool:
     """Gives and takes back links of machines."""
 
     def __init__(self, clock, connect):
-        """`connect(ip, port, within, up)` opens one, as Link.to does."""
+        """`connect(ip, port, within, up)` opens one, as Connection.to does."""
         self.clock, self.connect, self.dialled = clock, connect, 0
         self.learnt = {}  # {service: (seconds that its connections may rest, since when)}
 
--- a/honeywood/gateway/proxy/forwarding.py
+++ b/honeywood/gateway/proxy/forwarding.py
@@ -36,11 +36,11 @@
     return Answer(status, headers)
 
 
-class Carrier:
+class Forwarder:
     """Carries requests. Its parts are handed in: the program's state, its gate and its links."""
 
-    def __init__(self, clock, random, zone, roster, gate, stage, links, budget_of):
-        self.clock, self.random, self.zone, self.roster = clock, random, zone, roster
+    def __init__(self, clock, random, zone, endpoints, gate, stage, links, budget_of):
+        self.clock, self.random, self.zone, self.endpoints = clock, random, zone, endpoints
         self.gate, self.stage, self.links, self.budget_of = gate, stage, links, budget_of
         self.counts = Counter()  # since the start: requests, further sends, answers by status, why no machine
 
@@ -89,7 +89,7 @@
             if not tasks:
                 return self._given_up(ask, best)
             until = ask.until - SPARE
-            hedge = self.clock() + max(HEDGE_LEAST, HEDGE * self.roster.usual.get(ask.service, 1.0))
+            hedge = self.clock() + max(HEDGE_LEAST, HEDGE * self.endpoints.usual.get(ask.service, 1.0))
             second = ask.route.safe and len(tasks) == 1 and hedge < until and ask.route.tries > 1
             done, tasks = await asyncio.wait(
                 tasks,
@@ -107,8 +107,8 @@
 
     def _choose(self, ask):
         now = self.clock()
-        usual = self.roster.usual.get(ask.service, 1.0)
-        for group in self.stage.groups(now, ask, self.roster.services.get(ask.service, ())):
+        usual = self.endpoints.usual.get(ask.service, 1.0)
+        for group in self.stage.groups(now, ask, self.endpoints.services.get(ask.service, ())):
             fit = [m for m in group if self.gate.bar(now, ask, m) is None]
             machine = choose(now, fit, self.zone, ask.had, usual, self.random)
             if machine is not None:
@@ -169,7 +169,7 @@
             found = meaning(reply.status, reply.fields, ask.try_id)
             self._load(now, machine, reply.fields.get(b"x-load"))
             if found in (GOOD, FAILED):
-                self.roster.answered(now, machine, took)
+                self.endpoints.answered(now, machine, took)
             elif found == SPOILT or found == NOT_RUN:
                 machine.trouble(now)
         self.stage.ended(now, ask, machine, found, took)
@@ -206,7 +206,7 @@
             return self._too_late(ask)
         if ask.may_have_run:
             return ours(502, "no whole answer came")
-        now, machines = self.clock(), self.roster.services.get(ask.service, ())
+        now, machines = self.clock(), self.endpoints.services.get(ask.service, ())
         bars = Counter(self.gate.bar(now, ask, machine) or "left alone" for machine in machines)
         why = bars.most_common(1)[0][0] if bars else "none known"
         self.counts[f"no machine: {why}"] += 1
--- a/honeywood/gateway/register/membership.py
+++ b/honeywood/gateway/register/membership.py
@@ -94,7 +94,7 @@
 
 
 def replacement(here, own, heard, since, now, soon, late):
-    """(member, the one to take its place), or None. `heard` says when each bourse was last in contact,
+    """(member, the one to take its place), or None. `heard` says when each controller was last in contact,
     `since` when its present contact began, in seconds. A member is replaced after `late` seconds of silence,
     after `soon` by one that came while it was silent and has stayed: where a cut has ended, all come
     back, but not at one moment. Never while too few others have been in contact for so long themselves."""
--- a/honeywood/gateway/register/paging.py
+++ b/honeywood/gateway/register/paging.py
@@ -4,7 +4,7 @@
 import json
 
 from honeywood.gateway.configuration.outcome import Done, Failed, Wrong
-from honeywood.gateway.register.parts import Hearer, Teller
+from honeywood.gateway.register.parts import PartReceiver, PartSender
 
 LONG = ("pull", "survey")  # steps whose answers may be long
 WRITES = ("prepare", "accept", "pull")  # steps that wait for the disk
@@ -17,13 +17,13 @@
     return json.dumps([peer, {key: value for key, value in body.items() if key != HAVE}], sort_keys=True)
 
 
-class Whole:
+class PagedCaller:
     """Calls of others, as of cart.call.Caller: long answers are asked for part by part. What was heard of a
     pull stays though a part fails or time is up: the next one goes on there, as if its answer had been long
     on its way. A survey stands for a read, and counts only what was answered after it began."""
 
     def __init__(self, caller):
-        self.caller, self.hearer, self.calls = caller, Hearer(), 0
+        self.caller, self.hearer, self.calls = caller, PartReceiver(), 0
 
     async def call(self, ip, port, path, body, within, again=False):
         if body.get("op") not in LONG:
@@ -53,11 +53,11 @@
         return Failed(path, "not all parts came in time", ip, 503)
 
 
-class Telling:
+class PagedResponder:
     """This disk's side: `serve(ask, peer)` gives the whole answer."""
 
     def __init__(self, serve, clock):
-        self.serve, self.clock, self.teller = serve, clock, Teller()
+        self.serve, self.clock, self.teller = serve, clock, PartSender()
 
     async def __call__(self, ask, peer):
         have = ask.pop(HAVE, None)
--- a/honeywood/gateway/register/parts.py
+++ b/honeywood/gateway/register/parts.py
@@ -18,7 +18,7 @@
     return blake2b(text.encode(), digest_size=16).hexdigest()
 
 
-class Teller:
+class PartSender:
     """Answers that are being told."""
 
     def __init__(self):
@@ -49,7 +49,7 @@
         return {"part": part, "at": at, "of": len(text), "mark": marked, "sum": zlib.crc32(part.encode())}
 
 
-class Hearer:
+class PartReceiver:
     """Answers that are being heard, each by its question."""
 
     def __init__(self):
--- a/honeywood/gateway/register/proposer.py
+++ b/honeywood/gateway/register/proposer.py
@@ -19,7 +19,7 @@
     return [reply for ip, reply in replies.items() if reply["lives"].get(ip, FIRST) == newest.get(ip, FIRST)]
 
 
-class Round:
+class Proposal:
     """One ballot's way. `change` takes the value held (or None) and gives the one to hold."""
 
     def __init__(self, ballot, majority, change):
--- a/honeywood/gateway/register/replica.py
+++ b/honeywood/gateway/register/replica.py
@@ -9,12 +9,12 @@
 from honeywood.gateway.register import acceptor
 from honeywood.gateway.register import membership as members
 from honeywood.gateway.register.paging import bounded
-from honeywood.gateway.register.proposer import FIRST, Round, agreed, current
+from honeywood.gateway.register.proposer import FIRST, Proposal, agreed, current
 
 PATH = "/register"
 BORN, MEMBERS = "born", "members"  # rows beside the registers: this disk's life; its configuration;
 LIVES = "lives"  # what is known of others' later lives;
-NOTES = "note/"  # before an id: this bourse's note of a machine, which no other counts on
+NOTES = "note/"  # before an id: this controller's note of a machine, which no other counts on
 BESIDE = (BORN, MEMBERS, LIVES)
 WITHIN = 0.8  # seconds a peer has for one step
 WHOLE = 1.5  # seconds a peer has to tell all rows
@@ -117,7 +117,7 @@
         self.say("register", sound=self.sound, rows=len(self.rows), epoch=self.epoch, members=self.members)
 
     async def settle(self, known):
-        """Brings this disk to where it counts, as far as the bourses `known` allow it now."""
+        """Brings this disk to where it counts, as far as the controllers `known` allow it now."""
         known = {*known, *self.members, *(self.newer["members"] if self.newer else ())}
         try:
             if self.here and self.newer:
@@ -327,7 +327,7 @@
                 return Done(await self.serve(body, ip))
             except Wrong as wrong:
                 return wrong.failed
-        return await self.caller.call(ip, self.settings.bourse_port, PATH, body, within, again=True)
+        return await self.caller.call(ip, self.settings.controller_port, PATH, body, within, again=True)
 
     # all disks
     async def _ask_all(self, ips, body, take, within=WITHIN):
@@ -363,7 +363,7 @@
         while self.sound and self.here:
             here, lost = self.here, NO_MAJORITY
             self.count = max(self.count, (self.rows.get(key) or [acceptor.NEVER])[0][0]) + 1
-            turn = Round([self.count, self.settings.ip], members.majority(here), change)
+            turn = Proposal([self.count, self.settings.ip], members.majority(here), change)
             body = {"op": "prepare", "key": key, "ballot": turn.ballot, "epoch": here["epoch"]}
             if await self._ask_all(here["members"], body, turn.promised):
                 body = {**body, "op": "accept", "value": turn.value}
--- a/honeywood/gateway/rollout/stage.py
+++ b/honeywood/gateway/rollout/stage.py
@@ -15,7 +15,7 @@
 )
 BANKED = 1.5  # attempts that a class may have earned and not used
 YOUNG = 3.0  # seconds: machines that started since say nothing of their version (the design's)
-LEASE = 3.0  # seconds a stage holds at a front that hears no bourse; then the earlier version alone
+LEASE = 3.0  # seconds a stage holds at a front that hears no controller; then the earlier version alone
 UNLIKE = 1.5  # times that a slow machine of a service takes beside the usual one, whatever its version
 ESTABLISHED, ON_TRIAL, CLOSED = "established", "trial", "closed"
 
@@ -23,8 +23,8 @@
 class Stage:
     """One front's view of all services' versions."""
 
-    def __init__(self, roster, share, fronts):
-        self.roster, self.share, self.fronts = roster, share * SAFETY, fronts
+    def __init__(self, endpoints, share, fronts):
+        self.endpoints, self.share, self.fronts = endpoints, share * SAFETY, fronts
         self.records, self.earned, self.counts = {}, Counter(), {}
         self.heard_at, self.voters, self.chosen = 0.0, {}, {}
 
@@ -39,13 +39,13 @@
         """What `ver` of `svc` is just now."""
         record = self.records.get(svc)
         if record is None:
-            vers = Counter(m.ver for m in self.roster.services.get(svc, ()))
+            vers = Counter(m.ver for m in self.endpoints.services.get(svc, ()))
             most = max(vers.values(), default=0)
             first = min((v for v, n in vers.items() if n == most), default=ver)
             return ESTABLISHED if ver == first else ON_TRIAL
         named = ver == record["to_ver"]
         if ver in record["back"]:  # sent back before this order; better than nothing where no other is there
-            vers = {m.ver for m in self.roster.services.get(svc, ())}
+            vers = {m.ver for m in self.endpoints.services.get(svc, ())}
             if vers - {record["to_ver"], *record["back"]}:
                 return CLOSED
         if record["state"] == REVERTED:
@@ -62,7 +62,9 @@
 
     def behind(self, svc):
         """Requests still out at machines whose version gets nothing any more."""
-        return sum(m.open for m in self.roster.services.get(svc, ()) if self.standing(svc, m.ver) == CLOSED)
+        return sum(
+            m.open for m in self.endpoints.services.get(svc, ()) if self.standing(svc, m.ver) == CLOSED
+        )
 
     def room(self, now, ask):
         """Whether one more request of the class fits under its cap; only safe classes are tried."""
@@ -117,7 +119,7 @@
         counts.add(1, meaning != GOOD, 1, bisect_left(EDGES, took / ask.route.timeout))
 
     def told(self, now):
-        """What bourses are told: counts as rows [svc, class, version, failed, ended, bins], this front's
+        """What controllers are told: counts as rows [svc, class, version, failed, ended, bins], this front's
         votes {svc: [n, vote]}, {svc: [n, requests still out at machines that the stage leaves]}, and for how
         many seconds each has been known."""
         rows = [[*place, c.failed, c.ended, c.bins] for place, c in self.counts.items()]
--- a/honeywood/gateway/rollout/verdict.py
+++ b/honeywood/gateway/rollout/verdict.py
@@ -1,5 +1,5 @@
-"""What counts say of a version on trial: at a front of its own ones, at a bourse of all fronts' pooled ones;
-and the next step of the rollout, from the pooled counts and the fronts' votes."""
+"""What counts say of a version on trial: at a front of its own ones, at a controller of all fronts' pooled
+ones; and the next step of the rollout, from the pooled counts and the fronts' votes."""
 
 from honeywood.gateway.rollout.record import DONE, FULL, REVERTED, TRIAL
 from honeywood.judge.counts import Counts, summed
@@ -118,7 +118,7 @@
 
 
 class Verdict:
-    """One bourse's look at one stage of a rollout."""
+    """One controller's look at one stage of a rollout."""
 
     def __init__(self, n):
         self.n, self.suspicion, self.all_left, self.why = n, Suspicion(), Standing(), ""
--- a/honeywood/gateway/routing/attempts.py
+++ b/honeywood/gateway/routing/attempts.py
@@ -39,7 +39,7 @@
         return len(self.sends)
 
 
-class Gate:
+class AttemptGate:
     """Says what keeps an ask from a machine; None where nothing does."""
 
     def __init__(self, budget_of, fronts, stage, most):
@@ -82,7 +82,8 @@
         return max(1, self.most.get(svc, FEW) // max(1, self.fronts()))
 
     def pass_on(self, now, ask, machine):
-        """Notes a send that nothing bars; its record, whose second item the answer's meaning is put in."""
+        """MachineRecords a send that nothing bars; its record, whose second item the answer's meaning is put
+        in."""
         if ask.sends:
             self.budget_of(ask.service).spend(now)
         self.stage.sent(now, ask, machine)
--- a/honeywood/gateway/routing/endpoints.py
+++ b/honeywood/gateway/routing/endpoints.py
@@ -76,7 +76,7 @@
         return self.open > 0 and self.waits_since is not None and now - self.waits_since > SILENCE * usual
 
 
-class Roster:
+class Endpoints:
     """Machines by id and by service, built from notes under machine/."""
 
     def __init__(self):
--- a/honeywood/gateway/rpc/__init__.py
+++ b/honeywood/gateway/rpc/__init__.py
@@ -1,4 +1,4 @@
 """What carries bytes for both programs: connections by httpcore, listeners by uvicorn, our own calls.
 
-Start reading at stream.py (one connection), link.py (one exchange on it), door.py (listening) and call.py.
-"""
+Start reading at stream.py (one connection), connection.py (one exchange on it), server.py (listening) and
+client.py."""
--- a/honeywood/gateway/rpc/client.py
+++ b/honeywood/gateway/rpc/client.py
@@ -1,7 +1,7 @@
 """Calls between our programs: a JSON body to a path, a JSON body back.
 
-Each call carries an id that its answer repeats (door.py puts it there). An answer without it, or with another
-call's, is none, and ends the connection; so does whoever gives a call up.
+Each call carries an id that its answer repeats (server.py puts it there). An answer without it, or with
+another call's, is none, and ends the connection; so does whoever gives a call up.
 """
 
 import asyncio
@@ -14,7 +14,7 @@
 
 from honeywood.gateway.configuration.check import read_json
 from honeywood.gateway.configuration.outcome import Done, Failed, Wrong
-from honeywood.gateway.rpc.connection import Broken, Link
+from honeywood.gateway.rpc.connection import Broken, Connection
 from honeywood.gateway.rpc.server import CALL_ID
 
 CONNECT = 0.3  # seconds for a connection to one of ours
@@ -48,7 +48,7 @@
                 continue
             try:
                 fresh = link is None
-                link = link or await Link.to(ip, port, max(0.001, min(CONNECT, until - loop.time())))
+                link = link or await Connection.to(ip, port, max(0.001, min(CONNECT, until - loop.time())))
             except (httpcore.ConnectError, httpcore.ConnectTimeout) as wrong:
                 return Failed(path, f"{type(wrong).__name__}: {wrong}", peer, 503)
             reply = await link.exchange(b"POST", path.encode(), headers, raw, until, MOST)
--- a/honeywood/gateway/rpc/connection.py
+++ b/honeywood/gateway/rpc/connection.py
@@ -55,7 +55,7 @@
     late: bool = False
 
 
-class Link:
+class Connection:
     """A connection to a peer; `idle_at` is when its last exchange ended, `keep` the peer's patience, `home`
     where it goes when a long answer has been passed on."""
 
--- a/honeywood/gateway/rpc/server.py
+++ b/honeywood/gateway/rpc/server.py
@@ -16,7 +16,7 @@
     """A request that is not read further; carries the status."""
 
 
-class Door(HttpToolsProtocol):
+class HttpProtocol(HttpToolsProtocol):
     """uvicorn's connection, with bounds on what a client may send and how long it may take to say what it
     wants (`app.limits`); it refuses what another reader might read otherwise, and lets the application begin
     with requests that stand behind another."""
@@ -144,13 +144,13 @@
     return sock
 
 
-class Doors:
+class HttpServer:
     """The listeners of a program; `app.limits` bounds what comes in."""
 
     def __init__(self, app):
         config = Config(
             app,
-            http=Door,
+            http=HttpProtocol,
             ws="none",
             lifespan="off",
             log_config=None,
--- a/honeywood/lab/emulator/day.py
+++ b/honeywood/lab/emulator/day.py
@@ -17,7 +17,7 @@
 CALM = 2.0  # seconds before traffic in which programs find one another
 AFTER = 4.0  # seconds after traffic in which what was acknowledged must be readable
 TRIES = 3  # a client's
-CORE = 12  # links of bourses are so much wider than fronts' (as on the grown sites)
+CORE = 12  # links of controllers are so much wider than fronts' (as on the grown sites)
 READ_S = 0.3  # seconds between an operator's reads, about
 
 
@@ -36,7 +36,7 @@
     bounds: tuple = ()  # (key, figure) where not those of boot.BOUNDS
     seeing: bool = False  # a router with sight of all machines instead of ours: the bound
     changes: int = 0  # of the configuration, one after the other, besides those that troubles make
-    link: float = 0.0  # bytes a second that a front's link takes, a bourse's CORE times that; 0: all
+    link: float = 0.0  # bytes a second that a front's link takes, a controller's CORE times that; 0: all
 
 
 @dataclass(slots=True)
@@ -60,15 +60,17 @@
     return replace(day, troubles=faults.draw(chance, day))
 
 
-class Market(World):
+class EmulatedDay(World):
     """The world of a day."""
 
     def __init__(self, day):
         self.day, zones = day, [f"z{n}" for n in range(day.zones)]
-        bourses = tuple(f"b{n}" for n in range(2 * day.bear + 1))
+        controllers = tuple(f"b{n}" for n in range(2 * day.bear + 1))
         fronts = tuple(f"f{n}" for n in range(day.fronts))
-        places = {name: zones[n % len(zones)] for names in (bourses, fronts) for n, name in enumerate(names)}
-        super().__init__(bourses, fronts, day.seed, day.bear, places, {**BOUNDS, **dict(day.bounds)})
+        places = {
+            name: zones[n % len(zones)] for names in (controllers, fronts) for n, name in enumerate(names)
+        }
+        super().__init__(controllers, fronts, day.seed, day.bear, places, {**BOUNDS, **dict(day.bounds)})
         self.book, self.told, self.chance = Book(self.bounds), Told(), random.Random(day.seed + 1)
         self.work = {"s": 0.04, "u": 0.06}
         self.hall = Hall(self, random.Random(day.seed + 2), self.book, self.work.get)
@@ -77,17 +79,19 @@
         self.operators, self.version, self.unheard, self.spares = random.Random(day.seed + 4), 1, 0.0, 0
         self.brought = []  # numbers of configurations that bring a service
         if day.link:
-            self.rates = {name: day.link * (CORE if name in bourses else 1) for name in bourses + fronts}
+            self.rates = {
+                name: day.link * (CORE if name in controllers else 1) for name in controllers + fronts
+            }
 
     def more(self, name):
-        if name in self.bourses:
+        if name in self.controllers:
             return {}
         return {"connect": lambda *given: self.hall.connect(name, *given)}
 
     async def _begin(self, name, program, life):
         await super()._begin(name, program, life)
         if self.day.seeing and name in self.fronts:
-            program.carrier._choose = lambda ask: self._seen(program, ask)
+            program.forwarder._choose = lambda ask: self._seen(program, ask)
 
     def _seen(self, program, ask):
         """The bound: the machine with the least work before it, truly alive and well."""
@@ -95,7 +99,7 @@
             (m.running + len(m.waiting)) / m.slots * m.pace + m.pace / 4 + 9 * (m.bad + m.cuts + m.spoils)
             for m in self.hall.alive(ask.service)
         ]
-        known = [program.roster.machines.get(m.id) for m in self.hall.alive(ask.service)]
+        known = [program.endpoints.machines.get(m.id) for m in self.hall.alive(ask.service)]
         best = [
             (cost, n)
             for n, cost in enumerate(fit)
@@ -127,8 +131,8 @@
         machine.crash(LEFT)
 
     async def call(self, call, of="", body=None, turns=8):
-        """A caller of ctl: one bourse after the other until one answers."""
-        names = self.chance.sample(self.bourses, len(self.bourses))
+        """A caller of ctl: one controller after the other until one answers."""
+        names = self.chance.sample(self.controllers, len(self.controllers))
         for turn in range(turns):
             name = names[turn % len(names)]
             status, found = await self.ask(name, call, of, body)
@@ -173,7 +177,7 @@
 
     async def order(self, order, call, body, for_s, copies=1):
         """Sends an order until it is answered for good, or for `for_s` seconds, `copies` of it at once to any
-        bourses; of answers the share `unheard` is lost. Whether it was confirmed."""
+        controllers; of answers the share `unheard` is lost. Whether it was confirmed."""
         begun = self.loop.time()
         self.book.sent(begun, order)
         heard = await asyncio.gather(*[self._send(order, call, body, begun + for_s) for _ in range(copies)])
@@ -185,7 +189,7 @@
     async def _send(self, order, call, body, until):
         turn = 0
         while self.loop.time() < until:
-            status, _ = await self.ask(self.operators.choice(self.bourses), call, "", body)
+            status, _ = await self.ask(self.operators.choice(self.controllers), call, "", body)
             if status and self.operators.random() < self.unheard:
                 status = 0
             if status == 200:
@@ -218,15 +222,15 @@
             await self.configure(self.higher(self.operators.randrange(1, 4)))
 
     async def reading(self):
-        """Reads at any bourse, all day."""
+        """Reads at any controller, all day."""
         while True:
             await asyncio.sleep(READ_S * 2 * self.operators.random())
-            self.loop.create_task(self.read(self.operators.choice(self.bourses)))
+            self.loop.create_task(self.read(self.operators.choice(self.controllers)))
             svc = self.operators.choice(sorted({order[1] for order in self.book.orders} | {"s"}))
-            self.loop.create_task(self.read_state(self.operators.choice(self.bourses), svc))
+            self.loop.create_task(self.read_state(self.operators.choice(self.controllers), svc))
 
     async def read(self, name):
-        """The status, once a bourse was asked what configuration holds."""
+        """The status, once a controller was asked what configuration holds."""
         floor = self.book.floor()
         status, text = await self.ask(name, "config.read")
         if status in (200, 404):
@@ -236,7 +240,7 @@
         return status
 
     async def read_state(self, name, svc):
-        """A rollout's state as one bourse tells it, or None."""
+        """A rollout's state as one controller tells it, or None."""
         floor = self.book.floor(svc)
         status, found = await self.ask(name, "rollouts.read", svc)
         if status not in (200, 404):
@@ -254,7 +258,7 @@
         state = "active"
         while state == "active":
             await asyncio.sleep(0.25)
-            told = await self.read_state(self.operators.choice(self.bourses), svc)
+            told = await self.read_state(self.operators.choice(self.controllers), svc)
             if told is not None and told[0] == ver:
                 state = told[1]
         for machine in old if state == "done" else ():
@@ -349,7 +353,7 @@
     def play(self):
         """Plays the day; Told."""
         day = self.day
-        for name in self.bourses + self.fronts:
+        for name in self.controllers + self.fronts:
             self.start(name)
         for svc in ("s", "u"):
             for _ in range(day.machines):
@@ -387,4 +391,4 @@
 
 def play(day):
     """Plays a day; Told. What goes wrong in the world itself is a broken rule too."""
-    return Market(day).play()
+    return EmulatedDay(day).play()
--- a/honeywood/lab/emulator/faults.py
+++ b/honeywood/lab/emulator/faults.py
@@ -61,16 +61,16 @@
 
 
 def lost(world, fault):
-    """As many bourses as may be lost at once."""
-    names, first = sorted(world.bourses), int(fault.pick * len(world.bourses))
+    """As many controllers as may be lost at once."""
+    names, first = sorted(world.controllers), int(fault.pick * len(world.controllers))
     return [names[(first + n) % len(names)] for n in range(world.bear)]
 
 
-async def kill_bourse(world, fault):
+async def kill_controller(world, fault):
     await down(world, lost(world, fault), fault.for_s, True)
 
 
-async def wipe_bourse(world, fault):
+async def wipe_controller(world, fault):
     names = lost(world, fault)
     await down(world, names, fault.for_s, True, names)
 
@@ -82,23 +82,23 @@
     body = world.configuration(version)
     order = "config", version, json.dumps(body)
     world.book.sent(world.loop.time(), order)
-    status, _ = await world.ask(one(world.bourses, fault), "config.replace", "", body)
+    status, _ = await world.ask(one(world.controllers, fault), "config.replace", "", body)
     if status == 200:
         world.book.acknowledged(world.loop.time(), order)
     else:
         world.book.dropped(order)
-    await down(world, world.bourses, AGAIN_S, True, wiped)
+    await down(world, world.controllers, AGAIN_S, True, wiped)
 
 
 async def kill_all(world, fault):
-    await down(world, world.bourses + world.fronts, AGAIN_S, True)
+    await down(world, world.controllers + world.fronts, AGAIN_S, True)
 
 
 async def cut(world, fault):
     """A program is cut off from all others, in one direction where x is low."""
-    names = world.fronts + world.bourses
+    names = world.fronts + world.controllers
     name = one(names, fault)
-    core, others = name in world.bourses, [other for other in names if other != name]
+    core, others = name in world.controllers, [other for other in names if other != name]
     pairs = {(name, other) for other in others}
     if fault.x > 0.4:
         pairs |= {(other, name) for other in others}
@@ -119,13 +119,13 @@
 
 async def lossy(world, fault):
     world.loss = 0.02 + 0.1 * fault.x
-    await _during(world, fault, world.fronts + world.bourses, True)
+    await _during(world, fault, world.fronts + world.controllers, True)
     world.loss = 0.0
 
 
 async def disk(world, fault):
     """A disk refuses writes, does them and refuses, hangs, or is slow: the core is settled all the while."""
-    name = one(world.bourses, fault)
+    name = one(world.controllers, fault)
     world.disk(name, (None, SPOILT, 1000.0, 30.0)[int(fault.x * 4)])
     await _during(world, fault, [name], False)
     world.disk(name, 1.0)
@@ -133,7 +133,8 @@
 
 def held_back(pace):
     async def cause(world, fault):
-        """As many bourses as may be lost, or a front, or all fronts, run no more for a while, or slowly."""
+        """As many controllers as may be lost, or a front, or all fronts, run no more for a while, or
+        slowly."""
         names = lost(world, fault) if fault.x < 0.6 else [one(world.fronts, fault)]
         names = names if fault.x < 0.9 else list(world.fronts)
         for name in names:
@@ -154,9 +155,11 @@
 
 
 async def sever(world, fault):
-    """Some can't reach others, in one direction or both: any sets; a bourse and all outside; a bourse and the
-    other bourses; a bourse and all fronts; a minority of bourses, with half of the fronts, and the rest."""
-    chance, core, fronts = Random(fault.pick), list(world.bourses), list(world.fronts)
+    """Some can't reach others, in one direction or both: any sets; a controller and all outside; a
+    controller and the
+    other controllers; a controller and all fronts; a minority of controllers, with half of the fronts, and
+    the rest."""
+    chance, core, fronts = Random(fault.pick), list(world.controllers), list(world.fronts)
     few, form = lost(world, fault), int(fault.x * 10) // 2
     one_way, rest = int(fault.x * 10) % 2, [name for name in core if name not in few]
     if form == 0:
@@ -178,8 +181,8 @@
 
 async def clock_step(world, fault):
     """A program's time of day steps, back or on, while it runs or is down."""
-    name = one(world.bourses + world.fronts, fault)
-    core, step = name in world.bourses, (1 if fault.x < 0.5 else -1) * 3600.0 ** (2 * fault.x % 1)
+    name = one(world.controllers + world.fronts, fault)
+    core, step = name in world.controllers, (1 if fault.x < 0.5 else -1) * 3600.0 ** (2 * fault.x % 1)
     if int(fault.x * 20) % 2:
         world.skew[name] = world.skew.get(name, 0.0) + step
         world.book.disturb(world.loop.time(), name, core)
@@ -190,16 +193,16 @@
 
 
 async def seeds_cut(world, fault):
-    """A bourse is cut off from all but the outside; a front, or another bourse, starts anew whose seeds begin
-    with it, or it starts anew itself meanwhile."""
-    name = one(world.bourses, fault)
-    names = [other for other in world.bourses + world.fronts if other != name]
-    others = [other for other in world.bourses if other != name]
+    """A controller is cut off from all but the outside; a front, or another controller, starts anew whose
+    seeds begin with it, or it starts anew itself meanwhile."""
+    name = one(world.controllers, fault)
+    names = [other for other in world.controllers + world.fronts if other != name]
+    others = [other for other in world.controllers if other != name]
     who = (name, others[0], world.fronts[0])[int(fault.x * 3)]
     cut = pairs([name], names) | pairs(names, [name])
     world.cuts |= cut
     world.seeds[who] = [name, *others][:3]
-    down_too = world.loop.create_task(down(world, [who], AGAIN_S, who in world.bourses))
+    down_too = world.loop.create_task(down(world, [who], AGAIN_S, who in world.controllers))
     await _during(world, fault, [name, who], True)
     await down_too
     world.cuts -= cut
@@ -207,7 +210,7 @@
 
 
 async def remove(world, fault):
-    """As many bourses as may be lost go for good."""
+    """As many controllers as may be lost go for good."""
     for name in lost(world, fault):
         leave(world, name)
 
@@ -216,14 +219,16 @@
     world.book.disturb(world.loop.time(), name, True)
     world.wipe(name)
     world.gone.add(name)
-    world.bourses = tuple(other for other in world.bourses if other != name)
+    world.controllers = tuple(other for other in world.controllers if other != name)
 
 
 async def replace(world, fault):
-    """A bourse goes for good and a new machine comes in its place, with an empty disk; sync_s after its start
-    as many others as may be lost lose their disks, or are replaced in turn."""
+    """A controller goes for good and a new machine comes in its place, with an empty disk; sync_s after its
+    start as many others as may be lost lose their disks, or are replaced in turn."""
     await exchange(world, lost(world, fault)[0])
-    names = [world.bourses[(int(fault.x * 8) + n) % (len(world.bourses) - 1)] for n in range(world.bear)]
+    names = [
+        world.controllers[(int(fault.x * 8) + n) % (len(world.controllers) - 1)] for n in range(world.bear)
+    ]
     if fault.x < 0.5:
         return await down(world, names, AGAIN_S, True, names)
     for name in names:
@@ -237,8 +242,8 @@
     await asyncio.sleep(AGAIN_S)
     world.spares += 1
     spare = f"c{world.spares}"
-    world.seeds[spare] = list(world.bourses)[:3]
-    world.bourses += (spare,)
+    world.seeds[spare] = list(world.controllers)[:3]
+    world.controllers += (spare,)
     world.start(spare)
     world.book.disturb(world.loop.time(), spare, True)
     while world.loop.time() - world.book.settled_at < world.bounds["sync_s"]:
@@ -312,8 +317,8 @@
 
 
 async def orders(world, fault):
-    """Eight copies of one order at once to all bourses, and answers are lost: a configuration that brings a
-    service, then a rollout of that service at any bourse."""
+    """Eight copies of one order at once to all controllers, and answers are lost: a configuration that
+    brings a service, then a rollout of that service at any controller."""
     version, world.unheard = world.higher(), 0.2 + fault.x / 2
     world.brought.append(version)
     if await world.configure(version, copies=8):
@@ -351,13 +356,13 @@
 
 ROLLOUTS = ("rollout_good", "rollout_bad", "rollout_after")
 # one a day: what is lost stays borne
-LARGE = ("after_ack", "kill_all", "wipe_bourse", "kill_bourse", "disk", "remove", "replace")
+LARGE = ("after_ack", "kill_all", "wipe_controller", "kill_controller", "disk", "remove", "replace")
 CAUSES = {
     cause.__name__: cause
     for cause in (
         kill_front,
-        kill_bourse,
-        wipe_bourse,
+        kill_controller,
+        wipe_controller,
         after_ack,
         kill_all,
         cut,
@@ -384,8 +389,8 @@
         rollout_after,
     )
 }
-# played by name: beside `copies` a bourse that is gone seems alive for as long as calls of its come late, so
-# its place is taken later than sync_s (open, docs/measured/lab.md)
+# played by name: beside `copies` a controller that is gone seems alive for as long as calls of its come
+# late, so its place is taken later than sync_s (open, docs/measured/lab.md)
 BESIDE = {cause.__name__: cause for cause in (replace,)}
 
 
--- a/honeywood/lab/emulator/loopback.py
+++ b/honeywood/lab/emulator/loopback.py
@@ -1,6 +1,7 @@
-"""The system on loopback, as it happens: three bourses and two stalls as processes of their own, stand-in
+"""The system on loopback, as it happens: three controllers and two proxies as processes of their own,
+stand-in
 machines, a client, a configuration and a rollout. `python -m honeywood.lab.emulator.loopback`, or `make
-market`."""
+emulate`."""
 
 import asyncio
 import os
@@ -12,11 +13,11 @@
 
 from honeywood.gateway.configuration.outcome import Failed
 from honeywood.gateway.rpc.client import Caller
-from honeywood.gateway.rpc.connection import Broken, Link
+from honeywood.gateway.rpc.connection import Broken, Connection
 from honeywood.lab.emulator.boot import boot
 from standins.sorting import Machine
 
-BOURSES, STALLS = [f"127.0.0.{n}" for n in (11, 12, 13)], [f"127.0.0.{n}" for n in (21, 22)]
+CONTROLLERS, PROXIES = [f"127.0.0.{n}" for n in (11, 12, 13)], [f"127.0.0.{n}" for n in (21, 22)]
 HTTP, READY, CTL, FIRST = 18080, 18081, 18082, 18090
 SERVICE, HOST = "parcels", "sort.example"
 PER_S, ROLLOUT_S = 60, 10.0
@@ -43,7 +44,7 @@
     }
 
 
-class Market:
+class LoopbackSystem:
     """Everything that the demonstration starts, and what it saw."""
 
     def __init__(self, folder):
@@ -57,22 +58,22 @@
         """A program as its own process, told by a settings file."""
         path = os.path.join(self.folder, f"{ip}.toml")
         with open(path, "w") as file:
-            seeds = [f"{bourse}:{CTL}" for bourse in BOURSES]
+            seeds = [f"{controller}:{CTL}" for controller in CONTROLLERS]
             data = os.path.join(self.folder, ip)
             file.write(boot(ip, "hall", seeds, data=data, ports=(HTTP, READY, CTL, FIRST, FIRST + 9)))
         log = open(os.path.join(self.folder, f"{ip}.log"), "ab")
         self.processes[ip] = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            f"honeywood.system.{role}",
+            f"honeywood.gateway.{role}",
             stdout=log,
             stderr=log,
             env={**os.environ, "HONEYWOOD_NODE_FILE": path},
         )
 
     async def operate(self, call, of="", body=None):
-        """An operator's call to whichever bourse answers."""
-        for ip in self.random.sample(BOURSES, len(BOURSES)) * 20:
+        """An operator's call to whichever controller answers."""
+        for ip in self.random.sample(CONTROLLERS, len(CONTROLLERS)) * 20:
             found = await self.caller.call(ip, CTL, f"/v1/rpc?call={call}&of={of}", body or {}, 1.0)
             if found.ok or found.status < 500:
                 return found
@@ -86,10 +87,10 @@
             await asyncio.sleep(0.5)
 
     async def ask(self, at):
-        ip = STALLS[at % len(STALLS)]
+        ip = PROXIES[at % len(PROXIES)]
         headers = [(b"host", HOST.encode()), (b"x-try-id", b"%d" % at), (b"x-deadline-ms", b"1000")]
         try:
-            link = await Link.to(ip, HTTP, 1.0)
+            link = await Connection.to(ip, HTTP, 1.0)
         except OSError as wrong:
             return str(wrong)
         reply = await link.exchange(
@@ -131,10 +132,10 @@
             machine.close()
 
     async def run(self):
-        for role, places in (("bourse", BOURSES), ("stall", STALLS)):
+        for role, places in (("controller", CONTROLLERS), ("proxy", PROXIES)):
             for ip in places:
                 await self.start(role, ip)
-        self.tell("three bourses and two stalls start")
+        self.tell("three controllers and two proxies start")
         found = await self.operate("config.replace", "", configuration(1))
         self.tell(
             f"operator: config.replace 00000001: {found if isinstance(found, Failed) else 'acknowledged'}"
@@ -144,8 +145,8 @@
         await asyncio.sleep(3)
         await self.rollout("v2", 0.0)
         await asyncio.sleep(1)
-        self.tell(f"bourse {BOURSES[0]} is killed")
-        self.processes[BOURSES[0]].send_signal(signal.SIGKILL)
+        self.tell(f"controller {CONTROLLERS[0]} is killed")
+        self.processes[CONTROLLERS[0]].send_signal(signal.SIGKILL)
         await self.rollout("v3", 0.5)
         found = await self.operate("config.read")
         self.tell(f"operator: config.read says version {found.value['ver']}")
@@ -159,7 +160,7 @@
 
 def main():
     with tempfile.TemporaryDirectory() as folder:
-        asyncio.run(Market(folder).run())
+        asyncio.run(LoopbackSystem(folder).run())
 
 
 if __name__ == "__main__":
--- a/honeywood/lab/emulator/machines.py
+++ b/honeywood/lab/emulator/machines.py
@@ -81,8 +81,8 @@
                 return
 
 
-class Link:
-    """A front's connection to a machine, with what cart.link.Link offers."""
+class Connection:
+    """A front's connection to a machine, with what cart.link.Connection offers."""
 
     def __init__(self, hall, front, machine, up):
         self.hall, self.front, self.machine, self.up = hall, front, machine, up
@@ -141,7 +141,7 @@
         return (front, machine.address) in self.world.cuts
 
     async def connect(self, front, ip, port, within, up):
-        """What Links.dial calls: a Link, or httpcore's ConnectError or ConnectTimeout."""
+        """What ConnectionPool.dial calls: a Connection, or httpcore's ConnectError or ConnectTimeout."""
         machine = self.at.get(ip)
         await asyncio.sleep(self.delay(front, machine) * 2 if machine else self.world.delay)
         if machine is None or machine.gone in (REFUSES, LEFT):
@@ -152,7 +152,7 @@
         if len(machine.links) >= machine.most:
             self.book.reset()
             raise httpcore.ConnectError("reset")
-        return Link(self, front, machine, up)
+        return Connection(self, front, machine, up)
 
     async def serve(self, link, fields, target):
         """The machine's side of an exchange: a Reply, or None where the connection breaks."""
--- a/honeywood/lab/emulator/rules.py
+++ b/honeywood/lab/emulator/rules.py
@@ -16,7 +16,7 @@
           under one number the one that is not in force may be answered 412
 acks      an order is acknowledged ack_s after it was sent, or after the core settled and all links were sound
 reads     a read that begins after an acknowledgement, or after another read ended, shows nothing older, at
-          any bourse: of configurations the number, of rollouts the order and its end
+          any controller: of configurations the number, of rollouts the order and its end
 raised    no handler raises what it should not
 """
 
--- a/honeywood/lab/emulator/world.py
+++ b/honeywood/lab/emulator/world.py
@@ -1,4 +1,4 @@
-"""Bourses and stalls, the real programs, on one clock that jumps from event to event. Calls between them
+"""Controllers and proxies, the real programs, on one clock that jumps from event to event. Calls between them
 cross a net that delays, cuts and loses; disks sync after a while, and what was being written when power
 went is there or not."""
 
@@ -10,8 +10,8 @@
 
 from honeywood.gateway.configuration.outcome import Done, Failed, Wrong
 from honeywood.gateway.configuration.settings import read
-from honeywood.gateway.controller.program import Bourse
-from honeywood.gateway.proxy.program import Stall
+from honeywood.gateway.controller.program import Controller
+from honeywood.gateway.proxy.program import Proxy
 from honeywood.lab.emulator.boot import BOUNDS, boot
 from honeywood.lab.emulator.process import Loop, Process
 
@@ -53,11 +53,11 @@
 
 
 class World:
-    """Programs by name: `bourses` a b c ..., `fronts` f g h ...; a name in no `zones` is in "z". What calls
-    the system from outside is OUTSIDE in `cuts`, which are pairs (from, to)."""
+    """Programs by name: `controllers` a b c ..., `fronts` f g h ...; a name in no `zones` is in "z". What
+    calls the system from outside is OUTSIDE in `cuts`, which are pairs (from, to)."""
 
-    def __init__(self, bourses="abc", fronts="", seed=0, bear=1, zones=None, bounds=BOUNDS):
-        self.loop, self.bourses, self.fronts, self.bear = Loop(), bourses, fronts, bear
+    def __init__(self, controllers="abc", fronts="", seed=0, bear=1, zones=None, bounds=BOUNDS):
+        self.loop, self.controllers, self.fronts, self.bear = Loop(), controllers, fronts, bear
         self.nodes, self.lives, self.disks, self.cuts, self.processes = {}, {}, {}, set(), {}
         self.zones, self.bounds, self.executors = zones or {}, bounds, {}
         self.random, self.delay, self.loss = random.Random(seed), 0.001, 0.0
@@ -71,16 +71,18 @@
     def start(self, name):
         if name in self.gone:
             return
-        seeds = [f"{bourse}:82" for bourse in self.seeds.get(name, self.bourses[:3])]
+        seeds = [f"{controller}:82" for controller in self.seeds.get(name, self.controllers[:3])]
         zone = self.zones.get(name, "z")
         text = boot(name, zone, seeds, self.fresh, self.bear, bounds=self.bounds)
         clock = self.loop.time
         given = read(text), Wire(self, name), clock, lambda: 1e9 + clock() + self.skew.get(name, 0.0)
-        kind, more = (Bourse, {"disk": self._disk()}) if name in self.bourses else (Stall, self.more(name))
+        kind, more = (
+            (Controller, {"disk": self._disk()}) if name in self.controllers else (Proxy, self.more(name))
+        )
         quiet = type("Quiet", (kind,), {"say": lambda *said, **more: None})
         program = quiet(*given, random=random.Random(self.random.random()), **more)
         self.lives[name] = self.lives.get(name, 0) + 1
-        if name in self.bourses:
+        if name in self.controllers:
             self.loop.trouble[program.register.thread] = self.loop.trouble.pop(self.executors.get(name), 1.0)
             self.executors[name] = program.register.thread
         process = self.processes[name] = Process(self.loop, name)
@@ -95,7 +97,7 @@
         return {}
 
     async def _begin(self, name, program, life):
-        if name in self.bourses:
+        if name in self.controllers:
             await program.register.open()
         if self.lives[name] == life:  # not killed meanwhile
             self.nodes[name] = program
@@ -161,7 +163,7 @@
             if answer and not answer.done() and (process is None or process.pace == 1.0):
                 answer.set_exception(Wrong(path, "refused", target, 503))
             return
-        if target in self.bourses:
+        if target in self.controllers:
             work = node.app.ours["POST", path.strip("/")]("", raw.encode(), source)
         else:
             work = node.app.hear(raw.encode(), source)
@@ -188,7 +190,7 @@
         await self._carry(None, source, target, path, raw, False)
 
     async def ask(self, name, call, of="", body=None, within=1.0, again=True):
-        """An operator's or machine's call to one bourse: (status, answer), status 0 without an answer."""
+        """An operator's or machine's call to one controller: (status, answer), status 0 without an answer."""
         raw = body if isinstance(body, bytes) else json.dumps(body or {}).encode()
         life, node = self.lives.get(name), self.nodes.get(name)
         if node is None:
@@ -224,11 +226,11 @@
         program = self.nodes.get(name)
         if program is None:
             return None
-        held = program.mouth.board.notes.get("config")
+        held = program.publisher.store.notes.get("config")
         return held[0][0] if held else None
 
     def state(self, name, id):
-        held = self.nodes[name].mouth.board.get(f"machine/{id}")
+        held = self.nodes[name].publisher.store.get(f"machine/{id}")
         return held["state"] if held else "unknown"
 
     # time
--- a/honeywood/lab/model/register.py
+++ b/honeywood/lab/model/register.py
@@ -18,7 +18,7 @@
 
 from honeywood.gateway.register import acceptor
 from honeywood.gateway.register import membership as members
-from honeywood.gateway.register.proposer import FIRST, Round, agreed, current
+from honeywood.gateway.register.proposer import FIRST, Proposal, agreed, current
 
 NEVER = (0, "")
 NONE = (NEVER, NEVER, None)
@@ -175,7 +175,7 @@
     def _taken(self, state, place, one):
         writer = state.writers[place]
         enough = len(self.chain[writer.epoch - 1]) // 2 + 1
-        turn = Round(list(writer.ballot), enough, self.changes[place])
+        turn = Proposal(list(writer.ballot), enough, self.changes[place])
         take = turn.promised if writer.step == PREPARE else turn.accepted
         before = [disk for disk in self.places if writer.ways[disk] == TAKEN]
         enough = [take(disk, self._answer(writer, disk)) for disk in (*before, one)][-1]
@@ -377,7 +377,7 @@
 
 
 def outcomes(**more):
-    """Two bourses that bring one rollout to different ends."""
+    """Two controllers that bring one rollout to different ends."""
     from honeywood.gateway.rollout import record
 
     first = record.start(None, "s", "v2", 14.0, 0.0)
--- a/tests/system/test_gate.py
+++ b/tests/gateway/test_attempts.py
@@ -8,10 +8,10 @@
 from honeywood.gateway.configuration.config import Config, Limits, Route
 from honeywood.gateway.rollout.stage import Stage
 from honeywood.gateway.routing import answers
-from honeywood.gateway.routing.attempts import Ask, Gate
+from honeywood.gateway.routing.attempts import Ask, AttemptGate
 from honeywood.gateway.routing.balancer import choose
 from honeywood.gateway.routing.budget import Budget
-from honeywood.gateway.routing.endpoints import Roster
+from honeywood.gateway.routing.endpoints import Endpoints
 from honeywood.gateway.routing.routes import Table, share_out
 
 
@@ -23,19 +23,19 @@
     """A front's rules with machines m n o ready, and a budget of `slack`."""
 
     def __init__(self, slack=64.0):
-        self.roster = Roster()
-        self.stage = Stage(self.roster, 0.1, lambda: 1)
+        self.endpoints = Endpoints()
+        self.stage = Stage(self.endpoints, 0.1, lambda: 1)
         self.budget = Budget(0.2, slack, 10.0)
-        self.gate = Gate(lambda svc: self.budget, lambda: 4, self.stage, {"s": 9})
+        self.gate = AttemptGate(lambda svc: self.budget, lambda: 4, self.stage, {"s": 9})
         for id in "mno":
             self.note(id, "ready")
 
     def note(self, id, state, ver="v1", now=0.0):
-        return self.roster.hear(now, id, machine(id, ver, state=state))
+        return self.endpoints.hear(now, id, machine(id, ver, state=state))
 
     def bar(self, ask, id, now=0.1):
         return self.gate.bar(
-            now, ask, self.roster.machines[id] if id in self.roster.machines else self.gone[id]
+            now, ask, self.endpoints.machines[id] if id in self.endpoints.machines else self.gone[id]
         )
 
 
@@ -51,14 +51,14 @@
 ):
     # TWICE: whatever may have run is not sent again, be it cut, garbled, failed, or still out.
     scene = Scene()
-    one = ask(kind, (scene.roster.machines["m"], meaning))
+    one = ask(kind, (scene.endpoints.machines["m"], meaning))
     assert (scene.bar(one, "n") is None) == goes
 
 
 @test("a machine that drains, has left or is lost gets nothing, also what waited for its connection")
 def _():
     scene = Scene()
-    one, machine = ask(), scene.roster.machines["m"]
+    one, machine = ask(), scene.endpoints.machines["m"]
     assert scene.gate.bar(0.1, one, machine) is None
     for state in ("draining", "gone"):
         scene.note("m", state)
@@ -69,7 +69,7 @@
 def _():
     # Seen on a calm day: after two machines' 500 the same two were asked again, four sends for the same end.
     scene = Scene()
-    machines = scene.roster.machines
+    machines = scene.endpoints.machines
     one = ask("safe", (machines["m"], "failed"), (machines["n"], "not run"))
     assert [scene.bar(one, id) for id in "mno"] == ["failed there", None, "tries"]
 
@@ -78,7 +78,7 @@
 def _():
     # Seen on standard days: machines reset up to 383 connections over their cap.
     scene = Scene()  # four fronts share nine connections
-    machine = scene.roster.machines["m"]
+    machine = scene.endpoints.machines["m"]
     machine.dialling, told = 1, [scene.bar(ask(), "m")]
     machine.joined(1)
     told += [scene.bar(ask(), "m"), scene.gate.bar(0.1, ask(), machine, True)]
@@ -92,11 +92,11 @@
 @test("tries, deadline and budget bar a further send, each by its name")
 def _():
     scene = Scene()
-    machines = scene.roster.machines
+    machines = scene.endpoints.machines
     assert scene.bar(ask("safe", (machines["m"], "silent"), (machines["n"], "silent")), "o") == "tries"
     assert scene.bar(ask(), "m", now=0.5999) == "deadline"
     poor = Scene(slack=0.0)
-    assert poor.bar(ask("safe", (poor.roster.machines["m"], "not run")), "n") == "budget"
+    assert poor.bar(ask("safe", (poor.endpoints.machines["m"], "not run")), "n") == "budget"
 
 
 @test("budgets of twelve fronts add up to less than the whole, whoever retries")
@@ -176,21 +176,21 @@
 @test("the own zone's machines come first while they have room, others' when they are busy")
 def _():
     scene = Scene()
-    far = scene.roster.machines["o"]
+    far = scene.endpoints.machines["o"]
     far.zone = "far"
-    machines, draw = list(scene.roster.machines.values()), random.Random(1)
+    machines, draw = list(scene.endpoints.machines.values()), random.Random(1)
     assert {choose(1.0, machines, "z", [], 1.0, draw).id for _ in range(50)} == {"m", "n"}
     for id in "mn":
         for _ in range(3):
-            scene.roster.machines[id].began(1.0)
+            scene.endpoints.machines[id].began(1.0)
     assert choose(1.0, machines, "z", [], 1.0, draw) is far
 
 
 @test("a machine that answers nothing is left alone while others answer")
 def _():
     scene = Scene()
-    machines, draw = list(scene.roster.machines.values()), random.Random(1)
-    scene.roster.machines["m"].began(1.0)
+    machines, draw = list(scene.endpoints.machines.values()), random.Random(1)
+    scene.endpoints.machines["m"].began(1.0)
     assert "m" not in {choose(1.4, machines, "z", [], 0.1, draw).id for _ in range(50)}
 
 
--- a/tests/system/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -1,5 +1,5 @@
-"""Requests and our own calls cut at every byte and at every step of the loop: real stalls, callers and
-connections between scripted peers, on a clock that jumps. What must hold is in `Market.broken`."""
+"""Requests and our own calls cut at every byte and at every step of the loop: real proxies, callers and
+connections between scripted peers, on a clock that jumps. What must hold is in `CallScenario.broken`."""
 
 import asyncio
 import json
@@ -14,14 +14,14 @@
 from honeywood.gateway.configuration.config import Limits
 from honeywood.gateway.configuration.settings import read
 from honeywood.gateway.proxy import forwarding as carry
-from honeywood.gateway.proxy.program import Stall
+from honeywood.gateway.proxy.program import Proxy
 from honeywood.gateway.routing import answers
 from honeywood.gateway.routing.answers import PROMISES
 from honeywood.gateway.routing.attempts import Ask
 from honeywood.gateway.rpc import connection as link
 from honeywood.gateway.rpc import stream
 from honeywood.gateway.rpc.client import Caller
-from honeywood.gateway.rpc.server import Door, Doors
+from honeywood.gateway.rpc.server import HttpProtocol, HttpServer
 from honeywood.lab.emulator import world
 from honeywood.lab.emulator.boot import boot
 from honeywood.protocol import http
@@ -121,22 +121,22 @@
     return request.lower().partition(b"x-try-id: ")[2].partition(b"\r\n")[0]
 
 
-class Market:
-    """A stall with a route of one `kind` and machines m and n; `script(line, id)` plays the first arrival,
+class CallScenario:
+    """A proxy with a route of one `kind` and machines m and n; `script(line, id)` plays the first arrival,
     all others are answered at once, unless `every`."""
 
     def __init__(self, kind="safe", script=None, every=False):
         self.loop, self.kind, self.script, self.every = Loop(self.serve), kind, script, every
-        self.still = 0.0  # seconds for which the stall stood still
+        self.still = 0.0  # seconds for which the proxy stood still
         self.still_out = []  # ids refused while a machine had them
         self.served = False  # whether nothing keeps a request from being served
         asyncio.set_event_loop(self.loop)
-        quiet = type("Quiet", (Stall,), {"say": lambda *said, **more: None})
+        quiet = type("Quiet", (Proxy,), {"say": lambda *said, **more: None})
         given = read(boot("f", bear=0)), None, self.loop.time, self.loop.time
-        self.stall, self.ran, self.answers = quiet(*given, random=Random(1)), Counter(), {}
-        self.stall.hear("config", json.dumps(config(5, kind=kind)))
+        self.proxy, self.ran, self.answers = quiet(*given, random=Random(1)), Counter(), {}
+        self.proxy.hear("config", json.dumps(config(5, kind=kind)))
         for id in "mn":
-            self.stall.hear(f"machine/{id}", machine(id))
+            self.proxy.hear(f"machine/{id}", machine(id))
 
     def serve(self, line, request):
         id = id_of(request)
@@ -149,14 +149,14 @@
 
     async def ask(self, id):
         """One request of a client on its own."""
-        stall = self.stall
+        proxy = self.proxy
         fields = {b"host": b"h.example", b"x-try-id": id}
-        route = stall.table.find(b"h.example", b"/p0/x")
+        route = proxy.table.find(b"h.example", b"/p0/x")
         began = self.loop.time()
         given = route, b"POST", b"/p0/x", list(fields.items()), fields, b"body"
-        answer = await stall.carrier.carry(*given)
+        answer = await proxy.forwarder.carry(*given)
         self.answers[id] = answer.status, answer.body, self.loop.time() - began
-        at_work = sum(one.open - one.dialling for one in stall.roster.machines.values())
+        at_work = sum(one.open - one.dialling for one in proxy.endpoints.machines.values())
         if answer.status in PROMISES and at_work:  # one that is still being dialled gets nothing any more
             self.still_out.append(id)
         return answer.status
@@ -169,7 +169,7 @@
                 await self.ask(id)
                 await asyncio.sleep(every)
             await asyncio.sleep(3.0)
-            await self.stall.tidy()
+            await self.proxy.tidy()
             await asyncio.sleep(STEP)
 
         self.loop.run_until_complete(work())
@@ -193,7 +193,7 @@
                 found.append(f"{id} was refused with a machine at work")
             if took > max(TIMEOUT, self.still + 3 * STEP) + 0.001:
                 found.append(f"{id} was held for {took}")
-        for held in self.stall.roster.machines.values():
+        for held in self.proxy.endpoints.machines.values():
             kept = sum(one.fit for one in held.links)
             if held.open or held.dialling or held.up != kept:
                 found.append(f"{held.id}: {held.open} open, {held.up} connections, {kept} kept")
@@ -205,42 +205,42 @@
     for n in range(len(whole) + 1):
         for how in ("eof", "reset", None):
 
-            market = Market(kind)
+            scenario = CallScenario(kind)
 
-            def script(line, id, n=n, how=how, market=market):
+            def script(line, id, n=n, how=how, scenario=scenario):
                 if n == len(whole) and b"X-Not-Run" in whole:
-                    market.ran[id] -= 1
+                    scenario.ran[id] -= 1
                 line.say(whole[:n])
                 if how:
                     line.loop.call_later(STEP, getattr(line, how))
 
-            market.script = script
-            yield market, (b"a1",)
+            scenario.script = script
+            yield scenario, (b"a1",)
 
 
 def sends(kind):
     """A request on a fresh and on a kept connection, reset after each of its bytes."""
     for n in range(0, 210, 3):
         for kept in (False, True):
-            market = Market(kind)
+            scenario = CallScenario(kind)
 
             def most(line, id, n=n):
                 line.most = n
                 line.say(good(id))
 
             if kept:
-                market.script = most
-                yield market, (b"a1", b"a2")
+                scenario.script = most
+                yield scenario, (b"a1", b"a2")
             else:
-                connect = market.loop.create_connection
+                connect = scenario.loop.create_connection
 
-                async def cut(factory, ip, port, market=market, connect=connect, n=n):
+                async def cut(factory, ip, port, scenario=scenario, connect=connect, n=n):
                     made = await connect(factory, ip, port)
-                    made[0].most, market.loop.create_connection = n, connect
+                    made[0].most, scenario.loop.create_connection = n, connect
                     return made
 
-                market.loop.create_connection = cut
-                yield market, (b"a1",)
+                scenario.loop.create_connection = cut
+                yield scenario, (b"a1",)
 
 
 def strays(kind):
@@ -256,7 +256,7 @@
 
                 later(steps)
 
-            yield Market(kind, script), (b"a1", b"a2")
+            yield CallScenario(kind, script), (b"a1", b"a2")
         for moment in (0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0):  # in steps of the wire: the next is at work
 
             def slow(line, id, stray=stray, moment=moment):
@@ -266,7 +266,7 @@
                 else:
                     line.loop.call_later(5 * STEP, line.say, good(id))
 
-            yield Market(kind, slow, every=True), (b"a1", b"a2")
+            yield CallScenario(kind, slow, every=True), (b"a1", b"a2")
 
 
 def silences(kind):
@@ -280,7 +280,7 @@
                 loop.call_at(TIMEOUT - SPARE + late / 1000, line.say, whole[:n])
                 loop.call_at(TIMEOUT - SPARE + late / 1000 + 0.02, line.say, whole[n:])
 
-            yield Market(kind, script), (b"a1", b"a2")
+            yield CallScenario(kind, script), (b"a1", b"a2")
         for still in (0.3, TIMEOUT - carry.SPARE, TIMEOUT, TIMEOUT + carry.AFTER, 2.0):
 
             def frozen(line, id, n=n, still=still):
@@ -288,16 +288,16 @@
                 line.say(whole[:n])
                 line.loop.call_later(STEP, line.say, whole[n:])
 
-            market = Market(kind, frozen)
-            market.still = still
-            yield market, (b"a1", b"a2")
+            scenario = CallScenario(kind, frozen)
+            scenario.still = still
+            yield scenario, (b"a1", b"a2")
 
 
 def rests(kind):
     """Another's answer, or the end, at each step of the loop after an answer, long before the next."""
     for stray in (good(b"a1"), FULL % b"a1", b"\x00", None):
         for steps in range(14):
-            market = Market(kind)
+            scenario = CallScenario(kind)
 
             def script(line, id, stray=stray, steps=steps):
                 line.say(good(id))
@@ -310,25 +310,25 @@
 
                 later(steps)
 
-            market.script, market.served = script, True
-            yield market, (b"a1", b"a2")
+            scenario.script, scenario.served = script, True
+            yield scenario, (b"a1", b"a2")
 
 
 def hedges(kind):
     """A machine that answers late, well or with a refusal, and one asked besides that refuses at once."""
     for late in range(40, 700, 20):
         for first in (good, FULL.__mod__, None):
-            market = Market(kind)
+            scenario = CallScenario(kind)
 
-            def script(line, id, late=late, first=first, market=market):
-                if id == b"a1" or market.ran[id] > 1:
-                    market.ran[id] -= id != b"a1"
+            def script(line, id, late=late, first=first, scenario=scenario):
+                if id == b"a1" or scenario.ran[id] > 1:
+                    scenario.ran[id] -= id != b"a1"
                     return line.say(good(id) if id == b"a1" else FULL % id)
-                market.ran[id] -= first not in (good, None)
+                scenario.ran[id] -= first not in (good, None)
                 return first and line.loop.call_later(late / 1000, line.say, first(id))
 
-            market.script, market.every = script, True
-            yield market, (b"a1", b"a2")
+            scenario.script, scenario.every = script, True
+            yield scenario, (b"a1", b"a2")
 
 
 ENDLESS = b"HTTP/1.1 200 OK\r\nX-Try-Id: a1\r\nX-Seal: s\r\n\r\na1"
@@ -348,9 +348,9 @@
 def found(family, kind):
     """What broke in a family: the first of it, and how many scenes were played."""
     played = 0
-    for market, ids in FAMILIES[family](kind):
+    for scenario, ids in FAMILIES[family](kind):
         played += 1
-        broken = market.play(*ids, every=20 * STEP if market.served else 0.0)
+        broken = scenario.play(*ids, every=20 * STEP if scenario.served else 0.0)
         if broken:
             return broken, played
     return [], played
@@ -507,13 +507,13 @@
 
 
 class Visitor(Line):
-    """A client's connection to the stall's listener."""
+    """A client's connection to the proxy's listener."""
 
-    def __init__(self, market, port=80):
-        self.out, doors = b"", Doors(market.stall.app)
-        doors.server.config.load()
-        door = Door(doors.server.config, doors.server.server_state, {}, market.loop)
-        super().__init__(market.loop, door)
+    def __init__(self, scenario, port=80):
+        self.out, listening = b"", HttpServer(scenario.proxy.app)
+        listening.server.config.load()
+        door = HttpProtocol(listening.server.config, listening.server.server_state, {}, scenario.loop)
+        super().__init__(scenario.loop, door)
         self._extra["sockname"] = ("f", port)
         door.connection_made(self)
 
@@ -533,13 +533,13 @@
 def _():
     whole = b"".join(REQUEST % (b"GET", id, b"") for id in (b"a1", b"a2", b"a3"))
     for n in range(0, len(whole), 2):
-        market = Market()
-        visitor = Visitor(market)
-        market.loop.call_soon(visitor.say, whole[:n])
-        market.loop.call_later(2.5 * STEP, visitor.say, whole[n:])
+        scenario = CallScenario()
+        visitor = Visitor(scenario)
+        scenario.loop.call_soon(visitor.say, whole[:n])
+        scenario.loop.call_later(2.5 * STEP, visitor.say, whole[n:])
         visitor.run(1.0)
         assert visitor.ids == [b"a1", b"a2", b"a3"] and visitor.out.count(b"200 OK") == 3
-        assert all(b"\r\n\r\n" + id in visitor.out for id in visitor.ids) and set(market.ran.values()) == {1}
+        assert all(b"\r\n\r\n" + id in visitor.out for id in visitor.ids) and set(scenario.ran.values()) == {1}
 
 
 @test("a client that leaves at any byte: what it had not sent whole never runs, and nothing goes out twice")
@@ -551,44 +551,45 @@
             def refuse(line, id):
                 line.loop.call_later(4 * STEP, line.say, FULL % id)
 
-            market = Market(kind, refuse, every=True)
-            visitor = Visitor(market)
-            market.loop.call_soon(visitor.say, whole[:n])
-            market.loop.call_later(3 * STEP, visitor.close)
+            scenario = CallScenario(kind, refuse, every=True)
+            visitor = Visitor(scenario)
+            scenario.loop.call_soon(visitor.say, whole[:n])
+            scenario.loop.call_later(3 * STEP, visitor.close)
             visitor.run(3.0)
-            assert market.ran == Counter({b"a1": 1} if n >= len(whole) // 2 else {}) and not market.broken()
+            assert scenario.ran == Counter({b"a1": 1} if n >= len(whole) // 2 else {})
+            assert not scenario.broken()
 
 
 @test("what stands behind an answer that closes, {why}, has not run")
-def _(why=each("as the client wishes", "as the stall stops", "as the stall stops, repeatable")):
-    market = Market("safe" if "repeatable" in why else "unsafe")
-    visitor, method = Visitor(market), b"GET" if "repeatable" in why else b"POST"
-    if "stall" in why:
-        market.stall.stopping.set()
-    close = b"" if "stall" in why else b"Connection: close\r\n"
-    market.loop.call_soon(visitor.say, REQUEST % (method, b"a1", close) + REQUEST % (method, b"a2", b""))
+def _(why=each("as the client wishes", "as the proxy stops", "as the proxy stops, repeatable")):
+    scenario = CallScenario("safe" if "repeatable" in why else "unsafe")
+    visitor, method = Visitor(scenario), b"GET" if "repeatable" in why else b"POST"
+    if "proxy" in why:
+        scenario.proxy.stopping.set()
+    close = b"" if "proxy" in why else b"Connection: close\r\n"
+    scenario.loop.call_soon(visitor.say, REQUEST % (method, b"a1", close) + REQUEST % (method, b"a2", b""))
     visitor.run(1.0)
-    assert visitor.ids == [b"a1"] and market.ran == {b"a1": 1} and visitor.closing
+    assert visitor.ids == [b"a1"] and scenario.ran == {b"a1": 1} and visitor.closing
 
 
-@test("requests at work behind another when the stall stops, {how}, are answered before the connection ends")
-def _(how=each("told so", "and closes its doors")):
+@test("requests at work behind another when the proxy stops, {how}, are answered before the connection ends")
+def _(how=each("told so", "and closes its listening")):
     # The answer in front said `connection: close`: what stood behind it was at machines by then, and was cut.
     def slowly(line, id):
         line.loop.call_later(0.1, line.say, good(id))
 
-    market = Market(script=slowly)
-    visitor = Visitor(market)
+    scenario = CallScenario(script=slowly)
+    visitor = Visitor(scenario)
     whole = b"".join(REQUEST % (b"GET", id, b"") for id in (b"a1", b"a2", b"a3"))
-    market.loop.call_soon(visitor.say, whole)
+    scenario.loop.call_soon(visitor.say, whole)
     visitor.run(0.05)
-    market.stall.stopping.set()
+    scenario.proxy.stopping.set()
     if "closes" in how:
         visitor.protocol.shutdown()
     visitor.say(REQUEST % (b"GET", b"a4", b""))
     visitor.run(1.0)
     assert visitor.ids == [b"a1", b"a2", b"a3"] and visitor.closing
-    assert market.ran == {b"a1": 1, b"a2": 1, b"a3": 1}
+    assert scenario.ran == {b"a1": 1, b"a2": 1, b"a3": 1}
 
 
 @test("idle_s {before}, then {after}: a connection that rests is there after {at} s: {there}")
@@ -599,33 +600,33 @@
     there=each(True, False, True, False, True, False),
 ):
     # Clients take up connections after four fifths of idle_s, of the old or the new configuration's.
-    market = Market()
-    market.stall.limits = Limits(idle_s=before)
-    visitor = Visitor(market)
+    scenario = CallScenario()
+    scenario.proxy.limits = Limits(idle_s=before)
+    visitor = Visitor(scenario)
     visitor.say(REQUEST % (b"GET", b"a1", b""))
     visitor.run(1.0)
-    market.stall.limits = Limits(idle_s=after)
+    scenario.proxy.limits = Limits(idle_s=after)
     assert visitor.run(at).closing != there
 
 
-@test("a request that came while the stall stood still is heard before its connection is ended as idle")
+@test("a request that came while the proxy stood still is heard before its connection is ended as idle")
 def _():
-    market = Market()
-    market.stall.limits = Limits(idle_s=5)
-    visitor = Visitor(market)
+    scenario = CallScenario()
+    scenario.proxy.limits = Limits(idle_s=5)
+    visitor = Visitor(scenario)
     visitor.say(REQUEST % (b"GET", b"a1", b""))
 
     def still():
-        market.loop.now += 3.0  # what came is heard first, then all timers are due
+        scenario.loop.now += 3.0  # what came is heard first, then all timers are due
         visitor.say(REQUEST % (b"GET", b"a2", b""))
 
-    market.loop.call_at(4.0, still)
+    scenario.loop.call_at(4.0, still)
     assert visitor.run(9.0).ids == [b"a1", b"a2"] and not visitor.closing
 
 
 @test("each answer to one of our calls repeats its id, a refusal too")
 def _():
-    visitor = Visitor(Market(), port=7000)
+    visitor = Visitor(CallScenario(), port=7000)
     visitor.say(b"POST /news HTTP/1.1\r\nHost: f\r\nX-Call-Id: c-1\r\nContent-Length: 2\r\n\r\n{}")
     visitor.say(b"GET /else HTTP/1.1\r\nHost: f\r\nX-Call-Id: c-2\r\n\r\n")
     out = visitor.run(1.0).out
@@ -656,18 +657,18 @@
 @test("machines that forget connections at rest cost one request a service, not one a connection")
 def _():
     # `idle_race`: machines say they keep a connection, and reset the next request on it after 0.3 s of rest.
-    market = Market("unsafe")
+    scenario = CallScenario("unsafe")
 
     def forgetful(line, id):
         now, rested = line.loop.time(), line.loop.time() - getattr(line, "last", line.loop.time())
         line.last = now
-        market.ran[id] -= rested > 0.3
+        scenario.ran[id] -= rested > 0.3
         line.reset() if rested > 0.3 else line.say(good(id))
 
-    market.script, market.every = forgetful, True
+    scenario.script, scenario.every = forgetful, True
     ids = [b"a%d" % n for n in range(10)]
-    assert not market.play(*ids, every=0.5)
-    assert [market.answers[id][0] for id in ids].count(200) == 9
+    assert not scenario.play(*ids, every=0.5)
+    assert [scenario.answers[id][0] for id in ids].count(200) == 9
 
 
 @test("machines out of reach, {how}: each is tried once, and a {kind} request is refused {when}")
@@ -678,29 +679,29 @@
 ):
     # Seen on a day with a service's machines down: hundreds of connections tried for one request, one after
     # the other without a pause, then 504: no promise, though nothing had been sent.
-    market, dials = Market(kind), []
+    scenario, dials = CallScenario(kind), []
 
     async def fail(factory, ip, port):
         dials.append(ip)
         await asyncio.sleep(STEP if how == "refusing" else 60)
         raise ConnectionRefusedError("refused")
 
-    market.loop.create_connection = fail
-    assert not market.play(b"a1") and sorted(dials) == ["m", "n"]
-    status, _, took = market.answers[b"a1"]
+    scenario.loop.create_connection = fail
+    assert not scenario.play(b"a1") and sorted(dials) == ["m", "n"]
+    status, _, took = scenario.answers[b"a1"]
     assert status == 503 and took < (0.01 if when == "at once" else TIMEOUT)
 
 
 @test("a request whose only machine accepts no connection before time is up is refused, and never sent after")
 def _():
-    market, made = Market("unsafe"), Loop.create_connection
+    scenario, made = CallScenario("unsafe"), Loop.create_connection
 
     async def late(factory, ip, port):
         await asyncio.sleep(0.2)
-        return await made(market.loop, factory, ip, port)
+        return await made(scenario.loop, factory, ip, port)
 
-    market.loop.create_connection = late
+    scenario.loop.create_connection = late
     brief = config(6, kind="unsafe")
     brief["res"][0]["spec"]["timeout_s"] = 0.15
-    market.stall.hear("config", json.dumps(brief))
-    assert not market.play(b"a1") and market.answers[b"a1"][0] == 503 and not market.ran
+    scenario.proxy.hear("config", json.dumps(brief))
+    assert not scenario.play(b"a1") and scenario.answers[b"a1"][0] == 503 and not scenario.ran
--- a/tests/system/test_terms.py
+++ b/tests/gateway/test_configuration.py
@@ -203,7 +203,7 @@
         found = [task.result() for task in tasks]
         assert all(400 <= status < 500 for status, _ in found), f"{found}"
         assert all(told.step and told.why for _, told in found), f"{found}"
-        assert world.version("b") is None and not world.nodes["b"].board.under("machine/")
+        assert world.version("b") is None and not world.nodes["b"].store.under("machine/")
     finally:
         world.close()
 
@@ -239,12 +239,12 @@
     import os
     import tempfile
 
-    from honeywood.gateway.proxy.program import Stall
+    from honeywood.gateway.proxy.program import Proxy
 
     with tempfile.TemporaryDirectory() as folder:
         path = os.path.join(folder, "boot.toml")
-        stall = type("Quiet", (Stall,), {"say": lambda *said, **more: None})(files.read(GOOD))
-        stall.path, stall.changed = path, 0
+        proxy = type("Quiet", (Proxy,), {"say": lambda *said, **more: None})(files.read(GOOD))
+        proxy.path, proxy.changed = path, 0
         for at, (text, known) in enumerate(
             (
                 (GOOD, ["10.0.0.1"]),
@@ -255,8 +255,8 @@
             with open(path, "w") as file:
                 file.write(text)
             os.utime(path, ns=(at + 1, at + 1))
-            asyncio.run(stall.reread())
-            assert stall.bourses == (known or ["10.0.0.1", "10.0.0.2"])
+            asyncio.run(proxy.reread())
+            assert proxy.controllers == (known or ["10.0.0.1", "10.0.0.2"])
 
 
 @test("a packed configuration comes back as sent, is short, and one that isn't whole is refused")
--- a/tests/system/test_disk.py
+++ b/tests/gateway/test_disk.py
@@ -144,7 +144,7 @@
         assert len(Disk(folder).rows()) == 41
 
 
-@test("a bourse that starts while its disk refuses opens it later, and has lost nothing")
+@test("a controller that starts while its disk refuses opens it later, and has lost nothing")
 def _():
     world = World()
     try:
--- a/tests/system/test_news.py
+++ b/tests/gateway/test_dissemination.py
@@ -9,7 +9,7 @@
 def met(fronts="fghijk"):
     """A world whose fronts have found one another."""
     world = World(fronts=fronts)
-    for name in world.bourses + fronts:
+    for name in world.controllers + fronts:
         world.start(name)
     world.run(3.0)
     return world
@@ -22,11 +22,11 @@
     return order(world.fronts, "z")[0]
 
 
-@test("fronts hear from relays, and one relay from a bourse")
+@test("fronts hear from relays, and one relay from a controller")
 def _():
     world = met()
     try:
-        asked = {name: {port for _, port in world.nodes[name].ear.known} for name in world.fronts}
+        asked = {name: {port for _, port in world.nodes[name].subscriber.known} for name in world.fronts}
         assert [name for name in world.fronts if 7000 not in asked[name]] == [top(world)], asked
     finally:
         world.close()
@@ -45,7 +45,7 @@
         world.close()
 
 
-@test("a front that is cut off from its relay, not from the bourses, hears in time")
+@test("a front that is cut off from its relay, not from the controllers, hears in time")
 def _():
     world = met()
     try:
@@ -58,7 +58,7 @@
         world.close()
 
 
-@test("a bourse that hears nobody's answers acknowledges nothing and is believed in nothing")
+@test("a controller that hears nobody's answers acknowledges nothing and is believed in nothing")
 def _():
     # Seen by a hunt: it was cut in one direction, so that others' asks still reached it, took itself for
     # joined, and held the asks of fronts that waited for its news.
@@ -80,9 +80,9 @@
         world.close()
 
 
-@test("a bourse that has just started and knows few fronts makes none take more than its part")
+@test("a controller that has just started and knows few fronts makes none take more than its part")
 def _():
-    # Seen on standard days: after all bourses were killed, fronts took themselves for alone, and machines
+    # Seen on standard days: after all controllers were killed, fronts took themselves for alone, and machines
     # reset what was over their connections.
     world, told = met(), set()
     try:
@@ -106,20 +106,20 @@
         world.close()
 
 
-@test("a front is told a version once, not by its relay and each bourse")
+@test("a front is told a version once, not by its relay and each controller")
 def _():
     # Seen on days with a configuration of 370 routes: it crossed the zones four times for each front.
     world, told = met(), {}
     try:
         for name in world.nodes:
-            since = world.nodes[name].mouth.board.since
+            since = world.nodes[name].publisher.store.since
 
             def counted(life, rev, private, held=None, since=since, name=name):
                 found = since(life, rev, private, held)
                 told[name] = told.get(name, 0) + sum(key == "config" for key, *_ in found)
                 return found
 
-            world.nodes[name].mouth.board.since = counted
+            world.nodes[name].publisher.store.since = counted
         world.say("a", "put 5")
         world.run(6.0)
         assert {world.version(name) for name in world.nodes} == {5}
@@ -192,7 +192,7 @@
         world.close()
 
 
-@test("all bourses are killed: fronts keep what they know, and bring machines back to those that start")
+@test("all controllers are killed: fronts keep what they know, and bring machines back to those that start")
 def _():
     world = met("fg")
     try:
--- a/tests/system/test_links.py
+++ b/tests/gateway/test_dissemination_links.py
@@ -1,5 +1,5 @@
-"""News that fit their links: short answers, long notes in pieces, pauses that grow, the same a front however
-many there are, and notes of earlier lives and of dead bourses that count no more."""
+"""News that fit their links: short answers, long notes in pieces, backoff that grow, the same a front however
+many there are, and notes of earlier lives and of dead controllers that count no more."""
 
 import asyncio
 import random
@@ -8,29 +8,29 @@
 from ward import each, test
 
 from honeywood.gateway.configuration.outcome import Done, Failed
-from honeywood.gateway.dissemination.backoff import FIRST, LEAST, MOST, SHARE, Pace, Pauses, part
-from honeywood.gateway.dissemination.chunk import Pieces
-from honeywood.gateway.dissemination.local import Own
-from honeywood.gateway.dissemination.publisher import Ear, Mouth, whole
-from honeywood.gateway.dissemination.store import Board
+from honeywood.gateway.dissemination.backoff import FIRST, LEAST, MOST, SHARE, Pace, Backoff, part
+from honeywood.gateway.dissemination.chunk import ChunkCollector
+from honeywood.gateway.dissemination.local import LocalRecords
+from honeywood.gateway.dissemination.publisher import Subscriber, Publisher, whole
+from honeywood.gateway.dissemination.store import Store
 from honeywood.lab.emulator.world import Loop
 
 
 def met(fronts="fghijk", until=4.0, **more):
     world = World(fronts=fronts, **more)
-    for name in world.bourses + fronts:
+    for name in world.controllers + fronts:
         world.start(name)
     world.run(until)
     return world
 
 
 def full(notes, long, seed=0):
-    """A board of short notes and one long one."""
-    board, draw = Board("l"), random.Random(seed)
+    """A store of short notes and one long one."""
+    store, draw = Store("l"), random.Random(seed)
     for n in range(notes):
-        board.put(f"machine/{n}", [n], {"ip": "1" * draw.randrange(1, 200)})
-    board.put("config", [7], "".join(draw.choice("abcdef") for _ in range(long)))
-    return board
+        store.put(f"machine/{n}", [n], {"ip": "1" * draw.randrange(1, 200)})
+    store.put("config", [7], "".join(draw.choice("abcdef") for _ in range(long)))
+    return store
 
 
 def ask(teller, hearer, pieces, rev, most):
@@ -45,7 +45,7 @@
 def _(most=each(1024, 3000, 40_000)):
     # Seen on the grown sites: answers of 290 KB over 300 KB a second, thrown away half an ask later and asked
     # for again whole, for ever.
-    teller, hearer, pieces, rev, asks = full(100, 30_000), Board("h"), Pieces(), 0, 0
+    teller, hearer, pieces, rev, asks = full(100, 30_000), Store("h"), ChunkCollector(), 0, 0
     while rev < teller.rev:
         notes, piece, rev, size = ask(teller, hearer, pieces, rev, most)
         assert size <= most
@@ -59,7 +59,7 @@
 
 @test("a long note is collected over any loss of answers and change of peers, and never begun anew")
 def _(seed=each(*range(5))):
-    draw, hearer, pieces, got = random.Random(seed), Board("h"), Pieces(), 0
+    draw, hearer, pieces, got = random.Random(seed), Store("h"), ChunkCollector(), 0
     tellers = [full(n, 30_000) for n in (0, 0)]
     while hearer.get("config") is None:
         _, piece, _, _ = ask(draw.choice(tellers), hearer, pieces, 0, 2000)
@@ -73,7 +73,7 @@
 
 @test("pieces of another text under one stamp, out of order or beyond the end are never taken for a whole")
 def _():
-    one, two, pieces = full(0, 5000), full(0, 5000, seed=1), Pieces()
+    one, two, pieces = full(0, 5000), full(0, 5000, seed=1), ChunkCollector()
     first = one.tell(one.since("", 0, False), 3000)[1]
     assert pieces.take(first) is None
     rest = two.tell(two.since("", 0, False), 3000, {"config": [[7], first["mark"], 3000]})[1]
@@ -87,7 +87,7 @@
 @test("a version that is being collected is told to its end though newer ones come")
 def _():
     # A storm of versions comes faster than a slow link carries one.
-    teller, hearer, pieces = full(0, 9000), Board("h"), Pieces()
+    teller, hearer, pieces = full(0, 9000), Store("h"), ChunkCollector()
     for version in range(8, 12):
         _, piece, *_ = ask(teller, hearer, pieces, 0, 2500)
         whole = pieces.take(piece)
@@ -102,9 +102,9 @@
     world, taken = met("f", until=3.0), []
     try:
         for program in world.nodes.values():
-            program.mouth.most = 1500
+            program.publisher.most = 1500
         world.run(4.5)
-        pieces = world.nodes["f"].mouth.pieces
+        pieces = world.nodes["f"].publisher.pieces
         take = pieces.take
 
         def cut_off(piece):
@@ -145,12 +145,12 @@
     loop = Loop()
     asyncio.set_event_loop(loop)
     try:
-        mouth, answers = Mouth("l", lambda key, value: None, rate=250_000), []
-        mouth.board.put("config", [1], "x" * 29_000)
+        publisher, answers = Publisher("l", lambda key, value: None, rate=250_000), []
+        publisher.store.put("config", [1], "x" * 29_000)
 
         async def one():
             body = {"who": {"front": True}, "rev": 0, "hold": 1.0}
-            answers.append((await mouth.serve(body, "p"), loop.time()))
+            answers.append((await publisher.serve(body, "p"), loop.time()))
 
         async def all_at_once():
             await asyncio.gather(*[one() for _ in range(20)])
@@ -163,17 +163,17 @@
         loop.close()
 
 
-@test("pauses grow to their bound with each silence, differ by chance, and end with an answer")
+@test("backoff grow to their bound with each silence, differ by chance, and end with an answer")
 def _():
-    pauses, lengths = Pauses(random.Random(1), 1.0), []
+    backoff, lengths = Backoff(random.Random(1), 1.0), []
     for _ in range(8):
-        pauses.silent("p", 0.0)
-        lengths.append(pauses.rest("p", 0.0))
+        backoff.silent("p", 0.0)
+        lengths.append(backoff.rest("p", 0.0))
     assert all(min(1.0, FIRST * 2**n) / 2 <= length <= 1.0 for n, length in enumerate(lengths))
     assert len({round(length, 6) for length in lengths[5:]}) == 3
-    assert pauses.fit(["p", "q"], 0.0) == ["q"] and pauses.fit(["p"], 0.0) == ["p"]
-    pauses.answered("p")
-    assert pauses.fit(["p", "q"], 0.0) == ["p", "q"]
+    assert backoff.fit(["p", "q"], 0.0) == ["q"] and backoff.fit(["p"], 0.0) == ["p"]
+    backoff.answered("p")
+    assert backoff.fit(["p", "q"], 0.0) == ["p", "q"]
 
 
 @test("whoever gets no answers asks less and less often, and is back within a second of the first that may")
@@ -191,7 +191,7 @@
 
         world.nodes["f"].caller.call = counted
         world.run(14.0)
-        assert sum(12 <= at < 14 for at in calls) < 40, "without pauses 400 and more"
+        assert sum(12 <= at < 14 for at in calls) < 40, "without backoff 400 and more"
         refuse[0] = False
         world.run(15.2)
         assert world.loop.time() - world.nodes["f"].stage.heard_at < 0.6
@@ -203,15 +203,15 @@
     """Bytes of notes told so far by these programs, by kind."""
     found = {}
     for name in names:
-        for kind, size in world.nodes[name].mouth.told.items():
+        for kind, size in world.nodes[name].publisher.told.items():
             found[kind] = found.get(kind, 0) + size
     return found
 
 
 @test("what a front is told doesn't grow with the fronts, and calm fronts are told and tell nothing")
 def _():
-    # Seen on the grown sites: names of all fronts from each bourse to every front; counts of fronts without
-    # a rollout, 64 x 2.5 a second, woke whoever waited.
+    # Seen on the grown sites: names of all fronts from each controller to every front; counts of fronts
+    # without a rollout, 64 x 2.5 a second, woke whoever waited.
     each_front, calm = {}, {}
     for n in (6, 24):
         fronts = "fghijklmnopqrstuvwxyzABCDEFGH"[:n]
@@ -234,7 +234,7 @@
     assert each_front[24] <= each_front[6], each_front
 
 
-@test("all bourses share in what fronts count, once a front has told one of them")
+@test("all controllers share in what fronts count, once a front has told one of them")
 def _():
     world = met("fg")
     try:
@@ -242,7 +242,7 @@
         rows = [["s", "r", "v1", 0, 9, []]]
         front.stage.told = lambda now: {"rows": rows, "votes": {}, "left": {}, "known": {"s": [1, 2.0]}}
         world.run(6.0)
-        held = {name: world.nodes[name].board.get(f"count/f/{front.life}") for name in "abc"}
+        held = {name: world.nodes[name].store.get(f"count/f/{front.life}") for name in "abc"}
         assert all(note and note["rows"][0][4] == 9 for note in held.values()), held
         own, asked = front.sure.own, []
         front.sure.own = lambda ip: asked.append(own(ip)) or asked[-1]
@@ -252,7 +252,7 @@
         world.close()
 
 
-@test("a bourse whose clock was set back since its last life is believed in what it says of its fronts")
+@test("a controller whose clock was set back since its last life is believed in what it says of its fronts")
 def _():
     # Stamps were the time of day: all it told lost against its own notes from before, and fronts that died
     # since were counted for ever, so that no rollout left them.
@@ -265,7 +265,7 @@
         world.start("a")
         world.run(9.0)
         assert all(set(world.nodes[name].fleet) == {"f"} for name in "abc")
-        stamps = {name: world.nodes[name].board.notes["fleet/a/f"][0] for name in "abc"}
+        stamps = {name: world.nodes[name].store.notes["fleet/a/f"][0] for name in "abc"}
         assert len({str(stamp) for stamp in stamps.values()}) == 1, stamps
     finally:
         world.close()
@@ -274,19 +274,19 @@
 @test("a program that hears its own notes of before goes above them, whatever comes late")
 def _():
     held = {}
-    board = Board("l", lambda key, value: held["own"].heard(key))
-    own = held["own"] = Own(board, 5, lambda key: key.startswith("own/"))
+    store = Store("l", lambda key, value: held["own"].heard(key))
+    own = held["own"] = LocalRecords(store, 5, lambda key: key.startswith("own/"))
     own.tell("own/a", 1)
-    board.put("own/a", [9, 4], 0)
-    assert board.notes["own/a"][0] > [9, 4] and board.get("own/a") == 1
-    board.put("own/b", [9, 3], 0)
-    assert board.get("own/b") is None and "own/b" in board.notes, "what this life doesn't say is taken back"
-    before = dict(board.notes)
-    board.put("own/a", [9, 99], 0)
-    assert board.notes == before, "late copies change nothing"
+    store.put("own/a", [9, 4], 0)
+    assert store.notes["own/a"][0] > [9, 4] and store.get("own/a") == 1
+    store.put("own/b", [9, 3], 0)
+    assert store.get("own/b") is None and "own/b" in store.notes, "what this life doesn't say is taken back"
+    before = dict(store.notes)
+    store.put("own/a", [9, 99], 0)
+    assert store.notes == before, "late copies change nothing"
 
 
-@test("a bourse that is heard no more keeps no front alive")
+@test("a controller that is heard no more keeps no front alive")
 def _():
     world = met("fg")
     try:
@@ -305,23 +305,23 @@
     loop = Loop()
     asyncio.set_event_loop(loop)
     try:
-        mouth, woken = Mouth("l", lambda key, value: None), []
+        publisher, woken = Publisher("l", lambda key, value: None), []
 
         async def wait(n):
-            if await mouth.changed(5.0, n % 3 == 0):
+            if await publisher.changed(5.0, n % 3 == 0):
                 woken.append(n)
 
         async def many():
             waits = [asyncio.ensure_future(wait(n)) for n in range(60)]
             await asyncio.sleep(0.1)
-            mouth.board.put("count/f/l", [1], {})
+            publisher.store.put("count/f/l", [1], {})
             await asyncio.sleep(0.5)
-            bourses = list(woken)
-            mouth.board.put("machine/m", [1], {})
+            controllers = list(woken)
+            publisher.store.put("machine/m", [1], {})
             await asyncio.gather(*waits)
-            return bourses
+            return controllers
 
-        assert loop.run_until_complete(many()) == list(range(0, 60, 3)), "counts wake bourses alone"
+        assert loop.run_until_complete(many()) == list(range(0, 60, 3)), "counts wake controllers alone"
         assert woken[20:] == [n for n in range(60) if n % 3]
     finally:
         loop.close()
@@ -333,13 +333,14 @@
     loop = Loop()
     asyncio.set_event_loop(loop)
     try:
-        mouth = Mouth("l", lambda key, value: None)
+        publisher = Publisher("l", lambda key, value: None)
 
         async def held():
-            asked = asyncio.ensure_future(mouth.serve({"who": {"private": True}, "rev": 0, "hold": 0.5}, "p"))
+            ask = {"who": {"private": True}, "rev": 0, "hold": 0.5}
+            asked = asyncio.ensure_future(publisher.serve(ask, "p"))
             await asyncio.sleep(0.45)
-            mouth.board.put("beat/m", [1], None)
-            mouth.board.put("fleet/a/f", [1], None)
+            publisher.store.put("beat/m", [1], None)
+            publisher.store.put("fleet/a/f", [1], None)
             return await asked
 
         assert [key for key, *_ in loop.run_until_complete(held())["notes"]] == ["beat/m", "fleet/a/f"]
@@ -352,38 +353,38 @@
     loop = Loop()
     asyncio.set_event_loop(loop)
     try:
-        told_by = Mouth("new", lambda key, value: None)
-        hearer = Mouth("h", lambda key, value: None)
-        for mouth, keys in ((told_by, range(50)), (hearer, reversed(range(50)))):
+        told_by = Publisher("new", lambda key, value: None)
+        hearer = Publisher("h", lambda key, value: None)
+        for publisher, keys in ((told_by, range(50)), (hearer, reversed(range(50)))):
             for n in keys:
-                mouth.board.put(f"machine/{n}", [n], {"n": n})
+                publisher.store.put(f"machine/{n}", [n], {"n": n})
 
         class Caller:
             async def call(self, ip, port, path, body, within, again=False):
                 return Done(await told_by.serve(body, ip))
 
-        ear = Ear(hearer, Caller(), lambda: {"front": True}, Pauses(random.Random(0), 1.0))
-        reply = loop.run_until_complete(ear.ask("p", 1, 0.0))
+        subscriber = Subscriber(hearer, Caller(), lambda: {"front": True}, Backoff(random.Random(0), 1.0))
+        reply = loop.run_until_complete(subscriber.ask("p", 1, 0.0))
         assert reply.value["notes"] == [] and reply.value["rev"] == 50
-        told_by.board.put("machine/7", [99], {"n": 0})
-        reply = loop.run_until_complete(ear.ask("p", 1, 0.0))
+        told_by.store.put("machine/7", [99], {"n": 0})
+        reply = loop.run_until_complete(subscriber.ask("p", 1, 0.0))
         assert [key for key, *_ in reply.value["notes"]] == ["machine/7"]
     finally:
         loop.close()
 
 
-@test("a bourse is told its part at once, however many fronts wait for theirs")
+@test("a controller is told its part at once, however many fronts wait for theirs")
 def _():
-    # Found by review: sent away behind a configuration for many fronts, one bourse heard none of another's
-    # beats, took that for contact, and told every machine which beat there lost.
+    # Found by review: sent away behind a configuration for many fronts, one controller heard none of
+    # another's beats, took that for contact, and told every machine which beat there lost.
     loop = Loop()
     asyncio.set_event_loop(loop)
     try:
-        mouth, answers = Mouth("l", lambda key, value: None, rate=250_000), []
-        mouth.board.put("config", [1], "x" * 29_000)
+        publisher, answers = Publisher("l", lambda key, value: None, rate=250_000), []
+        publisher.store.put("config", [1], "x" * 29_000)
 
         async def one(who):
-            answer = await mouth.serve({"who": who, "rev": 0, "hold": 1.0}, "p")
+            answer = await publisher.serve({"who": who, "rev": 0, "hold": 1.0}, "p")
             answers.append((bool(who.get("private")), whole(answer), loop.time()))
 
         async def all_at_once():
@@ -431,14 +432,14 @@
         beat = {"svc": "s", "addr": "m:1", "state": "ready", "seq": 1}
         world.loop.create_task(world.ask("b", "instances.heartbeat", "m", beat))
         world.run(5.0)
-        bourse, call = world.nodes["a"], world.nodes["a"].caller.call
+        controller, call = world.nodes["a"], world.nodes["a"].caller.call
 
         async def partly(ip, port, path, body, within, **more):
             reply = await call(ip, port, path, body, within, **more)
             return Done({**reply.value, "notes": [], **told}) if reply.ok and path == "/news" else reply
 
-        bourse.caller.call = partly
+        controller.caller.call = partly
         world.run(14.0)
-        assert bourse.joined and (world.state("a", "m") == "silent") == lost
+        assert controller.joined and (world.state("a", "m") == "silent") == lost
     finally:
         world.close()
--- a/tests/system/test_market.py
+++ b/tests/gateway/test_emulator.py
@@ -12,17 +12,17 @@
 from honeywood.gateway.configuration import config
 from honeywood.gateway.configuration.outcome import Wrong
 from honeywood.gateway.controller.app import App
-from honeywood.gateway.dissemination.store import Board
+from honeywood.gateway.dissemination.store import Store
 from honeywood.gateway.proxy import forwarding as carry
 from honeywood.gateway.proxy import program
-from honeywood.gateway.proxy.forwarding import Carrier
-from honeywood.gateway.proxy.program import Stall
+from honeywood.gateway.proxy.forwarding import Forwarder
+from honeywood.gateway.proxy.program import Proxy
 from honeywood.gateway.register import membership as members
 from honeywood.gateway.register.replica import Register
 from honeywood.gateway.rollout import record
 from honeywood.gateway.rollout.stage import Stage
 from honeywood.gateway.routing import answers
-from honeywood.gateway.routing.attempts import Gate
+from honeywood.gateway.routing.attempts import AttemptGate
 from honeywood.gateway.routing.budget import Budget
 from honeywood.lab.emulator import hunt
 from honeywood.lab.emulator.day import Day, draw, play
@@ -38,10 +38,10 @@
         assert told.worth > 0.8 * told.owed > 200
 
 
-@test("a bourse is replaced, and sync_s after that another loses its disk, or is replaced in turn")
+@test("a controller is replaced, and sync_s after that another loses its disk, or is replaced in turn")
 def _():
-    # Found by the emulator (seed 46): a bourse that had not gone on when another lost its disk stayed among
-    # the earlier members for good, since no majority of these was left to ask.
+    # Found by the emulator (seed 46): a controller that had not gone on when another lost its disk stayed
+    # among the earlier members for good, since no majority of these was left to ask.
     for seed, x in ((46, 0.136), (46, 0.764), (1, 0.126)):
         told = play(Day(seed, (Fault("replace", 4.532, 2.0, 0.726, x),)))
         assert not told.broken, f"seed {seed}, {x}: {told.broken}"
@@ -71,7 +71,7 @@
     assert told[0] == told[1] and "Told" in told[0]
 
 
-@test("five bourses of which each is told three find one another, and bear two lost disks")
+@test("five controllers of which each is told three find one another, and bear two lost disks")
 def _():
     # Found by the emulator: who asked for news was not asked back, so five never came together, nothing was
     # acknowledged, and all requests got 503.
@@ -86,26 +86,26 @@
 
 def barless(name):
     """The gate without one of its bars."""
-    bar = Gate.bar
+    bar = AttemptGate.bar
 
     def without(self, now, ask, machine, connected=False):
         found = bar(self, now, ask, machine, connected)
         return None if found == name else found
 
-    return [(Gate, "bar", without)]
+    return [(AttemptGate, "bar", without)]
 
 
 def any_answer(status, fields, try_id):
     return answers.GOOD if 200 <= status < 300 else answers.FAILED
 
 
-def last_wins(self, key, stamp, value, put=Board.put):
+def last_wins(self, key, stamp, value, put=Store.put):
     if key == "config" and self.get(key) not in (None, value):
         self.notes.pop(key)
     return put(self, key, stamp, value)
 
 
-def all_again(self, life, rev, private, held=None, since=Board.since):
+def all_again(self, life, rev, private, held=None, since=Store.since):
     found = [note for note in since(self, life, rev, private) if note[0] != "config"]
     return found + [(key, *self.notes[key][:2]) for key in ("config",) if key in self.notes]
 
@@ -123,7 +123,7 @@
     try:
         return await replace(self, of, body, peer)
     except Wrong:
-        held = self.bourse.board.notes.get("config")
+        held = self.controller.store.notes.get("config")
         if held is None or held[0][0] != int(json.loads(body)["ver"], 16):
             raise
         return {}
@@ -132,20 +132,20 @@
 async def once_only(self, of, body, peer, start=App.start):
     """An order that is known is refused."""
     svc = json.loads(body)["svc"]
-    if self.bourse.board.get(f"rollout/{svc}"):
+    if self.controller.store.get(f"rollout/{svc}"):
         raise Wrong("rollouts.start", "there is one", peer, 409)
     return await start(self, of, body, peer)
 
 
 async def own_board(self, of, body, peer):
-    """A configuration is read from this bourse's board."""
-    held = self.bourse.board.get("config")
+    """A configuration is read from this controller's store."""
+    held = self.controller.store.get("config")
     return config.unpack(held) if held else b'{"ver":"00000000"}'
 
 
 async def own_state(self, of, body, peer, rollout=App.rollout):
     """So is a rollout."""
-    held = self.bourse.board.get(f"rollout/{of}")
+    held = self.controller.store.get(f"rollout/{of}")
     return {"state": held["state"], "to_ver": held["to_ver"]} if held else await rollout(self, of, body, peer)
 
 
@@ -173,11 +173,11 @@
     ),
     patch=each(
         lambda: barless("may have run"),
-        lambda: [(Carrier, "_given_up", promise)],
+        lambda: [(Forwarder, "_given_up", promise)],
         lambda: [(carry, "meaning", any_answer)],
         lambda: barless("state"),
-        lambda: [(program, "SURE", 3.0), (Stall, "listen", idle)],
-        lambda: [(Board, "put", last_wins), (Board, "since", all_again)],
+        lambda: [(program, "SURE", 3.0), (Proxy, "listen", idle)],
+        lambda: [(Store, "put", last_wins), (Store, "since", all_again)],
         lambda: [(Budget, "allows", lambda self, now, fronts: True)],
         lambda: [(Stage, "room", lambda self, now, ask: True)],
         lambda: [(Register, "_keep", unwritten)],
--- a/tests/system/test_past.py
+++ b/tests/gateway/test_history.py
@@ -6,10 +6,10 @@
 from ward import test
 
 from honeywood.gateway.configuration.outcome import Wrong
-from honeywood.gateway.controller.machine_records import Notes
+from honeywood.gateway.controller.machine_records import MachineRecords
 from honeywood.gateway.controller.machines import Machines
-from honeywood.gateway.dissemination.history import KEEP, MOST, Past
-from honeywood.gateway.dissemination.store import FORGOTTEN, Board
+from honeywood.gateway.dissemination.history import KEEP, MOST, History
+from honeywood.gateway.dissemination.store import FORGOTTEN, Store
 
 BEAT = {"svc": "s", "ip": "m", "port": 1, "zone": "z", "ver": "v1", "slots": 4, "state": "ready", "cold": 0.0}
 
@@ -23,8 +23,8 @@
 
 
 def told(world, name, id):
-    board = world.nodes[name].mouth.board
-    return [kind for kind in ("machine/", "beat/") if kind + id in board.notes]
+    store = world.nodes[name].publisher.store
+    return [kind for kind in ("machine/", "beat/") if kind + id in store.notes]
 
 
 def leave(world, name, id):
@@ -33,12 +33,12 @@
 
 @test("a machine that left is forgotten in time, and late beats and news of it change nothing")
 def _():
-    # Both kinds of notes stood on every board for ever.
+    # Both kinds of notes stood on every store for ever.
     world = begun()
     try:
         world.say("a", "beat m ready")
         world.run(1.5)
-        late = world.nodes["b"].mouth.board.notes["machine/m"][:2]
+        late = world.nodes["b"].publisher.store.notes["machine/m"][:2]
         assert told(world, "b", "m") == ["machine/", "beat/"] and told(world, "f", "m") == ["machine/"]
         leave(world, "a", "m")
         world.run(3.0)
@@ -49,7 +49,7 @@
         world.run(KEEP + 5.0)
         assert not any(told(world, name, "m") for name in "abcf")
         world.say("b", "beat m ready")  # and after it
-        world.nodes["c"].mouth.board.hear([["machine/m", *late], ["beat/m", [9, 0], None]])
+        world.nodes["c"].publisher.store.hear([["machine/m", *late], ["beat/m", [9, 0], None]])
         world.run(KEEP + 7.0)
         assert not any(told(world, name, "m") for name in "abcf")
         assert "m" not in world.nodes["b"].machines.heard
@@ -75,13 +75,13 @@
         world.close()
 
 
-@test("leaving at a bourse that hasn't heard of the machine is told to all")
+@test("leaving at a controller that hasn't heard of the machine is told to all")
 def _():
     # It was acknowledged, and nobody was told: fronts went on sending there.
     world = begun()
     try:
         world.cut("a", "bc")
-        world.nodes["b"].mouth.board.put("machine/m", [1, 0], BEAT)
+        world.nodes["b"].publisher.store.put("machine/m", [1, 0], BEAT)
         world.run(1.5)
         world.join()
         leave(world, "a", "m")
@@ -110,15 +110,15 @@
             world.run(float(second))
             world.say("a", "beat n ready")
         assert world.state("f", "m") == "silent" and world.state("f", "n") == "ready"
-        assert set(world.nodes["f"].roster.machines) == {"n"}
+        assert set(world.nodes["f"].endpoints.machines) == {"n"}
     finally:
         world.close()
 
 
-@test("after ten thousand lives of machines a board holds as much as after two thousand")
+@test("after ten thousand lives of machines a store holds as much as after two thousand")
 def _():
-    board = Board("x", lambda key, value: key.startswith("machine/") and machines.hear(now, key[8:], value))
-    machines, rows, now = Machines(board, 1.5), {}, 0.0
+    store = Store("x", lambda key, value: key.startswith("machine/") and machines.hear(now, key[8:], value))
+    machines, rows, now = Machines(store, 1.5), {}, 0.0
     machines.changed = lambda id, note: rows.pop(id, None) if note is None else rows.__setitem__(id, note)
     for life in range(10_000):
         now += 0.01
@@ -127,22 +127,22 @@
         if life % 100 == 0:
             machines.look(now)
     machines.look(now)
-    assert len(board.notes) < 2 * (MOST + 600) and len(rows) < MOST + 600 and len(machines.heard) < 600
-    assert 1000 < len(board.forgotten) <= FORGOTTEN
+    assert len(store.notes) < 2 * (MOST + 600) and len(rows) < MOST + 600 and len(machines.heard) < 600
+    assert 1000 < len(store.forgotten) <= FORGOTTEN
     for life in range(20_000):
-        board.forget(f"j-{life}", True)
-    assert len(board.forgotten) <= FORGOTTEN and not board.put("machine/j-19999", [1, 0], BEAT)
-    assert board.put("rollout/j-19999", [1], {})  # a service of that name is none of it
+        store.forget(f"j-{life}", True)
+    assert len(store.forgotten) <= FORGOTTEN and not store.put("machine/j-19999", [1, 0], BEAT)
+    assert store.put("rollout/j-19999", [1], {})  # a service of that name is none of it
 
 
 @test("what comes back is no longer over")
 def _():
-    board = Board("x")
-    past = Past(board)
+    store = Store("x")
+    past = History(store)
     for state in ("silent", "ready"):
         past.hear(0.0, "m", state)
-    board.put("machine/m", [1, 0], BEAT)
-    assert past.look(KEEP + 1.0) == [] and board.get("machine/m")
+    store.put("machine/m", [1, 0], BEAT)
+    assert past.look(KEEP + 1.0) == [] and store.get("machine/m")
 
 
 @test("behind a disk that hangs one write of notes waits, with all that changed; one refused is tried again")
@@ -156,7 +156,7 @@
             if len(writes) == 1:
                 raise Wrong("register", "the disk refuses", "a", 503)
 
-        notes, found = Notes(write), []
+        notes, found = MachineRecords(write), []
         for n in range(50):
             notes.change(f"i-{n}", [[1, 0], BEAT])
             found.append(asyncio.ensure_future(notes.keep()))
@@ -170,7 +170,7 @@
     asyncio.run(play())
 
 
-@test("a beat that was overtaken changes nothing, at whichever bourse it comes")
+@test("a beat that was overtaken changes nothing, at whichever controller it comes")
 def _():
     world = begun()
     try:
@@ -186,7 +186,7 @@
         world.close()
 
 
-@test("what a bourse's disk says of a machine is older than what others know: it changes nothing")
+@test("what a controller's disk says of a machine is older than what others know: it changes nothing")
 def _():
     world, seen = begun(), []
     try:
@@ -206,7 +206,7 @@
         world.close()
 
 
-@test("a bourse whose clock was set back tells and is told as before")
+@test("a controller whose clock was set back tells and is told as before")
 def _():
     world = begun()
     try:
--- a/tests/system/test_orders.py
+++ b/tests/gateway/test_orders.py
@@ -16,7 +16,7 @@
 
 class Desk(World):
     """Words for operators: `send 7x` a configuration, `order v2 14`, `read` it, `state` of the rollout; `says
-    WORD STATUS` looks at the answer to the last call of that word at the column's bourse (0: none)."""
+    WORD STATUS` looks at the answer to the last call of that word at the column's controller (0: none)."""
 
     def __init__(self, *given, **more):
         super().__init__(*given, **more)
@@ -34,8 +34,8 @@
             self.call(name, "read", "config.read")
         elif word == "state":
             self.call(name, "state", "rollouts.read", "s")
-        elif word == "deaf":  # nothing reaches the bourse, what it says does
-            self.cuts |= {(other, name) for other in self.bourses if other != name}
+        elif word == "deaf":  # nothing reaches the controller, what it says does
+            self.cuts |= {(other, name) for other in self.controllers if other != name}
         elif word == "says":
             status, told = self.answers.get((name, more[0]), (None, None))
             found = " ".join([str(status), *self.shown(told)][: len(more) - 1])
@@ -81,18 +81,18 @@
 """
 
 
-@test("cut off, a bourse answers {call} by 503 from the first moment on, and {joined} when joined")
+@test("cut off, a controller answers {call} by 503 from the first moment on, and {joined} when joined")
 def _(
     call=each("state", "read", "send 5x", "send 4x", "send 5y", "order v2 14", "order v3 9"),
     word=each("state", "read", "5x", "4x", "5y", "v2", "v3"),
     joined=each(200, 200, 200, 200, 412, 200, 200),
 ):
-    # `rollouts.read` and orders with a number not above the held one were answered 200 from its own board,
+    # `rollouts.read` and orders with a number not above the held one were answered 200 from its own store,
     # twenty seconds after the cut, whatever the others had come to hold.
     played(CUT_OFF.format(call=call, word=word, joined=joined))
 
 
-@test("cut off in one direction alone, {way}, a bourse answers by 503; the others go on")
+@test("cut off in one direction alone, {way}, a controller answers by 503; the others go on")
 def _(way=each("deaf", "mute bc")):
     played("""
       at   | a              | b       | c
@@ -107,9 +107,9 @@
     """.replace("WAY", way))
 
 
-@test("a service brought in by a version that this bourse has not heard of is known all the same")
+@test("a service brought in by a version that this controller has not heard of is known all the same")
 def _():
-    # 400 ends an operator's call for good; it was told from this bourse's board alone.
+    # 400 ends an operator's call for good; it was told from this controller's store alone.
     world = Desk()
     try:
         world.play("""
@@ -135,7 +135,7 @@
         world.close()
 
 
-@test("restarted while cut off, a bourse refuses nothing for good and confirms nothing")
+@test("restarted while cut off, a controller refuses nothing for good and confirms nothing")
 def _():
     world = Desk()
     try:
@@ -159,7 +159,7 @@
         world.close()
 
 
-@test("two contents under one number: the one that holds is confirmed, the other refused at every bourse")
+@test("two contents under one number: the one that holds is confirmed, the other refused at every controller")
 def _():
     # A's change ended in doubt, B's won, A's operator sent again and was confirmed by B's.
     played("""
@@ -210,7 +210,7 @@
         world.close()
 
 
-@test("the same order eight at once at all bourses, answers lost: acknowledged or no clear answer, never 4xx")
+@test("one order eight at once at all controllers, answers lost: acknowledged or no clear answer, never 4xx")
 def _(order=each("send 7x", "order v2 14"), word=each("7x", "v2")):
     for seed in range(6):
         world = Desk(seed=seed)
@@ -233,14 +233,14 @@
             world.run(world.loop.time() + 1.0)
             assert set(statuses) <= {0, 200, 503} and world.answers["b", word][0] == 200, statuses
             if word == "v2":  # never twice in force: one start, and no stage since
-                assert world.nodes["a"].board.get("rollout/s")["n"] == 1
+                assert world.nodes["a"].store.get("rollout/s")["n"] == 1
         finally:
             world.close()
 
 
-@test("an order that lay unread while its bourse stood still begins nothing; the next one is taken")
+@test("an order that lay unread while its controller stood still begins nothing; the next one is taken")
 def _():
-    # Its operator had gone on: what a thawed bourse finds in its sockets may be twenty seconds old.
+    # Its operator had gone on: what a thawed controller finds in its sockets may be twenty seconds old.
     world = Desk()
     try:
         world.play("""
@@ -252,7 +252,7 @@
         world.say("a", "order v2 14")
         world.loop.now += 20.0  # all stand still, with the order in a's socket
         world.run(22.5)
-        assert world.answers["a", "v2"][0] == 503 and not world.nodes["b"].board.get("rollout/s")
+        assert world.answers["a", "v2"][0] == 503 and not world.nodes["b"].store.get("rollout/s")
         world.run(24.0)
         world.say("a", "order v2 14")
         world.run(25.0)
@@ -277,12 +277,12 @@
             world.run(5.0)
             world.delay = 0.001
             world.run(8.0)
-            assert not world.nodes["b"].board.get("rollout/s")
+            assert not world.nodes["b"].store.get("rollout/s")
         finally:
             world.close()
 
 
-@test("frozen for twenty seconds with calls in its sockets, a bourse begins nothing and tells nothing old")
+@test("frozen for 20 s with calls in its sockets, a controller begins nothing and tells nothing old")
 def _():
     played("""
       at   | a                          | b            | c
@@ -301,7 +301,7 @@
     """)
 
 
-@test("thirty times as slow, a bourse answers by what holds now, by 503, or not in time")
+@test("thirty times as slow, a controller answers by what holds now, by 503, or not in time")
 def _():
     world, told = Desk(), []
     try:
@@ -328,7 +328,7 @@
         world.close()
 
 
-@test("an answer that lay unread shows no contact: thawed, neither bourse nor front takes itself for joined")
+@test("an answer left unread shows no contact: thawed, neither controller nor front takes itself for joined")
 def _():
     # What was asked before a freeze of twenty seconds was answered then; read now, it made a lease of 1.6 s.
     world = Desk(fronts="f")
@@ -336,7 +336,7 @@
         for name in "abcf":
             world.start(name)
         world.run(2.0)
-        bourse, front = world.nodes["a"], world.nodes["f"]
+        controller, front = world.nodes["a"], world.nodes["f"]
         for task in front.loops:
             task.cancel()
 
@@ -344,9 +344,9 @@
             world.loop.now += 20.0  # all stand still while the answer lies there
             return Done({"joined": True})
 
-        bourse.ear.ask = front.sure.ask = old
-        world.loop.run_until_complete(bourse.listen("b"))
-        assert not bourse.joined
+        controller.subscriber.ask = front.sure.ask = old
+        world.loop.run_until_complete(controller.listen("b"))
+        assert not controller.joined
         now = world.loop.now
         world.loop.run_until_complete(front.make_sure())
         assert front.stage.heard_at == now
@@ -354,9 +354,9 @@
         world.close()
 
 
-@test("a front that starts beside a cut-off bourse serves its configuration, and is ready after contact_s")
+@test("a front started beside a cut-off controller serves its configuration and is ready after contact_s")
 def _():
-    # It took the old configuration of a bourse cut off from the others and called itself ready by it.
+    # It took the old configuration of a controller cut off from the others and called itself ready by it.
     world = Desk(fronts="fg", bounds={**BOUNDS, "contact_s": 3.0})
     try:
         for name in "abcf":
@@ -384,15 +384,15 @@
 
 
 async def by_board(self, step, key, peer):
-    """The mutation: reads from this bourse's own board."""
-    value = self.bourse.board.get(key)
+    """The mutation: reads from this controller's own store."""
+    value = self.controller.store.get(key)
     if key != "config" or value is None:
         return value
     mark = held.digest(unpack(value))
-    return {"ver": self.bourse.board.notes[key][0][0], "text": value, "digest": mark, "past": []}
+    return {"ver": self.controller.store.notes[key][0][0], "text": value, "digest": mark, "past": []}
 
 
-@test("without the read of a majority {call} is answered from what a cut-off bourse last heard")
+@test("without the read of a majority {call} is answered from what a cut-off controller last heard")
 def _(call=each("state", "read", "send 5x"), word=each("state", "read", "5x")):
     guarded, Orders._read = Orders._read, by_board
     try:
--- a/tests/system/test_register.py
+++ b/tests/gateway/test_register.py
@@ -33,7 +33,7 @@
     """)
 
 
-@test("one bourse alone acknowledges nothing, and takes part again when joined")
+@test("one controller alone acknowledges nothing, and takes part again when joined")
 def _():
     played("""
       at   | a      | b     | c
@@ -68,7 +68,7 @@
     )
 
 
-@test("a bourse whose own disk takes no writes still acknowledges what the others' disks hold")
+@test("a controller whose own disk takes no writes still acknowledges what the others' disks hold")
 def _():
     # Its own refusal ended the whole change by an exception, and the caller got 500.
     played("""
@@ -118,10 +118,11 @@
     return [(draw.random(), draw.choice(FAULTS), draw.choice("abc")) for _ in range(moments)], loss
 
 
-def history(schedule, loss, seed=0, delay=0.001, again=False, bourses="abc", first=None):
-    """Plays [(seconds waited, fault, bourse)], with what must hold looked at all the while: no reader goes
+def history(schedule, loss, seed=0, delay=0.001, again=False, controllers="abc", first=None):
+    """Plays [(seconds waited, fault, controller)], with what must hold looked at all the while: no reader
+    goes
     back, what was acknowledged is held in the end. A disk is lost only when the last one is sound again."""
-    world = World(bourses, seed=seed)
+    world = World(controllers, seed=seed)
     world.delay = delay
     seen, lost, version = {}, None, 0
 
@@ -132,7 +133,7 @@
             seen[name, life] = held
 
     try:
-        for name in first or bourses:
+        for name in first or controllers:
             world.start(name)
         world.run(1.0, look)
         world.fresh, world.loss = False, loss
@@ -144,7 +145,7 @@
             elif what == "start" and name not in world.nodes:
                 world.start(name)
             elif what == "cut":
-                world.cut(name, world.bourses.replace(name, ""))
+                world.cut(name, world.controllers.replace(name, ""))
             elif what == "join":
                 world.join()
             elif what == "kill":
@@ -156,14 +157,14 @@
                 lost = name
         world.join()
         world.loss = 0.0
-        for name in world.bourses if again else ():
+        for name in world.controllers if again else ():
             world.kill(name)  # what only news remembered is gone with it
-        for name in world.bourses:
+        for name in world.controllers:
             if name not in world.nodes:
                 world.start(name)
         world.run(world.loop.time() + 6.0, look)
         newest = max((int(v) for v in world.acked), default=0)
-        held = [world.version(name) or 0 for name in world.bourses]
+        held = [world.version(name) or 0 for name in world.controllers]
         assert min(held) >= newest and len(set(held)) == 1, f"acked {newest}, held {held}"
         return len(world.acked)
     finally:
@@ -188,7 +189,7 @@
 
 
 def raced(seed):
-    """A schedule of changes that meet: two bourses at once, over a slow net."""
+    """A schedule of changes that meet: two controllers at once, over a slow net."""
     draw = random.Random(seed)
     pairs = [(draw.random() * 0.3, draw.sample("abc", 2)) for _ in range(10)]
     return [(wait * first, "put", name) for wait, two in pairs for first, name in zip((1, 0), two)]
@@ -213,7 +214,7 @@
     history(raced(seed), 0.0, seed, delay=0.03, again=True)
 
 
-@test("changes that meet at two bourses lose nothing that was acknowledged")
+@test("changes that meet at two controllers lose nothing that was acknowledged")
 def _():
     assert broken(racing) == 0
 
@@ -259,13 +260,13 @@
 
 
 def founded_apart(seed=0):
-    """Seven bourses of which five are to count, cut into two from the start, with a majority of the seeds on
-    one side; joined later. The members by bourse."""
+    """Seven controllers of which five are to count, cut into two from the start, with a majority of the
+    seeds on one side; joined later. The members by controller."""
     world = World("abcdefg", bear=2, seed=seed)
     try:
         for one in "ade":
             world.cut(one, "bcfg")
-        for name in world.bourses:
+        for name in world.controllers:
             world.start(name)
         world.run(4.0)
         world.join()
@@ -275,10 +276,11 @@
         world.close()
 
 
-@test("bourses cut apart at their first start found one set of members")
+@test("controllers cut apart at their first start found one set of members")
 def _():
     # Each fixed the first five that it knew of: a, d and e fixed abcde, the others abcfg, for good.
-    # Then, right after the cut, a bourse that had heard some members and a spare replaced one not heard yet.
+    # Then, right after the cut, a controller that had heard some members and a spare replaced one not heard
+    # yet.
     for seed in range(4):
         found = founded_apart(seed)
         assert found == [{"epoch": 1, "members": list("abcfg"), "next": None}] * 7, seed
@@ -359,7 +361,7 @@
     # From the start of its process; `sync_s` is 4 s. By the next round of the keeping loop it took up to 1 s.
     world, found = World(), []
     try:
-        for name in world.bourses:
+        for name in world.controllers:
             world.start(name)
         world.run(1.0)
         world.fresh = False
@@ -408,14 +410,15 @@
 
 
 def removed(seed):
-    """Kills, wipes and cuts of four bourses, of which the fourth is there when the third has gone."""
+    """Kills, wipes and cuts of four controllers, of which the fourth is there when the third has gone."""
     schedule, loss = drawn(seed, 30)
     moments = [
         (wait, what, "abd"[at % 3] if what == "start" else name)
         for at, (wait, what, name) in enumerate(schedule)
     ]
     gone = [(0.5, "kill", "c"), (0.1, "start", "d"), (4.0, "put", "a")]
-    history([*moments[:10], *gone, *moments[10:], (4.0, "put", "b")], loss, seed, bourses="abcd", first="abc")
+    moments = [*moments[:10], *gone, *moments[10:], (4.0, "put", "b")]
+    history(moments, loss, seed, controllers="abcd", first="abc")
 
 
 @test("twenty histories with a member that goes for good and one that comes lose nothing")
--- a/tests/system/test_parts.py
+++ b/tests/gateway/test_register_parts.py
@@ -10,7 +10,7 @@
 from honeywood.gateway.configuration.outcome import Done
 from honeywood.gateway.register import paging as whole
 from honeywood.gateway.register import parts
-from honeywood.gateway.register.parts import KEPT, OPEN, PART, Hearer, Teller
+from honeywood.gateway.register.parts import KEPT, OPEN, PART, PartReceiver, PartSender
 from honeywood.lab.emulator.boot import BOUNDS
 
 LONG = {"rows": {f"k{n}": [[n, "a"], [n, "a"], "x" * 1000] for n in range(300)}}
@@ -29,8 +29,8 @@
 
 @test("a long answer comes in parts and is whole; a short one comes at once")
 def _():
-    assert gone_on(Teller(), Hearer()) == LONG
-    assert Teller().begin(0.0, "q", {"a": 1}) == {"a": 1} == Hearer().take("q", {"a": 1})
+    assert gone_on(PartSender(), PartReceiver()) == LONG
+    assert PartSender().begin(0.0, "q", {"a": 1}) == {"a": 1} == PartReceiver().take("q", {"a": 1})
 
 
 def spoiler(draw):
@@ -55,23 +55,23 @@
 @test("parts that are lost, damaged, cut, told twice or of another answer change nothing")
 def _():
     for seed in range(50):
-        assert gone_on(Teller(), Hearer(), spoil=spoiler(random.Random(seed)), most=400) == LONG
+        assert gone_on(PartSender(), PartReceiver(), spoil=spoiler(random.Random(seed)), most=400) == LONG
 
 
 @test("an answer that changed, or is kept no more, begins anew; no more than so many are kept")
 def _():
-    teller, hearer = Teller(), Hearer()
+    teller, hearer = PartSender(), PartReceiver()
     hearer.take("q", teller.begin(0.0, "q", LONG))
     assert teller.go_on(KEPT + 1.0, "q", hearer.have("q")) is None
     teller.begin(0.0, "q", {**LONG, "more": 1})
-    assert teller.go_on(0.0, "q", hearer.have("q")) is None and gone_on(Teller(), hearer) == LONG
+    assert teller.go_on(0.0, "q", hearer.have("q")) is None and gone_on(PartSender(), hearer) == LONG
     for n in range(3 * OPEN):
         hearer.take(n, teller.begin(0.0, n, LONG))
     assert len(teller.open) == OPEN == len(hearer.open)
 
 
 class Slow(World):
-    """Links that carry `rate` bytes a second each way between two nodes."""
+    """ConnectionPool that carry `rate` bytes a second each way between two nodes."""
 
     rate = 3e5
 
@@ -91,7 +91,7 @@
 
 
 def caught_up(how, changes, rate=3e5):
-    """Seconds that a bourse which was killed or wiped takes to be sound and hold the newest version."""
+    """Seconds that a controller which was killed or wiped takes to be sound and hold the newest version."""
     world = Slow()
     world.rate = 1e9
     try:
@@ -118,7 +118,7 @@
         world.close()
 
 
-@test("after {how} a bourse catches up inside sync_s on 1,400 routes, at {rate} bytes a second")
+@test("after {how} a controller catches up inside sync_s on 1,400 routes, at {rate} bytes a second")
 def _(how=each("kill", "kill", "wipe", "wipe"), rate=each(300_000, 100_000, 300_000, 100_000)):
     took = caught_up(how, 40, rate)
     assert took is not None and took < BOUNDS["sync_s"], took
@@ -150,7 +150,7 @@
         async def serve(ask, peer):
             return {"rows": value[0]}
 
-        telling, caller = whole.Telling(serve, lambda: 0.0), whole.Whole(Peer())
+        telling, caller = whole.PagedResponder(serve, lambda: 0.0), whole.PagedCaller(Peer())
         fails[0] = True
         assert not (await caller.call("b", 1, "/register", {"op": "survey", "known": {}}, 1.0)).ok
         fails[0], value[0] = False, "y" * (3 * PART)
--- a/tests/system/test_review.py
+++ b/tests/gateway/test_review.py
@@ -6,7 +6,7 @@
 from ward import test
 
 from honeywood.gateway.register import acceptor
-from honeywood.gateway.register.proposer import Round, agreed
+from honeywood.gateway.register.proposer import Proposal, agreed
 
 
 @test("a rebuilt disk's copy is no vote: what a read tells is never lost to a ballot promised before")
@@ -19,7 +19,7 @@
         rows[disk], reply = work(rows.get(disk), *given)
         return {**reply, "lives": {}}
 
-    first, second = Round([1, "p"], 2, lambda held: "5x"), Round([2, "q"], 2, lambda held: "5y")
+    first, second = Proposal([1, "p"], 2, lambda held: "5x"), Proposal([2, "q"], 2, lambda held: "5y")
     assert [first.promised(disk, step(acceptor.prepare, disk, [1, "p"])) for disk in "ab"] == [False, True]
     step(acceptor.accept, "a", [1, "p"], "5x")
     assert [second.promised(disk, step(acceptor.prepare, disk, [2, "q"])) for disk in "bc"] == [False, True]
@@ -29,9 +29,9 @@
     assert agreed([acceptor.shown(rows["b"]), acceptor.shown(rows["c"])], 2) == (True, "5y")
 
 
-@test("of two sides of a cut one at most is joined, however many bourses there are besides the members")
+@test("of two sides of a cut one at most is joined, however many controllers there are besides the members")
 def _():
-    # Any one other bourse was enough: each side took the machines that beat at the other one for lost.
+    # Any one other controller was enough: each side took the machines that beat at the other one for lost.
     world = World("abcd", fronts="f")
 
     async def beats():
