--- a/tests/system/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -16,7 +16,7 @@
     """Fronts that share a service's requests, with the real rules; news take `lag` seconds."""
 
     def __init__(self, bad, seed, fronts=12, per_s=400.0, classes=1, lag=0.4, paces=(1.0,)):
-        from honeywood.gateway.routing.endpoints import Roster
+        from honeywood.gateway.routing.endpoints import Endpoints
 
         self.paces = paces  # times of machines beside each other, in turn
         self.draw, self.bad, self.rate, self.lag = random.Random(seed), bad, per_s, lag
@@ -25,10 +25,10 @@
         ]
         self.fronts = []
         for _ in range(fronts):
-            roster = Roster()
+            endpoints = Endpoints()
             for id, ver in (("m", "v1"), *((f"n{n}", "v2") for n in range(8))):
-                roster.hear(-5.0, id, machine(id, ver, slots=6))
-            self.fronts.append((roster, Stage(roster, 0.1, lambda: fronts)))
+                endpoints.hear(-5.0, id, machine(id, ver, slots=6))
+            self.fronts.append((endpoints, Stage(endpoints, 0.1, lambda: fronts)))
         self.record = record.start(None, "s", "v2", 14.0, 0.0)
         for _, stage in self.fronts:
             stage.hear(self.record)
@@ -38,14 +38,14 @@
 
     def one(self, now):
         """One request at one front."""
-        roster, stage = self.draw.choice(self.fronts)
+        endpoints, stage = self.draw.choice(self.fronts)
         route = self.draw.choice(self.routes)
         ask = Ask(route, "s", b"i", now, now + 0.6)
         stage.taking(ask)
         self.total += 1
         machine = next(
             m
-            for group in stage.groups(now, ask, roster.services["s"])
+            for group in stage.groups(now, ask, endpoints.services["s"])
             for m in group
             if stage.allows(now, ask, m)
         )
@@ -176,11 +176,11 @@
     # half took eight times as long was done with 52 bad answers.
     def bins(stage_now):
         fleet = Fleet(good, 0)
-        roster, stage = fleet.fronts[0]
+        endpoints, stage = fleet.fronts[0]
         stage.hear({**fleet.record, "stage": stage_now, "n": 2})
         ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
         for id in ("m", "n0"):
-            stage.ended(0.0, ask, roster.machines[id], "good", 0.3)
+            stage.ended(0.0, ask, endpoints.machines[id], "good", 0.3)
         return [list(count.bins) for count in stage.counts.values()]
 
     on_trial, full = bins(record.TRIAL), bins(record.FULL)
@@ -209,8 +209,8 @@
     times=each((10.0, 30.0), (10.0, 30.0), (10.0, 30.0), (10.0, 10.3, 10.6)),
     wanted=each(None, None, None, {"state": record.DONE}),
 ):
-    # Found by review: a bourse frozen for 20 s took its look before and its look after for one long look, and
-    # told a version done, or sent one back, on counts as old as its standstill.
+    # Found by review: a controller frozen for 20 s took its look before and its look after for one long
+    # look, and told a version done, or sent one back, on counts as old as its standstill.
     held = {**record.start(None, "s", "v2", 14.0), "stage": record.FULL if not failed else record.TRIAL}
     rows = [["s", "r", "v2", failed, 60, [60.0, *[0.0] * 8]], ["s", "r", "v1", 0, 4000, [4000.0, *[0.0] * 8]]]
     verdict, voter = Verdict(1), Voter(1, 0.0, 1)
@@ -237,38 +237,38 @@
         stage.hear(full)
     for n in range(60):
         ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
-        machine = stage.roster.machines["m" if n < 30 else "n1"]
+        machine = stage.endpoints.machines["m" if n < 30 else "n1"]
         stage.ended(1.0, ask, machine, "good" if n < 30 else "failed", 0.05)
     told = stage.told(2.0)
     assert told["left"]["s"] == [2, 1] and told["votes"]["s"] == [2, None]
     assert stage.standing("s", "v1") == "established" and stage.standing("s", "v2") == "trial"
 
 
-@test("a front that hears no bourse tries nothing: a stage is a lease")
+@test("a front that hears no controller tries nothing: a stage is a lease")
 def _():
     fleet = Fleet(good, 0)
-    roster, stage = fleet.fronts[0]
+    endpoints, stage = fleet.fronts[0]
     stage.hear(fleet.record)
     stage.heard_at = 0.0
     ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
     for _ in range(20):
         stage.taking(ask)
     assert stage.allows(
-        0.1, ask, next(m for m in stage.few("s", [m for m in roster.machines.values() if m.ver == "v2"]))
+        0.1, ask, next(m for m in stage.few("s", [m for m in endpoints.machines.values() if m.ver == "v2"]))
     ) and not stage.allows(
-        9.0, ask, next(m for m in stage.few("s", [m for m in roster.machines.values() if m.ver == "v2"]))
+        9.0, ask, next(m for m in stage.few("s", [m for m in endpoints.machines.values() if m.ver == "v2"]))
     )
-    assert stage.allows(9.0, ask, roster.machines["m"])
+    assert stage.allows(9.0, ask, endpoints.machines["m"])
 
 
 @test("a machine on trial that is young gets nothing: what isn't counted would only spend the cap")
 def _():
     fleet = Fleet(good, 0)
-    roster, stage = fleet.fronts[0]
+    endpoints, stage = fleet.fronts[0]
     stage.hear(fleet.record)
     ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
     for now, versions in ((-3.0, {"v1"}), (-1.0, {"v1", "v2"})):
-        groups = stage.groups(now, ask, roster.services["s"])
+        groups = stage.groups(now, ask, endpoints.services["s"])
         assert {m.ver for group in groups for m in group} == versions
 
 
@@ -278,12 +278,12 @@
     # once, which grew slow by it, and a good version was sent back.
     fleet = Fleet(good, 0)
     for _ in range(2000):
-        roster, stage = fleet.draw.choice(fleet.fronts)
+        endpoints, stage = fleet.draw.choice(fleet.fronts)
         stage.taking(Ask(fleet.routes[0], "s", b"i", 0.0, 9.0))
     for _ in range(24):
-        for roster, stage in fleet.fronts:
+        for endpoints, stage in fleet.fronts:
             ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
-            machine = stage.groups(0.0, ask, roster.services["s"])[0][0]
+            machine = stage.groups(0.0, ask, endpoints.services["s"])[0][0]
             fleet.trial += machine.ver == "v2"
             stage.sent(0.0, ask, machine)
     assert 0 < fleet.trial <= 12
@@ -319,12 +319,12 @@
         world.skew["f"] = -3600.0
         world.start("f")
         world.run(9.0)
-        assert world.nodes["a"].board.get("rollout/s")["state"] == record.DONE
+        assert world.nodes["a"].store.get("rollout/s")["state"] == record.DONE
     finally:
         world.close()
 
 
-@test("two bourses that decide differently tell one outcome, whichever is killed")
+@test("two controllers that decide differently tell one outcome, whichever is killed")
 def _():
     for seed in range(12):
         world = World(seed=seed)
@@ -334,7 +334,7 @@
             world.run(1.0)
             world.say("a", "order v2 14")
             world.run(2.0)
-            held = world.nodes["a"].board.get("rollout/s")
+            held = world.nodes["a"].store.get("rollout/s")
             for name, state in (("a", record.DONE), ("b", record.REVERTED)):
                 world.loop.create_task(
                     world.nodes[name].register.change(
@@ -345,7 +345,7 @@
             world.run(2.0 + seed / 500)
             world.say("ab"[seed % 2], "kill")
             world.run(6.0)
-            told = {world.nodes[name].board.get("rollout/s")["state"] for name in world.nodes}
+            told = {world.nodes[name].store.get("rollout/s")["state"] for name in world.nodes}
             assert len(told) == 1, f"seed {seed}: {told}"
         finally:
             world.close()
@@ -409,7 +409,7 @@
             assert record.start(held, "s", f"v{n - 1}", 14.0, 0.1) is held
 
 
-@test("the time of day of all bourses steps by {skew} s after an order: its trial lasts as ever")
+@test("the time of day of all controllers steps by {skew} s after an order: its trial lasts as ever")
 def _(skew=each(3600.0, -3600.0)):
     # Time was told by `wall() - began`: an hour ahead, a trial was over at once; an hour behind, never.
     world = World(fronts="fg")
@@ -426,15 +426,15 @@
         for name in "abc":
             world.skew[name] = skew
         world.run(6.0)
-        held = world.nodes["a"].board.get("rollout/s")
+        held = world.nodes["a"].store.get("rollout/s")
         assert (held["state"], held["stage"]) == (record.ACTIVE, record.TRIAL), held
         world.run(10.0)
-        assert world.nodes["a"].board.get("rollout/s")["state"] == record.DONE
+        assert world.nodes["a"].store.get("rollout/s")["state"] == record.DONE
     finally:
         world.close()
 
 
-@test("all bourses begin anew during a trial: fronts' steady clocks tell for how long it has lasted")
+@test("all controllers begin anew during a trial: fronts' steady clocks tell for how long it has lasted")
 def _():
     world = World(fronts="fg")
     try:
@@ -454,7 +454,7 @@
         for name in "abc":
             world.start(name)
         world.run(13.6)
-        assert world.nodes["a"].board.get("rollout/s")["state"] == record.DONE
+        assert world.nodes["a"].store.get("rollout/s")["state"] == record.DONE
     finally:
         world.close()
 
@@ -466,7 +466,7 @@
     _, stage = fleet.fronts[0]
     for n in range(60):
         ask, id = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0), "m" if n < 30 else "n1"
-        stage.ended(1.0, ask, stage.roster.machines[id], "good" if n < 30 else "failed", 0.05)
+        stage.ended(1.0, ask, stage.endpoints.machines[id], "good" if n < 30 else "failed", 0.05)
     assert stage.told(2.0)["rows"]
     sent_back = record.advance(fleet.record, "v2", 1, 3.0, state=record.REVERTED)
     again = record.start(sent_back, "s", "v2", 14.0, 20.0)
@@ -475,20 +475,20 @@
     assert told["rows"] == [] and told["votes"]["s"] == [3, None] and told["known"]["s"][0] == 3
 
 
-@test("a bourse counts no rows that a front told before it had heard of the order")
+@test("a controller counts no rows that a front told before it had heard of the order")
 def _():
     # A front that died, or has not heard yet, told counts of the trial before.
     world = World()
     try:
         world.start("a")
         world.run(0.5)
-        bourse = world.nodes["a"]
+        controller = world.nodes["a"]
         held = record.start(played((0, V2), (3, "reverted")), "s", "v2", 14.0, 20.0)
         row = ["s", "r", "v2", 9, 9, []]
         for front, n in (("before", 1), ("after", 3)):
             told = {"rows": [[*row, front]], "votes": {}, "left": {}, "known": {"s": [n, 1.0]}}
-            bourse.board.put(f"count/{front}/1", [1], told)
-        assert bourse.counted(held)[0] == [[*row, "after"]]
+            controller.store.put(f"count/{front}/1", [1], told)
+        assert controller.counted(held)[0] == [[*row, "after"]]
     finally:
         world.close()
 
@@ -498,11 +498,11 @@
     # On `reverted` they are drained some seconds afterwards: v3, ordered meanwhile, made v2 an earlier
     # version again, and all its failures were served.
     fleet = Fleet(good, 0)
-    roster, stage = fleet.fronts[0]
+    endpoints, stage = fleet.fronts[0]
     stage.hear(played((0, V2), (3, "reverted"), (1, V3)))
-    roster.hear(0.0, "o", machine("o", "v3"))
+    endpoints.hear(0.0, "o", machine("o", "v3"))
     assert [stage.standing("s", ver) for ver in ("v1", "v2", "v3")] == ["established", "closed", "trial"]
-    roster.hear(0.0, "m", {**machine("m", "v1"), "state": "gone"})
+    endpoints.hear(0.0, "m", {**machine("m", "v1"), "state": "gone"})
     assert stage.standing("s", "v2") == "established"
     stage.hear(played((0, V2), (3, "reverted"), (1, V3), (9, "done"), (1, V2)))
     assert stage.standing("s", "v2") == "trial"
--- a/tests/system/test_sockets.py
+++ b/tests/gateway/test_sockets.py
@@ -1,4 +1,4 @@
-"""What only sockets show: a real stall on loopback between a raw client and a scripted machine."""
+"""What only sockets show: a real proxy on loopback between a raw client and a scripted machine."""
 
 import asyncio
 import json
@@ -8,8 +8,8 @@
 from ward import each, test
 
 from honeywood.gateway.configuration.settings import read
-from honeywood.gateway.proxy.program import Stall
-from honeywood.gateway.rpc.server import Doors
+from honeywood.gateway.proxy.program import Proxy
+from honeywood.gateway.rpc.server import HttpServer
 from honeywood.lab.emulator.boot import boot
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Try-Id: %s\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\n"
@@ -128,26 +128,26 @@
 
 
 class Scene:
-    """A stall with a configuration of one `kind`, and machines that know their scripts."""
+    """A proxy with a configuration of one `kind`, and machines that know their scripts."""
 
     def __init__(self, *scripts, kind="safe", timeout=0.6):
         self.scripts, self.kind, self.timeout = scripts, kind, timeout
 
     async def __aenter__(self):
         text = boot("127.0.0.1", bear=0, ports=(free(), free(), free(), 7000, 7010))
-        quiet = type("Quiet", (Stall,), {"say": lambda *said, **more: None})
-        self.stall = quiet(read(text))
+        quiet = type("Quiet", (Proxy,), {"say": lambda *said, **more: None})
+        self.proxy = quiet(read(text))
         sent = config(5, kind=self.kind)
         sent["res"][0]["spec"]["timeout_s"] = self.timeout
-        self.stall.hear("config", json.dumps(sent))
+        self.proxy.hear("config", json.dumps(sent))
         self.machines = []
         for n, script in enumerate(self.scripts):
             machine = await Machine(*script).open()
             self.machines.append(machine)
             self.note(n, "ready")
-        self.port = self.stall.settings.listen["http"][1]
-        self.doors = self.stall.doors = Doors(self.stall.app)
-        await self.doors.open([("127.0.0.1", self.port)])
+        self.port = self.proxy.settings.listen["http"][1]
+        self.server = self.proxy.server = HttpServer(self.proxy.app)
+        await self.server.open([("127.0.0.1", self.port)])
         return self
 
     def note(self, n, state):
@@ -159,10 +159,10 @@
             "ver": "v1",
             "slots": 4,
         }
-        self.stall.hear(f"machine/i-{n}", {**value, "state": state, "cold": 0})
+        self.proxy.hear(f"machine/i-{n}", {**value, "state": state, "cold": 0})
 
     async def __aexit__(self, *wrong):
-        await self.doors.close(0.1)
+        await self.server.close(0.1)
         for machine in self.machines:
             machine.server.close()
 
@@ -283,7 +283,7 @@
     async def work():
         async with Scene([ok], kind="unsafe") as scene:
             assert status(await scene.post(b"a")) == 200
-            link = scene.stall.roster.machines["i-0"].links[0]
+            link = scene.proxy.endpoints.machines["i-0"].links[0]
             scene.machines[0].script = [close]
             link.stream.eof_received()  # its end has come
             scene.machines[0].script = [ok]
@@ -296,14 +296,14 @@
 def _():
     async def work():
         async with Scene([ok]) as scene:
-            dial = scene.stall.links.dial
+            dial = scene.proxy.links.dial
 
             async def late(machine, until):
                 link = await dial(machine, until)
                 scene.note(0, "draining")
                 return link
 
-            scene.stall.links.dial = late
+            scene.proxy.links.dial = late
             found = await scene.get()
             assert status(found) == 503 and b"retry-after" in found and scene.machines[0].seen == []
 
@@ -381,7 +381,7 @@
     play(work)
 
 
-@test("a refusal says why no machine was free, and when to come back; the stall counts what it did")
+@test("a refusal says why no machine was free, and when to come back; the proxy counts what it did")
 def _():
     async def work():
         async with Scene([ok]) as scene:
@@ -391,9 +391,9 @@
             assert status(found.upper()) == 503 and b"no machine free: state" in found
             assert b"retry-after: 0.1" in found
             told = []
-            scene.stall.say = lambda event, *given, **more: told.append((event, more))
-            await scene.stall.count()
-            (event, more), counts = told[0], scene.stall.carrier.counts
+            scene.proxy.say = lambda event, *given, **more: told.append((event, more))
+            await scene.proxy.count()
+            (event, more), counts = told[0], scene.proxy.forwarder.counts
             assert event == "counts" and more["answered 200"] == more["answered 503"] == 1
             assert counts["requests"] == 2 and counts["no machine: state"] == 1 and more["machines"] == 1
 
--- a/tests/system/test_lean.py
+++ b/tests/gateway/test_startup.py
@@ -16,7 +16,7 @@
 
 
 @test("a {role} starts without OpenSSL, click and multiprocessing, and listens")
-def _(role=each("stall", "bourse"), listener=each("ready", "ctl"), told=each(b"503", b"404")):
+def _(role=each("proxy", "controller"), listener=each("ready", "ctl"), told=each(b"503", b"404")):
     with tempfile.TemporaryDirectory() as folder:
         ports = [free() for _ in range(4)]
         text = boot("127.0.0.1", bear=0, data=f"{folder}/data", ports=(*ports, 65535))
@@ -25,7 +25,8 @@
             file.write(text)
         code = (
             "import atexit, sys; atexit.register(lambda: print(sorted(sys.modules)))\n"
-            f"from honeywood.gateway.startup import run\nrun('honeywood.system.{role}.program', '{role.title()}')"
+            "from honeywood.gateway.startup import run\n"
+            f"run('honeywood.gateway.{role}.program', '{role.title()}')"
         )
         process = subprocess.Popen(
             [sys.executable, "-c", code],
--- a/tests/system/timeline.py
+++ b/tests/gateway/timeline.py
@@ -1,4 +1,4 @@
-"""Timelines drawn as text: a column a front (or bourse, machine, operator), a row a moment.
+"""Timelines drawn as text: a column a front (or controller, machine, operator), a row a moment.
 
 The world is the emulator's (honeywood/lab/emulator/world.py): real programs, one clock that jumps. Cells are
 words of World.say.
