A rollout is begun for no caller who has left; a version alone in service is done at once

Cause: an order's copy held up in a cut for longer than ack_s + 1 s began a version anew that had been sent back, though the server knew that its caller had gone; and an order for the only version of a service put that on trial, where its machines got a tenth of the requests and the rest had nowhere to go. Change: orders ask the server's word on the caller before and in the round, and for a version that was sent back 0.25 s after the order came. Whether a version is alone is asked of enough controllers since the order came.

--- a/honeywood/gateway/controller/app.py
+++ b/honeywood/gateway/controller/app.py
@@ -43,7 +43,8 @@
             body = await body_of(receive, MOST)
             if body is None:
                 raise Wrong(named, "the body is too long or broken off", peer, 413)
-            found = await call(of, body, peer)
+            more = {"left": scope["left"]} if call == self.start else {}  # begins nothing for who has gone
+            found = await call(of, body, peer, **more)
         except Wrong as wrong:
             failed, self.refused = wrong.failed, self.refused + 1
             self.controller.say(
@@ -73,11 +74,11 @@
     async def read(self, of, body, peer):
         return config.unpack(await self.controller.orders.configuration(peer), peer)
 
-    async def start(self, of, body, peer):
+    async def start(self, of, body, peer, left=lambda: False):
         order = read_json(body, "rollouts.start", peer)
         svc, to_ver = (need(order, key, str, "rollouts.start") for key in ("svc", "to_ver"))
         over_s = need(order, "over_s", float, "rollouts.start", least=0.001)
-        return self.told(await self.controller.orders.order(svc, to_ver, over_s, peer))
+        return self.told(await self.controller.orders.order(svc, to_ver, over_s, peer, left))
 
     async def rollout(self, of, body, peer):
         return self.told(await self.controller.orders.rollout(of, peer))
--- a/honeywood/gateway/controller/orders.py
+++ b/honeywood/gateway/controller/orders.py
@@ -2,15 +2,21 @@
 call came, so on a majority just then; without one it is a 503, which sends the caller on to another
 controller. Only what can't be read is refused without asking."""
 
+import asyncio
+
 from honeywood.gateway.configuration import config
 from honeywood.gateway.configuration import versions as held
 from honeywood.gateway.configuration.outcome import Wrong
 from honeywood.gateway.rollout import record as rollouts
+from honeywood.gateway.routing.endpoints import DRAINING, READY
 
 CONFIG, ROLLOUT = "config", "rollout/"  # keys of the register
 FRESH = 1.0  # seconds after which whoever sent an order has gone on; what is older begins nothing
 TICK, FROZEN = 0.1, 0.5  # seconds between looks at the clock; a gap that is taken for a freeze
 AGAIN = 1.0  # seconds besides `ack_s` in which an order may arrive once more: its last try may take so long
+# seconds that an order for a version that was sent back waits for its caller's end: of bytes held up in a cut
+# the end of a caller who gave up comes right behind
+LINGER = 0.25
 READ, ROLLOUT_READ, REPLACE, START = "config.read", "rollouts.read", "config.replace", "rollouts.start"
 
 
@@ -75,25 +81,49 @@
             raise Wrong(REPLACE, f"{version:08x} stands for another content; take a higher one", peer, 412)
         return found, value["ver"]
 
-    async def order(self, svc, to_ver, over_s, peer):
-        """The record once a rollout has begun, or that in which this order was taken before."""
+    async def order(self, svc, to_ver, over_s, peer, left=lambda: False):
+        """The record once a rollout has begun, or that in which this order was taken before. `left` tells
+        whether the caller has gone: nothing is begun for one who has."""
         came, again_s = self.clock(), self.controller.settings.bounds["ack_s"] + AGAIN
         if self.late:
             raise Wrong(START, "this controller stood still; the order may be an old one", peer, 503)
-        value = await self._read(START, CONFIG, peer)
+        value, held = await asyncio.gather(
+            self._read(START, CONFIG, peer), self._read(START, ROLLOUT + svc, peer)
+        )
         if value is not None and svc not in config.read(config.unpack(value["text"])).services:
             raise Wrong(START, f"svc {svc!r} is not known", peer)
+        alone = await self._agreed_alone(svc, to_ver, peer)
+        if rollouts.sent_back(held, to_ver):
+            await asyncio.sleep(LINGER)
 
         def begun(value):
+            if left():
+                raise Wrong(START, "its caller has left", peer, 503)
             if self.clock() - came > FRESH:
                 raise Wrong(START, "too late; it is no longer waited for", peer, 503)
             since = 0.0 if value is None else self.controller.since(value)
-            return rollouts.start(value, svc, to_ver, over_s, since, again_s)
+            still = alone and self._alone(svc, to_ver)
+            return rollouts.start(value, svc, to_ver, over_s, since, again_s, still)
 
         value = await self._change(START, ROLLOUT + svc, begun, peer)
         self.say("rollout ordered", svc=svc, to_ver=to_ver, over_s=over_s, n=value["n"], state=value["state"])
         return value
 
+    def _alone(self, svc, ver):
+        """Whether all machines of the service that are known here to be in service are of that version."""
+        machines = (value for _, value in self.controller.store.under("machine/"))
+        vers = {m["ver"] for m in machines if m["state"] in (READY, DRAINING) and m["svc"] == svc}
+        return vers == {ver}
+
+    async def _agreed_alone(self, svc, ver, peer):
+        """The same by all that enough controllers know, asked since the order came: of such an order the
+        operator is told that it is done, and stops what is of another version."""
+        if not self._alone(svc, ver):
+            return False
+        if not await self.controller.hear_others():
+            raise Wrong(START, "too few other controllers told which machines they know", peer, 503)
+        return self._alone(svc, ver)
+
     async def rollout(self, svc, peer):
         """The record of the service's rollout; 404 where a majority holds none."""
         value = await self._read(ROLLOUT_READ, ROLLOUT + svc, peer)
--- a/honeywood/gateway/controller/program.py
+++ b/honeywood/gateway/controller/program.py
@@ -170,6 +170,17 @@
                 self.heard_all[ip] = asked
         await asyncio.sleep(min(REST, self.subscriber.backoff.rest(ip, self.clock())))
 
+    async def hear_others(self):
+        """Asks all other controllers for what they know now; whether enough told all of it."""
+
+        async def told(ip):
+            reply = await self.subscriber.ask(ip, self.settings.controller_port, 0.0)
+            return reply.ok and whole(reply.value)
+
+        others = [ip for ip in self.controllers if ip != self.settings.ip]
+        answers = await asyncio.gather(*[told(ip) for ip in others])
+        return self._enough(ip for ip, answered in zip(others, answers) if answered)
+
     def meet(self):
         """A loop for each other controller that is known."""
         for ip in self.controllers:
--- a/honeywood/gateway/rollout/record.py
+++ b/honeywood/gateway/rollout/record.py
@@ -9,15 +9,24 @@
 """
 
 ACTIVE, DONE, REVERTED = "active", "done", "reverted"
-TRIAL, FULL = "trial", "full"
+TRIAL, WIDE, FULL = "trial", "wide", "full"
 MOST = 16  # orders remembered
 
 
-def start(held, svc, to_ver, over_s, since=0.0, again_s=6.0):
+def sent_back(held, ver):
+    """Whether `ver` was sent back, and not ordered since, by the record held or None."""
+    if held is None:
+        return False
+    return ver in held["back"] or ver == held["to_ver"] and held["state"] == REVERTED
+
+
+def start(held, svc, to_ver, over_s, since=0.0, again_s=6.0, alone=False):
     """The record after an order, given the one held or None. `again_s` is for how long (seconds) the same
     order may arrive once more. Nothing changes by one for the version that is held, unless it was reverted
-    and the order is a new one, nor by the copy of one that another has followed."""
-    first = {"svc": svc, "to_ver": to_ver, "over_s": over_s, "state": ACTIVE, "stage": TRIAL, "lasted": 0.0}
+    and the order is a new one, nor by the copy of one that another has followed. A version that is `alone`
+    in service has nothing to be compared with or to be taken back to: its order is done at once."""
+    state, stage = (DONE, FULL) if alone else (ACTIVE, TRIAL)
+    first = {"svc": svc, "to_ver": to_ver, "over_s": over_s, "state": state, "stage": stage, "lasted": 0.0}
     if held is None:
         return {**first, "n": 1, "order": 1, "past": (), "back": ()}
     past = tuple(order for order in _aged(held["past"], since) if order[2] <= again_s)
--- a/tests/gateway/test_orders.py
+++ b/tests/gateway/test_orders.py
@@ -9,6 +9,7 @@
 from honeywood.gateway.configuration.config import unpack
 from honeywood.gateway.configuration.outcome import Done
 from honeywood.gateway.controller.orders import Orders
+from honeywood.gateway.rollout import record as rollouts
 from honeywood.lab.emulator.boot import BOUNDS
 
 CONTENTS = {"x": 1, "y": 2, "z": 3}  # contents under one number, by their routes
@@ -261,6 +262,129 @@
         world.close()
 
 
+class OperatorCall:
+    """A call of an operator at a controller's door; its caller leaves after `stays_s` seconds."""
+
+    def __init__(self, world, name, to_ver, over_s, stays_s):
+        self.body = json.dumps({"svc": "s", "to_ver": to_ver, "over_s": over_s}).encode()
+        self.world, self.leaves_at, self.status = world, world.loop.time() + stays_s, None
+        scope = {"client": ("op", 1), "server": ("a", 82), "method": "POST", "path": "/v1/rpc"}
+        scope |= {"query_string": b"call=rollouts.start", "left": self.left}
+        world.loop.create_task(world.nodes[name].app(scope, self.receive, self.send))
+
+    def left(self):
+        return self.world.loop.time() >= self.leaves_at
+
+    async def receive(self):
+        return {"type": "http.request", "body": self.body, "more_body": False}
+
+    async def send(self, message):
+        self.status = message.get("status", self.status)
+
+
+def sent_back(world, name, to_ver):
+    """Sends the rollout that is under way back."""
+    key, held = "rollout/s", world.nodes[name].store.get("rollout/s")
+    step = lambda now: rollouts.advance(now, to_ver, held["n"], state=rollouts.REVERTED)  # noqa: E731
+    world.loop.create_task(world.nodes[name].register.change(key, step))
+
+
+@test("a copy of an order that comes {late_s} s late, its caller gone {when}, begins nothing")
+def _(
+    late_s=each(1.0, 9.0, 9.0, 30.0),
+    stays_s=each(0.0, 0.0, 0.1, 0.0),
+    when=each("before", "before", "right after it", "before"),
+):
+    # Held up in a cut for longer than `ack_s` + 1 s, a copy began a version anew that had been sent back.
+    world = Desk()
+    try:
+        world.play("""
+          at   | a           | b     | c
+          0    | start       | start | start
+          1    | send 5x     |       |
+          2    | order v2 14 |       |
+          3    | says v2 200 active v2 |  |
+        """)
+        sent_back(world, "a", "v2")
+        world.run(3.0 + late_s)
+        copies = [OperatorCall(world, name, "v2", 14.0, stays_s) for name in "ab"]
+        world.run(world.loop.time() + 2.0)
+        held = world.nodes["c"].store.get("rollout/s")
+        assert [copy.status for copy in copies] == [503, 503] and held["n"] == 2, held
+        again = OperatorCall(world, "b", "v2", 14.0, 1.0)
+        world.run(world.loop.time() + 2.0)
+        begun = late_s > world.bounds["ack_s"] + 1.0
+        held = world.nodes["c"].store.get("rollout/s")
+        assert again.status == 200 and (held["n"], held["state"] == rollouts.ACTIVE) == (2 + begun, begun)
+    finally:
+        world.close()
+
+
+def heard_of(world, name, id, ver):
+    """A machine of a version beats at one controller."""
+    body = {"svc": "s", "addr": f"{id}:1", "zone": "z", "ver": ver, "slots": 4}
+    world.call(name, id, "instances.heartbeat", id, {**body, "state": "ready", "cold_left_s": 0, "seq": 1})
+
+
+@test("an order for the version that alone is in service is done at once; another version's is a trial")
+def _():
+    # It went on trial: the service's only machines were then given a tenth of its requests, the rest had
+    # nowhere to go.
+    world = Desk(fronts="f")
+    try:
+        world.play("""
+          at   | a           | b     | c     | f
+          0    | start       | start | start | start
+          1    | send 5x     |       |       |
+        """)
+        heard_of(world, "a", "m", "v1")
+        world.run(2.0)
+        world.play("""
+          at   | a           | b
+          2    | order v1 14 |
+          2.8  | says v1 200 done v1 | order v1 14
+          3.5  |             | says v1 200 done v1, order v2 14
+          4.5  |             | says v2 200 active v2
+        """)
+        stage = world.nodes["f"].stage
+        assert [stage.standing("s", ver) for ver in ("v1", "v2")] == ["established", "trial"]
+    finally:
+        world.close()
+
+
+@test("alone in service is what a majority says now: with {what} the order is answered {status} {state}")
+def _(
+    what=each("a version known to others alone", "too few others to ask", "no machines"),
+    status=each(200, 503, 200),
+    state=each("active", "", "active"),
+):
+    # An operator stops all other machines at `done`: one controller's old view must not say so.
+    world = Desk()
+    try:
+        world.play("""
+          at   | a           | b     | c
+          0    | start       | start | start
+          1    | send 5x     |       |
+        """)
+        if what != "no machines":
+            heard_of(world, "a", "m", "v1")
+        world.run(3.0)
+        world.cut("a", "bc")
+        if what == "a version known to others alone":
+            heard_of(world, "b", "n", "v2")
+            world.run(5.0)
+        if what != "too few others to ask":
+            world.join()
+        known = {value["ver"] for _, value in world.nodes["a"].store.under("machine/")}
+        assert known == (set() if what == "no machines" else {"v1"})
+        world.say("a", "order v1 14")
+        world.run(world.loop.time() + 1.0)
+        told = world.answers["a", "v1"]
+        assert told[0] == status and (status != 200 or told[1]["state"] == state), told
+    finally:
+        world.close()
+
+
 @test("an order whose rounds take longer than its operator waits begins nothing")
 def _():
     for seed in range(4):
