The demo exports a customer that its load plays

Cause: the renaming of carrier, a room's name, to forwarder also changed the customer carrier-1 that `lab demo` exports from its trace; no client of the load bears the name forwarder-1. Change: the name is the load's own (standins/release.py, tenant), asked for in one place by both.

--- a/honeywood/cli/lab.py
+++ b/honeywood/cli/lab.py
@@ -23,10 +23,11 @@
 
     from honeywood.cli.trace import command as trace
     from honeywood.lab.demo import demo as played
+    from standins.release import tenant
 
     folder = folder or tempfile.mkdtemp(prefix="honeywood-")
     paths, _ = played(folder, seconds, failing, click.echo)
-    key, middle = f"{folder}/key", f"{folder}/middle.trace"
+    key, middle, customer = f"{folder}/key", f"{folder}/middle.trace", tenant(1)
     for words in (
         ["verify", *paths],
         ["summary", paths[0]],
@@ -41,9 +42,9 @@
             key,
             "--make-key",
             "--customer",
-            "forwarder-1",
+            customer,
             "-o",
-            f"{folder}/forwarder-1.trace",
+            f"{folder}/{customer}.trace",
             paths[0],
         ],
         ["plot", "-o", f"{folder}/demo.png", paths[0]],
--- a/standins/release.py
+++ b/standins/release.py
@@ -10,6 +10,11 @@
 from standins.peer import Peer, message, rpc
 
 
+def tenant(client):
+    """The customer that the load's client of this number says it asks for."""
+    return f"carrier-{client % 5}"
+
+
 class Platform(PlatformStand):
     """One front votes: `go` takes the next step once the last has stood for `bake` seconds, `stop` goes
     back."""
@@ -127,7 +132,7 @@
                 if sock is None:
                     sock, rest = socket.create_connection(self.address, 10), b""
                     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                sock.sendall(rpc(verb, f"c{client}-{number}", method, 2, f"X-Tenant-Id: carrier-{client % 5}",
+                sock.sendall(rpc(verb, f"c{client}-{number}", method, 2, f"X-Tenant-Id: {tenant(client)}",
                                  f"X-Route-Key: {chance.randrange(10**9):09d}"))
                 got, rest = message(sock, rest)
             except OSError:
