--- /dev/null
+++ b/tests/gateway/test_architecture.py
@@ -0,0 +1,127 @@
+"""Which package imports which, and that the paths named by the pages exist."""
+
+import ast
+import re
+from pathlib import Path
+
+from ward import each, test
+
+ROOT = Path(__file__).resolve().parents[2]
+GATEWAY = ROOT / "honeywood" / "gateway"
+PACKAGE = "honeywood.gateway"
+# The gateway's floors, docs/architecture.md: a package imports lower ones only. A module directly under
+# gateway/ stands under its own name.
+FLOORS = {
+    "configuration": 1,
+    "rpc": 1,
+    "register": 2,
+    "dissemination": 2,
+    "routing": 2,
+    "rollout": 2,
+    "program": 3,
+    "startup": 3,
+    "proxy": 4,
+    "controller": 4,
+}
+PAGES = sorted(
+    page.relative_to(ROOT).as_posix()
+    for folder in ("docs/design", "docs/operate")
+    for page in (ROOT / folder).glob("*.md")
+)
+PAGES += ["README.md", "docs/architecture.md"]
+NAMED_PATH = re.compile(r"(?<![\w./*-])[\w./-]+\.(?:py|toml|md|hcl|txt)\b")
+NAMED_MODULE = re.compile(r"\bhoneywood(?:\.\w+)+(?<!\.py)\b")
+SOURCES = (
+    "benchmarks",
+    "deploy",
+    "docs",
+    "honeywood",
+    "standins",
+    "tests",
+)  # where a shortened path may lead
+BELOW_THE_GATEWAY = ("honeywood.judge",)  # the statistics, which both fronts share
+# Imports that break the floors, each with its reason.
+EXCEPTIONS = {
+    (
+        "rpc",
+        "configuration",
+    ): "calls end in the outcomes of configuration/outcome.py and read JSON as it does",
+    ("dissemination", "routing"): "history.py asks for the two states of a machine whose incarnation is over",
+    ("rollout", "dissemination"): "the machines that get a trial are ranked as the relays are",
+    ("rollout", "routing"): "outcomes are counted by what an answer meant",
+}
+
+
+def imported(path):
+    """The whole names of what a file imports: of modules, or of what it takes out of one."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            assert not node.level, f"{path}: a relative import"
+            yield from (f"{node.module}.{alias.name}" for alias in node.names)
+
+
+def room(module):
+    """The package under gateway/ that a module is part of, or the module directly under it."""
+    return module.removeprefix(f"{PACKAGE}.").split(".")[0]
+
+
+def steps():
+    """(importing package, imported module) of every import of ours that leaves its package."""
+    found = set()
+    for path in GATEWAY.rglob("*.py"):
+        here = path.relative_to(GATEWAY).with_suffix("").parts[0]
+        found |= {
+            (here, name) for name in imported(path) if name.startswith("honeywood.") and room(name) != here
+        }
+    return found
+
+
+@test("every package of the gateway has a floor, and so has nothing else")
+def _():
+    rooms = {path.relative_to(GATEWAY).with_suffix("").parts[0] for path in GATEWAY.rglob("*.py")}
+    assert rooms - {"__init__"} == set(FLOORS)
+
+
+@test("a package of the gateway imports lower floors only")
+def _():
+    inside = {(here, room(name)) for here, name in steps() if name.startswith(f"{PACKAGE}.")}
+    upward = {(here, there) for here, there in inside if FLOORS[here] <= FLOORS[there]}
+    assert upward <= set(EXCEPTIONS)
+
+
+@test("the gateway imports nothing of ours beside it but the statistics")
+def _():
+    beside = {name for _, name in steps() if not name.startswith(f"{PACKAGE}.")}
+    assert not [name for name in beside if not name.startswith(BELOW_THE_GATEWAY)]
+
+
+@test("startup imports nothing before it has put the stand-ins in place")
+def _():
+    own = [name for name in imported(GATEWAY / "startup.py") if name.startswith("honeywood")]
+    assert not own
+
+
+def shortened():
+    """Every file by each of its shortened paths: `routing/routes.py` and `routes.py` too."""
+    files = [path.relative_to(ROOT).parts for folder in SOURCES for path in (ROOT / folder).rglob("*.*")]
+    return {"/".join(parts[at:]) for parts in files for at in range(len(parts))}
+
+
+@test("every path that {page} names exists")
+def _(page=each(*PAGES)):
+    known = shortened() | {path.name for path in ROOT.iterdir()}
+    named = set(NAMED_PATH.findall((ROOT / page).read_text()))
+    relative = {name for name in named if not name.startswith("/")}
+    assert not sorted(name for name in relative if name.removeprefix("./") not in known)
+
+
+@test("every module that {page} names exists")
+def _(page=each(*PAGES)):
+    modules = {name.replace("/", ".").removesuffix(".py") for name in shortened()}
+    modules |= {
+        ".".join(path.relative_to(ROOT).parts) for path in (ROOT / "honeywood").rglob("*") if path.is_dir()
+    }
+    named = set(NAMED_MODULE.findall((ROOT / page).read_text()))
+    assert not sorted(name for name in named if not {name, name.rpartition(".")[0]} & modules)
