--- a/honeywood/lab/emulator/day.py
+++ b/honeywood/lab/emulator/day.py
@@ -8,7 +8,7 @@
 
 from honeywood.lab.emulator.boot import BOUNDS
 from honeywood.lab.emulator.clients import Clients
-from honeywood.lab.emulator.faults import Fault, cause
+from honeywood.lab.emulator.faults import Fault, cause, start_spread
 from honeywood.lab.emulator.faults import draw as draw_faults
 from honeywood.lab.emulator.fleet import Fleet
 from honeywood.lab.emulator.machines import Machines
@@ -104,6 +104,7 @@
         self.fleet = Fleet(self, random.Random(day.seed + 3))
         self.operators = Operators(self, random.Random(day.seed + 4))
         self.clients = Clients(self)
+        self.starts = random.Random(day.seed + 5)  # of when programs start that start together
         self.spares = 0  # new machines that came in place of controllers
         if day.link:
             core_rate = {name: day.link * CORE_LINK for name in controllers}
@@ -130,8 +131,7 @@
         return self._closed()
 
     def _start(self):
-        for name in self.controllers + self.fronts:
-            self.start(name)
+        self.loop.create_task(start_spread(self, self.controllers + self.fronts))
         for service in WORK_S:
             for _ in range(self.day.machines):
                 self.fleet.start(service)
@@ -151,6 +151,7 @@
         now = self.loop.time()
         for name in self.fronts:
             program = self.nodes.get(name)
+            self.monitor.proxies.answers_ready(now, name, program is not None and program.ready)
             if program is not None:
                 held = program.table.version if program.table else None
                 self.monitor.proxies.holds(now, name, self.lives[name], held)
--- a/honeywood/lab/emulator/faults/__init__.py
+++ b/honeywood/lab/emulator/faults/__init__.py
@@ -5,6 +5,6 @@
 """
 
 from honeywood.lab.emulator.faults.drawing import cause, draw
-from honeywood.lab.emulator.faults.fault import Fault
+from honeywood.lab.emulator.faults.fault import Fault, start_spread
 
-__all__ = ["Fault", "cause", "draw"]
+__all__ = ["Fault", "cause", "draw", "start_spread"]
--- a/honeywood/lab/emulator/faults/drawing.py
+++ b/honeywood/lab/emulator/faults/drawing.py
@@ -9,19 +9,32 @@
 MOST_FAULTS = 6
 ROLLOUTS = ("rollout_good", "rollout_bad", "rollout_after")
 # one a day: what is lost stays borne
-LARGE = ("after_ack", "kill_all", "wipe_controller", "kill_controller", "disk", "remove", "replace")
+LARGE = (
+    "after_ack",
+    "lost_after_order",
+    "kill_all",
+    "wipe_controller",
+    "kill_controller",
+    "disk",
+    "disk_refuses",
+    "remove",
+    "replace",
+)
 CAUSES = {
     cause.__name__: cause
     for cause in (
         processes.kill_front,
         processes.kill_controller,
         processes.kill_all,
+        processes.kill_many,
         processes.freeze,
         processes.slow,
         processes.clock_step,
         disks.wipe_controller,
         disks.after_ack,
+        disks.lost_after_order,
         disks.disk,
+        disks.disk_refuses,
         membership.remove,
         network.cut,
         network.sever,
--- a/honeywood/lab/emulator/faults/fault.py
+++ b/honeywood/lab/emulator/faults/fault.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 RESTART_S = 0.6  # seconds after which a process that was killed is started again
+START_SPREAD_S = 0.3  # seconds within which several machines start, in any order
 DISTURBED_EVERY_S = 0.25  # seconds between two notes to the rules that a fault still lasts
 
 
@@ -36,17 +37,27 @@
 
 
 async def restart(world, names, pause_s, core, wiped=()):
-    """Programs end at once, those in `wiped` without their disks, and start again after `pause_s`; `core`
-    says whether the rules count it as trouble of the core."""
+    """Programs end at once, those in `wiped` without their disks, and start again after `pause_s`, several
+    of them in any order; `core` says whether the rules count it as trouble of the core."""
     for name in names:
         world.monitor.core.disturb(world.loop.time(), name, core)
         world.wipe(name) if name in wiped else world.kill(name)
     await asyncio.sleep(pause_s)
+    await start_spread(world, names)
     for name in names:
-        world.start(name)
         world.monitor.core.disturb(world.loop.time(), name, core)
 
 
+async def start_spread(world, names):
+    """Starts programs within START_SPREAD_S of each other, in any order; one alone starts at once."""
+    spread_s = START_SPREAD_S if len(names) > 1 else 0.0
+    starts = sorted((world.starts.uniform(0.0, spread_s), name) for name in names)
+    begun = world.loop.time()
+    for at_s, name in starts:
+        await asyncio.sleep(max(0.0, begun + at_s - world.loop.time()))
+        world.start(name)
+
+
 async def lasts(world, fault, names, core):
     """Waits until the fault is over, and tells the rules all the while who is disturbed."""
     until = world.loop.time() + fault.for_s
--- a/honeywood/lab/emulator/faults/machines.py
+++ b/honeywood/lab/emulator/faults/machines.py
@@ -9,7 +9,7 @@
 
 async def crash(world, fault):
     """A machine crashes, and another starts in its place later."""
-    machine = _chosen_machine(world, fault)
+    machine = chosen_machine(world, fault)
     if machine:
         machine.crash(DARK if fault.variant < 0.5 else REFUSES)
         await asyncio.sleep(fault.for_s)
@@ -18,13 +18,14 @@
 
 async def drain(world, fault):
     """A machine leaves as planned, and another starts in its place."""
-    machine = _chosen_machine(world, fault)
+    machine = chosen_machine(world, fault)
     if machine and machine.state == "ready":
         world.fleet.start(machine.svc, ver=machine.ver)
         await world.fleet.drain(machine)
 
 
-def _chosen_machine(world, fault):
+def chosen_machine(world, fault):
+    """A machine by the fault's target, of a service by its variant; None where few are left."""
     service = "s" if fault.variant < 0.6 else "u"
     alive = sorted(world.machines.alive(service), key=lambda machine: machine.id)
     return alive[int(fault.target * len(alive))] if len(alive) > 2 else None
--- a/honeywood/lab/emulator/faults/processes.py
+++ b/honeywood/lab/emulator/faults/processes.py
@@ -1,8 +1,11 @@
 """Faults of processes: killed, frozen, slowed, and clocks that step."""
 
+from random import Random
+
 from honeywood.lab.emulator.faults.fault import RESTART_S, chosen, lasts, lost_controllers, restart
 from honeywood.lab.emulator.process import FROZEN
 
+SEEDS = 3  # controllers that every program is told of at the first start
 SLOWED = 30.0  # times that a slowed process is slower
 LONGEST_STEP_S = 3600.0  # seconds that a clock steps at most
 
@@ -22,6 +25,21 @@
     await restart(world, world.controllers + world.fronts, RESTART_S, True)
 
 
+async def kill_many(world, fault):
+    """Many programs go in one moment, by a kill or a loss of power: all controllers; these and half of the
+    proxies; the seeds and one proxy; or any of all. Their disks stay."""
+    chance = Random(fault.target)
+    core, fronts = sorted(world.controllers), sorted(world.fronts)
+    everything = core + fronts
+    names = (
+        core,
+        core + chance.sample(fronts, (len(fronts) + 1) // 2),
+        core[:SEEDS] + chance.sample(fronts, 1),
+        chance.sample(everything, chance.randrange(2, len(everything) + 1)),
+    )[int(fault.variant * 4)]
+    await restart(world, names, RESTART_S, any(name in core for name in names))
+
+
 async def _held_back(world, fault, pace):
     """As many controllers as may be lost, or a proxy, or all proxies, run at `pace` for a while."""
     names = lost_controllers(world, fault) if fault.variant < 0.6 else [chosen(world.fronts, fault)]
--- a/honeywood/lab/emulator/fleet.py
+++ b/honeywood/lab/emulator/fleet.py
@@ -35,7 +35,11 @@
         status, _ = await self.call("instances.heartbeat", machine.id, body, DRAIN_TURNS)
         if status == 200:
             self.world.monitor.requests.left(self.world.loop.time(), machine.id)
-        await asyncio.sleep(self.world.bounds["drain_s"] + SERVES_ON_S)
+        await self.leave(machine, SERVES_ON_S)
+
+    async def leave(self, machine, serves_on_s):
+        """The rest of a planned end: the machine serves on for drain_s and `serves_on_s`, and ends."""
+        await asyncio.sleep(self.world.bounds["drain_s"] + serves_on_s)
         await self.call("instances.leave", machine.id, {}, LEAVE_TURNS)
         machine.crash(LEFT)
 
--- a/honeywood/lab/emulator/operators.py
+++ b/honeywood/lab/emulator/operators.py
@@ -71,6 +71,17 @@
             await asyncio.sleep(min(LONGEST_PAUSE_S, PAUSE_S * turn) * (0.5 + self.chance.random()))
         return False
 
+    async def send_once(self, order, call, body, controller):
+        """Sends an order once, to one controller."""
+        self.orders.sent(self.now(), order)
+        status, _ = await self.world.ask(controller, call, "", body)
+        if status == 200:
+            self.orders.acknowledged(self.now(), order)
+        elif 400 <= status < 500:
+            self.orders.refused(self.now(), order, status)
+        else:
+            self.orders.dropped(order)
+
     async def configure(self, version, mark="", copies=1, for_s=ORDER_S):
         """Orders a configuration; whether it was confirmed."""
         body = self.configuration(version, mark)
--- a/honeywood/lab/emulator/rules/__init__.py
+++ b/honeywood/lab/emulator/rules/__init__.py
@@ -6,6 +6,7 @@
 drain     nothing is passed to a machine drain_s after its leaving was acknowledged
 apply     apply_s after a version is acknowledged no proxy in touch goes by an older one
 back      within one incarnation no proxy goes back to an older version
+ready     a proxy in touch is ready for seven eighths of that time
 budget    further arrivals at a service stay within the ratio and the slack
 exposure  a bad version gets its share and no more, and nothing rollback_s after its 50th bad answer
 one end   a rollout is told one end
--- a/honeywood/lab/emulator/rules/monitor.py
+++ b/honeywood/lab/emulator/rules/monitor.py
@@ -26,5 +26,6 @@
     def close(self, now, version):
         """Looks that need the whole day; `version` was read back from a majority, or None."""
         self.orders.close(now, version)
+        self.proxies.close(now)
         self.requests.close()
         self.trials.close(now, self.requests.arrivals)
--- a/honeywood/lab/emulator/rules/proxies.py
+++ b/honeywood/lab/emulator/rules/proxies.py
@@ -1,6 +1,10 @@
-"""Rules of the configuration that each proxy goes by: `apply` and `back`."""
+"""Rules of what each proxy goes by, and whether it is ready: `apply`, `back` and `ready`."""
+
+from collections import Counter
 
 NO_VERSION = -1
+UNREADY_SHARE = 0.125  # of the time in which a proxy is in touch, that it may be not ready
+LEAST_LOOKS = 40  # in touch, below which nothing is said of a proxy
 
 
 class ProxyRules:
@@ -10,6 +14,7 @@
         """`orders` knows what was acknowledged, and when."""
         self.core, self.orders = core, orders
         self.held = {}  # the version last seen, by (proxy, incarnation)
+        self.looks, self.unready = Counter(), Counter()  # at each proxy while it was in touch
 
     def holds(self, now, proxy, incarnation, version):
         """A look at the version that a proxy goes by, None where it has none."""
@@ -21,3 +26,17 @@
         due = self.orders.newest_acknowledged(now - self.core.bounds["apply_s"])
         if version != NO_VERSION and due is not None and version < due and self.core.in_touch(now, proxy):
             self.core.breach("apply", now, f"{proxy} goes by {version}, not {due}")
+
+    def answers_ready(self, now, proxy, ready):
+        """A look at whether a proxy says that it is ready; one that is down is not."""
+        if self.core.in_touch(now, proxy):
+            self.looks[proxy] += 1
+            self.unready[proxy] += not ready
+
+    def close(self, now):
+        """The share of the calm time in which each proxy was not ready."""
+        for proxy, looks in self.looks.items():
+            if looks >= LEAST_LOOKS and self.unready[proxy] > UNREADY_SHARE * looks:
+                self.core.breach(
+                    "ready", now, f"{proxy} is not ready at {self.unready[proxy]} of {looks} looks"
+                )
--- a/tests/gateway/test_emulator.py
+++ b/tests/gateway/test_emulator.py
@@ -120,6 +120,19 @@
     self.rows.update(rows)
 
 
+async def without_rollouts(self, rows, keep=Register._keep):
+    """Rollouts are kept in memory alone."""
+    await keep(self, {key: row for key, row in rows.items() if "rollout/" not in key})
+    self.rows.update(rows)
+
+
+async def gives_up(self, listen=Proxy.listen):
+    """A proxy that finds nobody listening at its start asks no more."""
+    await listen(self)
+    if not self.subscriber.known:
+        await asyncio.sleep(99.0)
+
+
 async def by_number(self, of, body, peer, replace=App.replace):
     """A configuration is confirmed by its number, whatever it holds."""
     try:
@@ -172,6 +185,7 @@
     rule=each(
         *("once", "promise", "own", "drain", "apply", "back", "budget", "exposure", "kept"),
         *("number", "refused", "reads", "reads", "acks", "raised", "reads"),
+        *("kept", "kept", "reads", "drain", "acks", "ready"),
     ),
     patch=each(
         lambda: barless("may have run"),
@@ -190,6 +204,12 @@
         lambda: [(members, "majority", lambda here: len(here["members"]))],
         lambda: [(App, "start", unlooked)],
         lambda: [(record, "start", forgetful)],
+        lambda: [(Register, "_keep", unwritten)],
+        lambda: [(Register, "_keep", unwritten)],
+        lambda: [(Register, "_keep", without_rollouts)],
+        lambda: barless("state"),
+        lambda: [(members, "majority", lambda here: len(here["members"]))],
+        lambda: [(Proxy, "listen", gives_up), (Proxy, "make_sure", idle)],
     ),
     faults=each(
         (fault("answers_lost", variant=1.0),),
@@ -208,8 +228,14 @@
         (fault("remove", 1.0), fault("configure", 1.5)),
         (fault("orders", 1.0),),
         (fault("rollout_after", 1.0, variant=0.9),),
+        (fault("kill_many", 3.0, variant=0.1),),
+        (fault("lost_after_order", 1.0, target=0.32, variant=0.1),),  # a configuration
+        (fault("lost_after_order", 1.0, target=0.57, variant=0.1),),  # a rollout
+        (fault("lost_after_order", 1.0, target=0.37, variant=0.1),),  # a machine that leaves
+        (fault("disk_refuses", 1.0), fault("configure", 1.5)),
+        (),
     ),
-    shape=each(*[{}] * 6, POOR, {"per_s": 150.0}, *[{}] * 8),
+    shape=each(*[{}] * 6, POOR, {"per_s": 150.0}, *[{}] * 14),
 ):
     patches = [(place, name, place.__dict__[name], without) for place, name, without in patch()]
     for place, name, _, without in patches:
@@ -226,6 +252,13 @@
             setattr(place, name, guarded)
 
 
+@test("{kind}: what it adds to a day breaks nothing")
+def _(kind=each("kill_many", "lost_after_order", "disk_refuses")):
+    for seed, at in enumerate((0.12, 0.37, 0.62, 0.87)):
+        told = play(Day(seed, (fault(kind, target=(0.32, 0.57, 0.37, 0.97)[seed], variant=at),)))
+        assert not told.breaches, f"seed {seed}: {told.breaches}"
+
+
 @test("a failing day is shrunk to the faults that matter")
 def _():
     def judged(day):
