Records of ended owners lapse by an agreed epoch; names that left outlive restarts; numeric addresses

Cause: counts of proxies' ended incarnations, lists of removed controllers and their fleet records stood on every store for ever; names that left for good were kept in memory alone; a heartbeat's addr, seeds and listen addresses could be host names, ids could be longer than a row's key. Change: owners tell their records again in each epoch (the last number of the stamp), which controllers in quorum bring on by steady clocks every 300 s; a record told last two epochs ago is dropped by whoever knows the epoch and taken from nobody, but for counts that an active rollout still counts. Names that left are records among controllers (256 buckets of 64, merged), kept on disk with the machines' rows and told to whoever lost its disk. Addresses are numeric IPv4 and port, ids up to 256 bytes without NUL, refused with 400 that names key and peer.

--- a/honeywood/gateway/configuration/check.py
+++ b/honeywood/gateway/configuration/check.py
@@ -1,6 +1,7 @@
 """Hand-written checks of plain values. Each raises outcome.Wrong that names the key."""
 
 import json
+import socket
 from math import inf, isfinite
 
 from honeywood.gateway.configuration.outcome import Wrong
@@ -8,11 +9,12 @@
 MISSING = object()
 
 
-def need(table, key, kind, where, default=MISSING, least=None, most=None):
-    """The value under `key`, of `kind` (float takes whole numbers, never booleans) and within bounds."""
+def need(table, key, kind, where, default=MISSING, least=None, most=None, peer=""):
+    """The value under `key`, of `kind` (float takes whole numbers, never booleans) and within bounds; raises
+    outcome.Wrong that names the key, `where` it stands and the peer that sent it."""
     value = table.get(key, default)
     if value is MISSING:
-        raise Wrong(where, f"{key} is missing")
+        raise Wrong(where, f"{key} is missing", peer)
     if value is default:
         return value
     number = kind in (int, float)
@@ -21,20 +23,29 @@
         and kind is not bool
         or not isinstance(value, (int, float) if kind is float else kind)
     ):
-        raise Wrong(where, f"{key} must be {kind.__name__}, not {type(value).__name__}")
+        raise Wrong(where, f"{key} must be {kind.__name__}, not {type(value).__name__}", peer)
     if isinstance(value, float) and not isfinite(value):
-        raise Wrong(where, f"{key} must be finite")
+        raise Wrong(where, f"{key} must be finite", peer)
     if number and not (-inf if least is None else least) <= value <= (inf if most is None else most):
-        raise Wrong(where, f"{key} is out of bounds: {value}")
+        raise Wrong(where, f"{key} is out of bounds: {value}", peer)
     return value
 
 
-def address(text, where):
-    """ "ip:port" as (ip, port)."""
+def ipv4(text, where, peer=""):
+    """A numeric IPv4 address: nothing here looks up names, and an error would come only when it is called."""
+    try:
+        socket.inet_pton(socket.AF_INET, text)
+    except (OSError, TypeError, ValueError):
+        raise Wrong(where, f"{text!r} is no numeric IPv4 address", peer) from None
+    return text
+
+
+def address(text, where, peer=""):
+    """ "ip:port" as (ip, port); `where` names the key."""
     ip, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not (ip and colon and port.isdecimal() and 0 < int(port) < 65536):
-        raise Wrong(where, f"{text!r} is no address")
-    return ip, int(port)
+    if not (colon and port.isascii() and port.isdecimal() and 0 < int(port[:6]) < 65536):
+        raise Wrong(where, f"{text!r} is no address and port", peer)
+    return ipv4(ip, where, peer), int(port)
 
 
 def _pairs(pairs):
--- a/honeywood/gateway/configuration/settings.py
+++ b/honeywood/gateway/configuration/settings.py
@@ -3,7 +3,7 @@
 import tomllib
 from dataclasses import dataclass
 
-from honeywood.gateway.configuration.check import address, need
+from honeywood.gateway.configuration.check import address, ipv4, need
 from honeywood.gateway.configuration.outcome import Wrong
 
 BOUNDS = (
@@ -70,7 +70,7 @@
     return Settings(
         node=need(table, "node", str, where),
         role=need(table, "role", str, where),
-        ip=need(table, "ip", str, where),
+        ip=ipv4(need(table, "ip", str, where), f"{where}: ip"),
         zone=need(table, "zone", str, where),
         seeds=[address(seed, f"{where}: seeds") for seed in need(table, "seeds", list, where)],
         fresh=need(table, "fresh", bool, where, False),
--- a/honeywood/gateway/controller/app.py
+++ b/honeywood/gateway/controller/app.py
@@ -62,6 +62,7 @@
         return {}
 
     async def leave(self, of, body, peer):
+        machines.named("instances.leave", of, peer)
         await self.controller.leave(of)
         return {}
 
--- a/honeywood/gateway/controller/machines.py
+++ b/honeywood/gateway/controller/machines.py
@@ -2,32 +2,42 @@
 
 from honeywood.gateway.configuration.check import address, need
 from honeywood.gateway.configuration.outcome import Wrong
+from honeywood.gateway.dissemination import departed
 from honeywood.gateway.dissemination.history import History
 from honeywood.gateway.routing.endpoints import DRAINING, GONE, LOST, READY
 
 STEP = "instances.heartbeat"
 LAST = 1 << 53  # a stamp above all beats': a life that has left doesn't come back
 MANY = 1 << 20  # slots that a machine may have at the most
+DEPARTED_ROW = "\0"  # begins the names of rows on disk that hold names that left; no id has one
+LONGEST = 256  # bytes of an id: a row's key on disk holds 511
 MISSED = 3.4  # beats' times after which a silent machine is taken for lost
 
 
+def named(step, id, peer):
+    """Raises outcome.Wrong where a call names no machine."""
+    if not id:
+        raise Wrong(step, "of is missing", peer)
+    if DEPARTED_ROW in id or len(id.encode()) > LONGEST:
+        raise Wrong(step, "of is no id: it holds a NUL or is too long", peer)
+
+
 def beat(id, body, peer):
     """(stamp, value) out of a beat's body; raises outcome.Wrong naming the key."""
-    if not id:
-        raise Wrong(STEP, "of is missing", peer)
-    state = need(body, "state", str, STEP)
+    named(STEP, id, peer)
+    state = need(body, "state", str, STEP, peer=peer)
     if state not in (READY, DRAINING):
         raise Wrong(STEP, f"state {state!r} is not known", peer)
-    ip, port = address(need(body, "addr", str, STEP), f"{STEP}: addr")
-    return [need(body, "seq", int, STEP, least=0, most=LAST - 1), 0], {
-        "svc": need(body, "svc", str, STEP),
+    ip, port = address(need(body, "addr", str, STEP, peer=peer), f"{STEP}: addr", peer)
+    return [need(body, "seq", int, STEP, least=0, most=LAST - 1, peer=peer), 0], {
+        "svc": need(body, "svc", str, STEP, peer=peer),
         "ip": ip,
         "port": port,
-        "zone": need(body, "zone", str, STEP, ""),
-        "ver": need(body, "ver", str, STEP, ""),
-        "slots": need(body, "slots", int, STEP, 1, least=1, most=MANY),
+        "zone": need(body, "zone", str, STEP, "", peer=peer),
+        "ver": need(body, "ver", str, STEP, "", peer=peer),
+        "slots": need(body, "slots", int, STEP, 1, least=1, most=MANY, peer=peer),
         "state": state,
-        "cold": max(0.0, need(body, "cold_left_s", float, STEP, 0.0)),
+        "cold": max(0.0, need(body, "cold_left_s", float, STEP, 0.0, peer=peer)),
     }
 
 
@@ -58,10 +68,25 @@
             self.store.drop(f"beat/{id}")
         self.changed(id, [self.store.notes[f"machine/{id}"][0], value])
 
+    def hear_departed(self, key, bucket):
+        """A bucket of names that left has come to the store: machines that were taken meanwhile, by late
+        copies of their beats, leave once more, so that whoever has heard of them hears that too."""
+        self.changed(DEPARTED_ROW + key, [self.store.notes[key][0], bucket])
+        names = departed.decode(bucket)
+        for known, value in self.store.under("machine/"):
+            id = known.partition("/")[2]
+            if value["state"] != GONE and departed.hashed(id) in names:
+                self.leave(id)
+
     def recall(self, notes):
         """Takes what an earlier life kept: any newer note wins, and who doesn't beat is lost as ever."""
-        for id, stamp, value in notes:
-            self.store.put(f"machine/{id}", stamp, {**value, "cold": 0.0})
+        rows = list(notes)
+        for id, stamp, bucket in rows:
+            if id.startswith(DEPARTED_ROW):
+                self.store.put(id[len(DEPARTED_ROW) :], stamp, bucket)
+        for id, stamp, value in rows:
+            if not id.startswith(DEPARTED_ROW):
+                self.store.put(f"machine/{id}", stamp, {**value, "cold": 0.0})
 
     def alive(self, now, id, stamp):
         self.heard[id] = now, stamp
--- a/honeywood/gateway/controller/program.py
+++ b/honeywood/gateway/controller/program.py
@@ -9,7 +9,9 @@
 from honeywood.gateway.controller.machine_records import MachineRecords
 from honeywood.gateway.controller.machines import Machines
 from honeywood.gateway.controller.orders import CONFIG, ROLLOUT, TICK, Orders
+from honeywood.gateway.controller.retention import still_counted
 from honeywood.gateway.dissemination.backoff import Backoff
+from honeywood.gateway.dissemination.epochs import EpochClock
 from honeywood.gateway.dissemination.local import LocalRecords
 from honeywood.gateway.dissemination.publisher import Subscriber, Publisher, whole
 from honeywood.gateway.dissemination.rendezvous import order, parents
@@ -41,8 +43,10 @@
     def __init__(self, *given, random=None, disk=Disk):
         super().__init__(*given)
         s, self.random = self.settings, random or Random()
-        self.app, self.publisher = App(self), Publisher(self.store_incarnation(), self.hear, self.met, s.link)
-        self.store = self.publisher.store
+        self.app = App(self)
+        life = self.store_incarnation()
+        self.publisher = Publisher(life, self.hear, self.met, s.link, needed=still_counted)
+        self.store, self.epochs = self.publisher.store, EpochClock()
         self.own = LocalRecords(self.store, int(self.life, 16), self.mine)
         self.register = Register(s, PagedCaller(self.caller), self.random, self.say, disk)
         self.telling = PagedResponder(self.register.serve, self.clock)
@@ -94,6 +98,8 @@
             self.machines.alive(self.clock(), name, None)
         elif kind == "machine":
             self.machines.hear(self.clock(), name, value)
+        elif kind == "left":
+            self.machines.hear_departed(key, value)
         elif kind == "rollout":
             self.known_at[name] = value["n"], self.clock()
 
@@ -204,11 +210,21 @@
         now = self.clock()
         if self.joined and self._enough(ip for ip, at in self.heard_all.items() if now - at < HEARD):
             self.machines.look(now)  # parts of what others know are no silence of the machines they hear
-        for node, (at, place) in self.fronts.items():
+        for node, (at, place) in list(self.fronts.items()):
             key, place = f"fleet/{self.settings.ip}/{node}", place if now - at < FRONT_LOST else None
             if self.store.get(key) != place:
                 self.own.tell(key, place)
+            if place is None:
+                del self.fronts[node]
         self.look_at_fleet()
+        self.look_at_epoch()
+
+    def look_at_epoch(self):
+        """Brings the epoch on once it has stood long enough, tells this controller's records again in a new
+        one, and drops records whose owners have ended."""
+        self.store.learn(self.epochs.next(self.clock(), self.store.epoch, self.joined))
+        self.own.refresh()
+        self.store.prune()
 
     def look_at_fleet(self):
         """The fronts that share in the traffic, {node: (zone, ip)}: all that ask a controller which is
--- a/honeywood/gateway/dissemination/publisher.py
+++ b/honeywood/gateway/dissemination/publisher.py
@@ -10,6 +10,7 @@
 
 from honeywood.gateway.configuration.check import need
 from honeywood.gateway.configuration.outcome import Wrong
+from honeywood.gateway.dissemination import departed, epochs
 from honeywood.gateway.dissemination.backoff import Pace, part
 from honeywood.gateway.dissemination.chunk import ChunkCollector
 from honeywood.gateway.dissemination.store import Store
@@ -18,7 +19,7 @@
 HOLD = 1.0  # seconds an ask is held while there is nothing new
 MARGIN = 0.5  # seconds that an answer may take besides
 BUNDLE = 0.02  # seconds waited after a note for others that come with it
-QUIET = ("beat/",)  # notes that wake nobody
+QUIET = ("beat/", departed.PREFIX)  # notes that wake nobody
 LAZY = {
     "count/": 0.2,
     "fleet/": 0.1,
@@ -32,8 +33,8 @@
     """A store whose changes wake those who wait; what others told of themselves goes to `met`. `rate` is what
     the program's link carries in bytes a second; `told` counts the bytes of answers by kind of note."""
 
-    def __init__(self, life, hear, met=lambda who, rev: None, rate=FAST):
-        self.store, self.hear, self.met, self.waiting = Store(life, self._told), hear, met, {}
+    def __init__(self, life, hear, met=lambda who, rev: None, rate=FAST, needed=lambda *record: False):
+        self.store, self.hear, self.met, self.waiting = Store(life, self._told, needed), hear, met, {}
         self.most, self.pace, self.pieces = part(rate), Pace(rate), ChunkCollector()
         self.told, self.due = Counter(), False
 
@@ -77,6 +78,7 @@
         "most"}."""
         who, rev = need(ask, "who", dict, PATH), need(ask, "rev", int, PATH)
         rev = rev if ask.get("life") == self.store.life else 0
+        self.store.learn(need(who, "epoch", int, f"{PATH}: who", 0, least=0, most=epochs.MOST))
         self.met(who, rev)
         notes = need(ask, "notes", list, PATH, [])
         if not all(isinstance(note, list) and len(note) == 3 for note in notes):
@@ -143,7 +145,8 @@
     async def ask(self, ip, port, hold):
         """One ask; Done with the answer, or Failed."""
         life, rev = self.known.get((ip, port), ("", 0))
-        body = {"who": self.who(), "life": life, "rev": rev, "notes": self.own(ip), "hold": hold}
+        who = {**self.who(), "epoch": self.publisher.store.epoch}
+        body = {"who": who, "life": life, "rev": rev, "notes": self.own(ip), "hold": hold}
         body["digest"], body["most"] = f"{self.publisher.store.digest:x}", self.publisher.most
         body["held"], body["have"] = self.publisher.store.held(), self.publisher.pieces.have()
         reply = await self.caller.call(ip, port, PATH, body, hold + MARGIN, again=True)
--- a/honeywood/gateway/dissemination/store.py
+++ b/honeywood/gateway/dissemination/store.py
@@ -7,15 +7,14 @@
 
 import json
 from _blake2 import blake2b  # hashlib would bring OpenSSL
-from array import array
 
+from honeywood.gateway.dissemination import departed, epochs
 from honeywood.gateway.dissemination.chunk import cut, mark
 from honeywood.gateway.dissemination.history import over
 
 DOUBTED = [-1]  # the stamp of what may be out of date: below all others
 LIVES = ("machine/", "beat/")  # notes of lives that end and are forgotten
-FORGOTTEN = 1 << 14  # names that are remembered as never to be heard of again, the newest
-PRIVATE = ("beat/", "count/", "fleet/")  # for controllers only
+PRIVATE = ("beat/", "count/", "fleet/", departed.PREFIX)  # for controllers only
 LARGE = ("config",)  # notes that are worth saying which of them one holds, so that they come once
 PAST = 3  # earlier values of a large note, for those who have begun to collect one
 ROOM = 1024  # bytes of an answer that are worth a piece
@@ -25,25 +24,35 @@
     return json.dumps([key, stamp, value], separators=(",", ":"))
 
 
-def _short(name):
-    return int.from_bytes(blake2b(name.encode(), digest_size=8).digest(), "big")
-
-
 class Store:
-    """MachineRecords by key. `life` tells stores apart whose counts began anew."""
+    """Records by key. `life` tells stores apart whose counts began anew; `needed(store, key, value)` says
+    whether a record that has lapsed must still stay."""
 
-    def __init__(self, life, told=lambda key, value: None):
-        self.life, self.told, self.notes, self.rev = life, told, {}, 0
-        self.digest, self.sizes, self.past, self.forgotten = 0, {}, {}, array("Q")
+    def __init__(self, life, told=lambda key, value: None, needed=lambda store, key, value: False):
+        self.life, self.told, self.needed, self.notes, self.rev = life, told, needed, {}, 0
+        self.digest, self.sizes, self.past = 0, {}, {}
+        self.epoch, self.pruned = 0, 0  # the epoch heard; that in which all that had lapsed was dropped
 
     def put(self, key, stamp, value):
         """Takes a note if its stamp is above the one held; whether it did."""
+        if key.startswith(departed.PREFIX):
+            return self._merge(key, stamp, value)
+        told_in = epochs.told_in(key, stamp)
+        if told_in is not None:
+            self.learn(told_in)
+            if self._lapsed(key, stamp, value):
+                return False
+            if epochs.lapsed(told_in, self.epoch):
+                self.pruned = None  # needed still: looked at again until it isn't
         held = self.notes.get(key)
-        if held is not None and held[0] >= stamp:
+        if held is not None and held[0] >= stamp and not self._outlived(key, held[0], told_in):
             return False
-        if held is None and self.forgotten and key.startswith(LIVES):
-            if _short(key.partition("/")[2]) in self.forgotten:
-                return False
+        if held is None and key.startswith(LIVES) and self.has_departed(key.partition("/")[2]):
+            return False
+        self._take(key, stamp, value)
+        return True
+
+    def _take(self, key, stamp, value):
         self.rev += 1
         self._sum(key)
         self.notes[key] = stamp, value, self.rev
@@ -52,8 +61,58 @@
             text = json.dumps(value)
             self.past[key] = [*self.past.get(key, ()), (stamp, text, mark(text))][-PAST:]
         self.told(key, value)
+
+    # what lapses
+    def learn(self, epoch):
+        """Somebody is in `epoch`."""
+        self.epoch = max(self.epoch, epoch)
+
+    def _lapsed(self, key, stamp, value):
+        """Whether a record has lapsed and is needed no more."""
+        return epochs.lapsed(epochs.told_in(key, stamp), self.epoch) and not self.needed(self, key, value)
+
+    @staticmethod
+    def _outlived(key, stamp, told_in):
+        """Whether a record held with `stamp` has lapsed in the epoch of another of its key, whatever their
+        incarnations say: the owner's clock may have been set back meanwhile."""
+        return told_in is not None and epochs.lapsed(epochs.told_in(key, stamp), told_in)
+
+    def prune(self):
+        """Drops what has lapsed; the keys that were dropped. Costs nothing while the epoch stands and none is
+        kept that is needed."""
+        if self.pruned == self.epoch:
+            return []
+        found = [
+            (key, self._lapsed(key, stamp, value))
+            for key, (stamp, value, _) in self.notes.items()
+            if epochs.lapsed(epochs.told_in(key, stamp), self.epoch)
+        ]
+        dropped = [key for key, droppable in found if droppable]
+        for key in dropped:
+            self.drop(key)
+        self.pruned = self.epoch if len(dropped) == len(found) else None
+        return dropped
+
+    # names that left
+    def _merge(self, key, stamp, value):
+        """Takes what another bucket of names that left has beside the one held."""
+        held = self.notes.get(key)
+        merged = departed.merge(held[1], value) if held else departed.merge(value, value)
+        if held is not None and merged == held[1]:
+            return False
+        above = max(held[0], stamp) if held else stamp
+        self._take(key, stamp if merged == value and above == stamp else [above[0] + 1], merged)
         return True
 
+    def has_departed(self, name):
+        """Whether a machine left for good, as far as is remembered."""
+        return departed.holds(self.get(departed.key_of(name)), name)
+
+    @property
+    def departed(self):
+        """How many names that left are remembered."""
+        return departed.count(value for _, value in self.under(departed.PREFIX))
+
     def get(self, key):
         held = self.notes.get(key)
         return None if held is None else held[1]
@@ -83,10 +142,10 @@
         """Forgets the notes of a life; for good: none of it is taken any more, however late it comes."""
         for kind in LIVES:
             self.drop(kind + name)
-        if for_good:
-            self.forgotten.append(_short(name))
-            if len(self.forgotten) > FORGOTTEN:
-                del self.forgotten[: FORGOTTEN // 8]
+        if for_good and not self.has_departed(name):
+            key = departed.key_of(name)
+            held = self.notes.get(key)
+            self._take(key, [held[0][0] + 1 if held else 1], departed.add(held[1] if held else None, name))
 
     def doubt(self, prefix):
         """Takes what is held under `prefix` for doubtful: whoever tells it next confirms it."""
--- a/honeywood/gateway/proxy/program.py
+++ b/honeywood/gateway/proxy/program.py
@@ -55,6 +55,7 @@
         self.subscriber = Subscriber(self.publisher, self.caller, self.who, backoff)
         self.sure = Subscriber(self.publisher, self.caller, self.who, backoff, self.own)
         self.controllers, self.turn, self.met_majority = [ip for ip, _ in s.seeds], 0, False
+        self.told_in = 0  # the epoch in which the counts were told last
         self.told, self.last, self.counted = 0, {"rows": [], "votes": {}, "left": {}, "known": {}}, {}
 
     def config_held(self):
@@ -104,11 +105,13 @@
         """This front's counts, where they have changed since that controller had them."""
         told = self.stage.told(self.clock())
         known = {svc: [n, int(seconds / TELLING)] for svc, (n, seconds) in told["known"].items()}
-        if {**told, "known": known} != self.last:
-            self.told, self.last = self.told + 1, {**told, "known": known}
+        epoch = self.publisher.store.epoch
+        if {**told, "known": known} != self.last or self.told and epoch != self.told_in:
+            self.told, self.last, self.told_in = self.told + 1, {**told, "known": known}, epoch
         if self.counted.get(ip, 0) >= self.told:
             return []
-        return [[f"count/{self.settings.node}/{self.life}", [self.told], {"life": self.life, **told}]]
+        key, stamp = f"count/{self.settings.node}/{self.life}", [self.told, self.told_in]
+        return [[key, stamp, {"life": self.life, **told}]]
 
     def hear(self, key, value):
         kind, _, name = key.partition("/")
@@ -193,6 +196,7 @@
         now, store = self.clock(), self.publisher.store
         self.links.tidy(self.endpoints.machines.values())
         self.past.look(now)
+        store.prune()
         if self.doubted_at is not None and now - self.doubted_at > DOUBTS:
             self.doubted_at = None
             for key in store.doubted("machine/"):
--- a/honeywood/lab/emulator/boot.py
+++ b/honeywood/lab/emulator/boot.py
@@ -1,5 +1,9 @@
 """The settings file of a process in worlds and tests."""
 
+from dataclasses import replace
+
+from honeywood.gateway.configuration.settings import read
+
 BOUNDS = {
     "seed_lag_s": 3,
     "reuse_s": 2,
@@ -52,3 +56,12 @@
         bear=bear,
     )
     return text + "".join(f"{key} = {value}\n" for key, value in bounds.items())
+
+
+def settings(node, controllers=(), **more):
+    """The settings of a node in a world: its net has no addresses, nodes' names stand for them."""
+    found = read(boot(node, ip="127.0.0.1", data=node, **more))
+    seeds = [(name, PORTS[2]) for name in controllers]
+    return replace(
+        found, ip=node, seeds=seeds, listen={key: (node, at[1]) for key, at in found.listen.items()}
+    )
--- a/honeywood/lab/emulator/machines.py
+++ b/honeywood/lab/emulator/machines.py
@@ -125,9 +125,9 @@
 
     def open(self, svc, zone, **more):
         self.born += 1
-        address = f"m{self.born}:1"
-        machine = Machine(f"i-{self.born}", svc, address, zone, born=self.world.loop.time(), **more)
-        self.at[f"m{self.born}"] = machine
+        ip = f"10.{self.born >> 16 & 255}.{self.born >> 8 & 255}.{self.born & 255}"
+        machine = Machine(f"i-{self.born}", svc, f"{ip}:1", zone, born=self.world.loop.time(), **more)
+        self.at[ip] = machine
         return machine
 
     def alive(self, svc=None):
--- a/honeywood/lab/emulator/world.py
+++ b/honeywood/lab/emulator/world.py
@@ -9,10 +9,9 @@
 from contextvars import Context
 
 from honeywood.gateway.configuration.outcome import Done, Failed, Wrong
-from honeywood.gateway.configuration.settings import read
 from honeywood.gateway.controller.program import Controller
 from honeywood.gateway.proxy.program import Proxy
-from honeywood.lab.emulator.boot import BOUNDS, boot
+from honeywood.lab.emulator.boot import BOUNDS, settings
 from honeywood.lab.emulator.process import Loop, Process
 
 OUTSIDE = "outside"  # clients, machines and operators, as one end of a cut
@@ -71,11 +70,10 @@
     def start(self, name):
         if name in self.gone:
             return
-        seeds = [f"{controller}:82" for controller in self.seeds.get(name, self.controllers[:3])]
-        zone = self.zones.get(name, "z")
-        text = boot(name, zone, seeds, self.fresh, self.bear, bounds=self.bounds)
+        seeds, zone = self.seeds.get(name, self.controllers[:3]), self.zones.get(name, "z")
+        boot = settings(name, seeds, zone=zone, fresh=self.fresh, bear=self.bear, bounds=self.bounds)
         clock = self.loop.time
-        given = read(text), Wire(self, name), clock, lambda: 1e9 + clock() + self.skew.get(name, 0.0)
+        given = boot, Wire(self, name), clock, lambda: 1e9 + clock() + self.skew.get(name, 0.0)
         kind, more = (
             (Controller, {"disk": self._disk()}) if name in self.controllers else (Proxy, self.more(name))
         )
--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -12,7 +12,6 @@
 from ward import each, test
 
 from honeywood.gateway.configuration.config import Limits
-from honeywood.gateway.configuration.settings import read
 from honeywood.gateway.proxy import forwarding as carry
 from honeywood.gateway.proxy.program import Proxy
 from honeywood.gateway.routing import answers
@@ -23,7 +22,7 @@
 from honeywood.gateway.rpc.client import Caller
 from honeywood.gateway.rpc.server import HttpProtocol, HttpServer
 from honeywood.lab.emulator import world
-from honeywood.lab.emulator.boot import boot
+from honeywood.lab.emulator.boot import settings
 from honeywood.protocol import http
 from honeywood.transport.buffer import Buffer
 
@@ -132,7 +131,7 @@
         self.served = False  # whether nothing keeps a request from being served
         asyncio.set_event_loop(self.loop)
         quiet = type("Quiet", (Proxy,), {"say": lambda *said, **more: None})
-        given = read(boot("f", bear=0)), None, self.loop.time, self.loop.time
+        given = settings("f", bear=0), None, self.loop.time, self.loop.time
         self.proxy, self.ran, self.answers = quiet(*given, random=Random(1)), Counter(), {}
         self.proxy.hear("config", json.dumps(config(5, kind=kind)))
         for id in "mn":
--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/test_configuration.py
@@ -147,6 +147,47 @@
             raise AssertionError(f"{slots} slots were taken")
 
 
+NO_ADDRESSES = (
+    "localhost:80",
+    "machine.example:80",
+    "10.0.0:80",
+    "10.0.0.01:80",
+    "10.0.0.256:80",
+    "[::1]:80",
+    "10.0.0.1:٨٠",
+    "10.0.0.1:65536",
+    "10.0.0.1:" + "9" * 5000,
+    " 10.0.0.1:80",
+    "10.0.0.1\0:80",
+    ":80",
+    7,
+)
+
+
+@test("a heartbeat from {addr!r} is refused with 400, and the error names key and peer")
+def _(addr=each(*NO_ADDRESSES)):
+    # Host names were taken: proxies would have waited for a resolver, or found nobody, request by request.
+    sent = {"svc": "s", "addr": addr, "seq": 1, "state": "ready"}
+    try:
+        machines.beat("i-1", sent, "10.0.0.9")
+    except Wrong as wrong:
+        assert wrong.failed.status == 400 and "addr" in str(wrong) and wrong.failed.peer == "10.0.0.9"
+    else:
+        raise AssertionError("it was taken")
+
+
+@test("ids that no row on disk can bear are refused: {id!r}")
+def _(id=each("", "i\0left/00", "i" * 257, "é" * 129)):
+    # lmdb's keys hold 511 bytes: one longer id, and no note of any machine was kept on that disk any more.
+    for call in (lambda: machines.beat(id, {}, "p"), lambda: machines.named("instances.leave", id, "p")):
+        try:
+            call()
+        except Wrong as wrong:
+            assert wrong.failed.why.startswith("of ") and wrong.failed.peer == "p"
+        else:
+            raise AssertionError("it was taken")
+
+
 @test("a hundred thousand routes are read whole or refused, never half")
 def _():
     sent = config(7, routes=100000)
@@ -194,6 +235,8 @@
             ("rollouts.start", "", {"svc": "s", "to_ver": "v2", "over_s": -1}),
             ("rollouts.read", "nowhere", {}),
             ("instances.heartbeat", "i-1", {"svc": "s", "addr": "10.0.0.1", "state": "ready", "seq": 1}),
+            ("instances.heartbeat", "i-1", {"svc": "s", "addr": "a.example:1", "state": "ready", "seq": 1}),
+            ("instances.leave", "", {}),
             ("instances.heartbeat", "", {"svc": "s", "addr": "10.0.0.1:1", "state": "ready", "seq": 1}),
             ("instances.heartbeat", "i-1", {"svc": "s", "addr": "10.0.0.1:1", "state": "asleep", "seq": 1}),
             ("instances.heartbeat", "i-1", {"svc": "s", "addr": "10.0.0.1:1", "state": "ready", "seq": -1}),
@@ -214,10 +257,38 @@
 @test("settings with {was!r} as {made!r} are refused, and the error names {named}")
 def _(
     was=each(
-        "drain_s = 2\n", "[7000, 7010]", '"10.0.0.1:82"', "fresh = true", "machines = 1", "retry_slack = 64"
+        "drain_s = 2\n",
+        "[7000, 7010]",
+        '"10.0.0.1:82"',
+        "fresh = true",
+        "machines = 1",
+        "retry_slack = 64",
+        '"10.0.0.1:82"',
+        'ip = "10.0.0.9"',
+        'ready = "10.0.0.9:81"',
+    ),
+    made=each(
+        "",
+        "[7010, 7000]",
+        '"10.0.0.1"',
+        'fresh = "yes"',
+        "machines = -1",
+        "retry_slack = nan",
+        '"core.example:82"',
+        'ip = "core.example"',
+        'ready = "core.example:81"',
+    ),
+    named=each(
+        "drain_s",
+        "port_range",
+        "10.0.0.1",
+        "fresh",
+        "machines",
+        "retry_slack",
+        "seeds",
+        "settings: ip",
+        "listen.ready",
     ),
-    made=each("", "[7010, 7000]", '"10.0.0.1"', 'fresh = "yes"', "machines = -1", "retry_slack = nan"),
-    named=each("drain_s", "port_range", "10.0.0.1", "fresh", "machines", "retry_slack"),
 ):
     assert files.read(GOOD).bear == 1
     try:
--- a/tests/gateway/test_dissemination_links.py
+++ b/tests/gateway/test_dissemination_links.py
@@ -429,7 +429,7 @@
 def _(told=each({"more": True}, {}), lost=each(False, True)):
     world = met("", until=4.0)
     try:
-        beat = {"svc": "s", "addr": "m:1", "state": "ready", "seq": 1}
+        beat = {"svc": "s", "addr": "10.0.0.1:1", "state": "ready", "seq": 1}
         world.loop.create_task(world.ask("b", "instances.heartbeat", "m", beat))
         world.run(5.0)
         controller, call = world.nodes["a"], world.nodes["a"].caller.call
--- /dev/null
+++ b/tests/gateway/test_epochs.py
@@ -0,0 +1,333 @@
+"""Records whose owners have ended lapse by an epoch that all agree on: they pile up nowhere, and come back
+from nobody. Names of machines that left stay left over restarts."""
+
+import json
+import random
+
+from timeline import World, machine
+from ward import each, test
+
+from honeywood.gateway.controller.retention import still_counted
+from honeywood.gateway.dissemination import departed, epochs
+from honeywood.gateway.dissemination.local import LocalRecords
+from honeywood.gateway.dissemination.store import Store
+
+STEP = 10.0  # seconds between exchanges of the stores below
+DAY = 86400.0
+
+
+class Peer:
+    """A controller's store, its own records and its epoch clock, without any I/O."""
+
+    def __init__(self, ip, incarnation, n):
+        self.ip, self.heard, self.proxies = ip, {}, {}
+        self.store = Store(f"{ip}.{n}", self.hear, still_counted)
+        self.own = LocalRecords(self.store, incarnation, self.mine)
+        self.clock = epochs.EpochClock()
+        self.own.tell(f"bourse/{ip}", ip)
+
+    def hear(self, key, value):
+        self.own.heard(key)
+
+    def mine(self, key):
+        return key == f"bourse/{self.ip}" or key.startswith(f"fleet/{self.ip}/")
+
+    def ask(self, other):
+        """Hears what the other has to tell, as an ask of /news does."""
+        other.store.learn(self.store.epoch)
+        life, rev = self.heard.get(other.ip, ("", 0))
+        self.store.hear(json.loads(json.dumps(other.store.since(life, rev, True))))
+        self.heard[other.ip] = other.store.life, other.store.rev
+
+    def look(self, now, in_quorum):
+        for node, (at, place) in list(self.proxies.items()):
+            place = place if now - at < 2 * STEP else None
+            if self.store.get(f"fleet/{self.ip}/{node}") != place:
+                self.own.tell(f"fleet/{self.ip}/{node}", place)
+            if place is None:
+                del self.proxies[node]
+        self.store.learn(self.clock.next(now, self.store.epoch, in_quorum))
+        self.own.refresh()
+        self.store.prune()
+
+
+class Site:
+    """Controllers, of which some are cut off, and proxies that are started anew again and again."""
+
+    def __init__(self, seed, ips="abc"):
+        self.random, self.now, self.starts = random.Random(seed), 0.0, 0
+        self.peers, self.cut, self.rollout = {}, set(), None
+        self.proxies, self.counted = {}, []  # {node: [life, told, epoch told in]}; counts of the rollout
+        for ip in ips:
+            self.start(ip)
+
+    def start(self, ip):
+        """Begins a controller; its time of day may have been set back by up to a day."""
+        self.starts += 1
+        incarnation = int(1e9 + self.now - self.random.choice((0.0, DAY)) * self.random.random())
+        self.peers[ip] = Peer(ip, incarnation, self.starts)
+
+    def restart_proxy(self, node):
+        self.starts += 1
+        self.proxies[node] = [f"{self.starts:06x}", 0, -1]
+
+    def connected(self):
+        return [peer for ip, peer in self.peers.items() if ip not in self.cut]
+
+    def step(self):
+        self.now += STEP
+        peers = self.connected()
+        for node, proxy in self.proxies.items():
+            peer = self.random.choice(peers)
+            peer.proxies[node] = self.now, ["z", node]
+            known = {} if self.rollout is None else {"s": [self.rollout["n"], 1.0]}
+            if proxy[2] != peer.store.epoch or known and proxy[0] not in [life for life, _ in self.counted]:
+                proxy[1:] = proxy[1] + 1, peer.store.epoch
+                if known:
+                    self.counted.append((proxy[0], node))
+            key, stamp = f"count/{node}/{proxy[0]}", [proxy[1], proxy[2]]
+            peer.store.put(key, stamp, {"rows": [1] * 50, "known": known})
+        if self.rollout:
+            peers[0].store.put("rollout/s", [self.rollout["n"]], self.rollout)
+        self.exchange()
+        for ip, peer in self.peers.items():
+            peer.look(self.now, ip not in self.cut)
+
+    def exchange(self):
+        for peer in self.connected():
+            for other in self.connected():
+                if other is not peer:
+                    peer.ask(other)
+
+    def run(self, seconds):
+        until = self.now + seconds
+        while self.now < until:
+            self.step()
+
+    def sizes(self):
+        """Records and bytes of the largest full retelling."""
+        stores = [peer.store for peer in self.connected()]
+        found = [[store.size(key) for key in store.notes] for store in stores]
+        return max(map(len, found)), max(map(sum, found))
+
+    def check(self):
+        """All that are connected hold the same records, none of a life that ended long ago."""
+        self.exchange()
+        self.exchange()
+        stores = [peer.store for peer in self.connected()]
+        held = [{key: note[:2] for key, note in store.notes.items()} for store in stores]
+        assert all(one == held[0] for one in held), held
+        assert len({store.digest for store in stores}) == 1
+        alive = {f"count/{node}/{proxy[0]}" for node, proxy in self.proxies.items()}
+        kept = {key for key in held[0] if key.startswith("count/")}
+        needed = {f"count/{node}/{life}" for life, node in self.counted} if self.rollout_active() else set()
+        assert kept == alive | needed, (kept, alive, needed)
+        controllers = {key for key in held[0] if key.startswith("bourse/")}
+        assert controllers == {f"bourse/{peer.ip}" for peer in self.connected()}
+
+    def rollout_active(self):
+        return self.rollout is not None and self.rollout["state"] == "active"
+
+
+LONG = (epochs.LAPSE + 2) * epochs.EPOCH_S  # seconds after which whatever has ended must have lapsed
+
+
+@test("two days with hundreds of restarts, clocks set back, cuts of hours: records stay as few (seed {seed})")
+def _(seed=each(1, 2, 3)):
+    # Counts of each life of each proxy, and lists of removed controllers, stood on every store for ever.
+    site, sizes = Site(seed), []
+    for node in ("p1", "p2"):
+        site.restart_proxy(node)
+    for hour in range(48):
+        for _ in range(10):
+            site.restart_proxy(site.random.choice(("p1", "p2", f"p-{site.starts}")))
+            for gone in [node for node in site.proxies if node.startswith("p-")][:-2]:
+                del site.proxies[gone]
+            site.run(120.0)
+        if hour % 4 == 1:
+            site.start(site.random.choice("abc"))
+        if hour % 6 == 2:
+            site.cut = {site.random.choice("abc")}
+        if hour % 6 == 5:
+            site.cut = set()  # it comes back with all that it held three hours before
+        site.run(LONG)
+        site.check()
+        sizes.append(site.sizes())
+    assert site.starts > 480
+    first, last = sizes[:24], sizes[24:]
+    assert max(notes for notes, _ in last) <= max(notes for notes, _ in first) < 30, sizes
+    bytes_first, bytes_last = (max(size for _, size in part) for part in (first, last))
+    assert bytes_last < 1.1 * bytes_first < 3000, sizes  # the numbers in stamps get more digits
+
+
+@test("counts of a proxy that has ended stay for as long as the rollout that they follow, and no longer")
+def _():
+    site = Site(4)
+    site.rollout = {"n": 3, "order": 3, "state": "active"}
+    site.restart_proxy("p1")
+    for _ in range(6):
+        site.run(60.0)
+        site.restart_proxy("p1")
+    site.run(2 * LONG)
+    site.check()
+    assert len(site.counted) > 5
+    site.cut = {"c"}
+    site.rollout = {"n": 5, "order": 3, "state": "done"}
+    site.run(LONG)
+    site.check()
+    assert any(site.peers["c"].store.get(f"count/p1/{life}") for life, _ in site.counted[:5])
+    site.cut = set()  # where the end wasn't heard they stand still, and go to nobody else
+    site.run(60.0)
+    site.check()
+
+
+@test("a controller that was removed is forgotten, with all that it told of proxies")
+def _():
+    site = Site(5, "abcd")
+    site.restart_proxy("p1")
+    site.run(LONG)
+    assert all(peer.store.get("bourse/d") for peer in site.peers.values())
+    site.cut = {"d"}
+    site.run(LONG)
+    assert not any("/d" in key for peer in site.connected() for key in peer.store.notes)
+    site.cut = set()
+    site.run(60.0)
+    site.check()
+
+
+@test("the epoch needs a quorum and the time it stands, by a steady clock; who is frozen brings it on by one")
+def _():
+    clock = epochs.EpochClock()
+    assert clock.next(0.0, 7, True) == clock.next(epochs.EPOCH_S - 1, 7, True) == 7
+    assert clock.next(10 * epochs.EPOCH_S, 7, False) == 7
+    assert clock.next(20 * epochs.EPOCH_S, 7, True) == clock.next(20 * epochs.EPOCH_S + 1, 8, True) == 8
+    assert clock.next(20 * epochs.EPOCH_S + 2, 30, True) == 30
+
+
+@test("stamps without an epoch, or with a senseless one, never lapse and bring none on")
+def _():
+    stamps = ("fleet/a/p", [5, 1]), ("count/p/l", [3]), ("machine/m", [3, 0]), ("bourse/a", [5, 1, -1])
+    for key, stamp in stamps:
+        assert epochs.told_in(key, stamp) is None and not epochs.lapsed(None, 99)
+    store = Store("l")
+    store.put("fleet/a/p", [5, 1, epochs.MOST + 1], ["z", "p"])
+    assert store.epoch == 0 and store.get("fleet/a/p")
+
+
+@test("programs: hundreds of starts of proxies leave as many records and bytes as a few")
+def _():
+    before, epochs.EPOCH_S = epochs.EPOCH_S, 8.0
+    names = "ghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+    world, sizes = World(fronts="f" + names), []
+
+    def count(name):
+        rows = [["s", "r", "v1", 0, 9, []]]
+        world.nodes[name].stage.told = lambda now: {"rows": rows, "votes": {}, "left": {}, "known": {}}
+
+    try:
+        for name in "abcf":
+            world.start(name)
+        world.run(2.0)
+        count("f")
+        for turn in range(120):
+            name = names[turn % len(names)]
+            world.start(name)
+            if turn % 30 == 7:
+                world.kill("b")
+                world.skew["b"], world.fresh = -3600.0 * turn, False
+                world.start("b")
+            world.run(world.loop.time() + 0.1)
+            count(name)
+            world.run(world.loop.time() + 1.4)
+            world.kill(name)
+            stores = [world.nodes[one].publisher.store for one in "abc"]
+            sizes.append(max(sum(store.size(key) for key in store.notes) for store in stores))
+        world.run(world.loop.time() + 60.0)
+        held = {name: set(world.nodes[name].publisher.store.notes) for name in "abcf"}
+        life = world.nodes["f"].life
+        shared = {"bourse/a", "bourse/b", "bourse/c"}
+        assert held["f"] == shared, held["f"]
+        fleet = {f"fleet/{ip}/f" for ip in "abc"}
+        assert all(held[name] == shared | fleet | {f"count/f/{life}"} for name in "abc"), held
+        assert not set(world.nodes["a"].fronts) - {"f"}
+        assert max(sizes[80:]) <= max(sizes[40:80]) * 1.1 and max(sizes) < 6000, sizes[::10]
+        assert len({world.nodes[name].publisher.store.digest for name in "abcf"}) == 1
+    finally:
+        epochs.EPOCH_S = before
+        world.close()
+
+
+# names that left
+@test("buckets of names that left come to the same in any order, and keep the newest")
+def _():
+    draw = random.Random(1)
+    names = [f"i-{n}" for n in range(3 * departed.MOST)]
+    one = two = None
+    for name in names:
+        one = departed.add(one, name)
+    for name in reversed(names[: departed.MOST]):
+        two = departed.add(two, name)
+    both = departed.merge(one, two)
+    assert both == departed.merge(two, one) == departed.merge(both, two)
+    assert departed.holds(one, names[-1]) and not departed.holds(one, names[0])
+    stores = [Store(n) for n in "abc"]
+    for n in range(2000):
+        store = draw.choice(stores)
+        store.forget(f"i-{n}", True)
+        if n % 7 == 0:
+            for other in stores:
+                other.hear(json.loads(json.dumps(store.since("", 0, True))))
+    for _ in range(2):
+        for store in stores:
+            for other in stores:
+                other.hear(store.since("", 0, True))
+    held = [dict(store.under(departed.PREFIX)) for store in stores]
+    assert held[0] == held[1] == held[2] and stores[0].departed > 1900
+
+
+@test("a machine that left stays so over {what}: a late copy of its heartbeat brings nothing back")
+def _(what=each("a restart of a controller", "the loss of its disk", "a restart of all")):
+    # Kept in memory alone: a controller that had begun anew took such a copy, and told it to all.
+    world = World(fronts="f")
+    try:
+        for name in "abcf":
+            world.start(name)
+        world.run(1.0)
+        world.say("a", "beat m ready")
+        world.run(1.5)
+        world.loop.create_task(world.ask("a", "instances.leave", "m"))
+        world.run(130.0)
+        assert not any("m" in key.split("/")[1] for key in world.nodes["b"].store.notes if "machine" in key)
+        world.fresh = False
+        for name in "abc" if what == "a restart of all" else "b":
+            world.wipe(name) if what == "the loss of its disk" else world.kill(name)
+        for name in "abc":
+            if name not in world.nodes:
+                world.start(name)
+        world.run(133.0)
+        world.beats["m"] = 0
+        world.say("b", "beat m ready")
+        world.run(136.0)
+        assert [world.state(name, "m") for name in "abcf"] == ["unknown"] * 4
+        assert all(world.nodes[name].store.departed == 1 for name in "abc")
+    finally:
+        world.close()
+
+
+@test("a copy taken before a controller was told that the machine left is taken back everywhere")
+def _():
+    world = World(fronts="f")
+    try:
+        for name in "abcf":
+            world.start(name)
+        world.run(1.0)
+        for name in "ab":
+            world.nodes[name].store.forget("m", True)
+        world.nodes["c"].store.put("machine/m", [1, 0], machine("m"))
+        front = world.nodes["f"].publisher.store
+        front.put("machine/m", [1, 0], machine("m"))
+        world.run(4.0)
+        assert world.state("c", "m") == world.state("f", "m") == "gone"
+        assert world.nodes["f"].endpoints.machines == {}
+    finally:
+        world.close()
--- a/tests/gateway/test_history.py
+++ b/tests/gateway/test_history.py
@@ -7,9 +7,10 @@
 
 from honeywood.gateway.configuration.outcome import Wrong
 from honeywood.gateway.controller.machine_records import MachineRecords
-from honeywood.gateway.controller.machines import Machines
+from honeywood.gateway.controller.machines import DEPARTED_ROW, Machines
 from honeywood.gateway.dissemination.history import KEEP, MOST, History
-from honeywood.gateway.dissemination.store import FORGOTTEN, Store
+from honeywood.gateway.dissemination import departed
+from honeywood.gateway.dissemination.store import Store
 
 BEAT = {"svc": "s", "ip": "m", "port": 1, "zone": "z", "ver": "v1", "slots": 4, "state": "ready", "cold": 0.0}
 
@@ -54,7 +55,8 @@
         assert not any(told(world, name, "m") for name in "abcf")
         assert "m" not in world.nodes["b"].machines.heard
         rows = world.nodes["a"].register.rows
-        assert not any(key.startswith("note/") for key in rows)
+        kept = [key for key in rows if key.startswith("note/")]
+        assert kept == ["note/" + DEPARTED_ROW + departed.key_of("m")], "its name alone stays on disk"
     finally:
         world.close()
 
@@ -127,11 +129,13 @@
         if life % 100 == 0:
             machines.look(now)
     machines.look(now)
-    assert len(store.notes) < 2 * (MOST + 600) and len(rows) < MOST + 600 and len(machines.heard) < 600
-    assert 1000 < len(store.forgotten) <= FORGOTTEN
+    names = departed.BUCKETS * departed.MOST
+    assert len(store.notes) < 2 * (MOST + 600) + departed.BUCKETS
+    assert len(rows) < MOST + 600 and len(machines.heard) < 600
+    assert 1000 < store.departed <= names
     for life in range(20_000):
         store.forget(f"j-{life}", True)
-    assert len(store.forgotten) <= FORGOTTEN and not store.put("machine/j-19999", [1, 0], BEAT)
+    assert store.departed <= names and not store.put("machine/j-19999", [1, 0], BEAT)
     assert store.put("rollout/j-19999", [1], {})  # a service of that name is none of it
 
 
--- a/tests/gateway/test_review.py
+++ b/tests/gateway/test_review.py
@@ -37,7 +37,7 @@
     async def beats():
         for seq in range(9):
             for name in "bc":
-                body = {"svc": "s", "addr": f"{name}:1", "state": "ready", "seq": seq}
+                body = {"svc": "s", "addr": f"10.0.0.{ord(name)}:1", "state": "ready", "seq": seq}
                 world.loop.create_task(world.ask(name, "instances.heartbeat", f"m{name}", body))
             await asyncio.sleep(1.5)
 
--- a/tests/gateway/timeline.py
+++ b/tests/gateway/timeline.py
@@ -69,7 +69,7 @@
     async def _beat(self, name, id, state):
         body = {
             "svc": "s",
-            "addr": f"{id}:1",
+            "addr": "10.0.0.1:1",
             "zone": "z",
             "ver": "v1",
             "slots": 4,
