--- a/honeywood/lab/emulator/boot.py
+++ b/honeywood/lab/emulator/boot.py
@@ -1,11 +1,12 @@
 """The settings file of a process in worlds and tests, and what their routes ask for."""
 
-AIM_S, DEADLINE_S = 0.25, 0.8  # of requests in worlds
-
 from dataclasses import replace
 
 from honeywood.gateway.configuration.settings import read
 
+
+AIM_S, DEADLINE_S = 0.25, 0.8  # of requests in worlds
+
 BOUNDS = {
     "seed_lag_s": 3,
     "reuse_s": 2,
