Dissemination by concern: publisher, subscriber, pacer; typed messages and records

Ask, Answer, Chunk, Progress, Asker and Record are frozen dataclasses with slots, one encode and one decode each; what is decoded holds, or outcome.Wrong names field and peer.

--- a/honeywood/gateway/controller/app.py
+++ b/honeywood/gateway/controller/app.py
@@ -1,13 +1,15 @@
 """The controller's ASGI application: one dispatch of machines', operators' and our own calls."""
 
 import json
+from dataclasses import replace
 from urllib.parse import parse_qs
 
 from honeywood.gateway.configuration import config
 from honeywood.gateway.configuration.check import need, read_json
 from honeywood.gateway.configuration.outcome import Wrong
 from honeywood.gateway.controller import machines
-from honeywood.gateway.dissemination import publisher as publisher
+from honeywood.gateway.dissemination.messages import Ask
+from honeywood.gateway.dissemination.record import PATH
 from honeywood.gateway.register import replica as register
 from honeywood.gateway.rpc.asgi import answer, body_of
 
@@ -90,8 +92,9 @@
 
     # our own
     async def news(self, of, body, peer):
-        ask = read_json(body, publisher.PATH, peer)
-        return {**await self.controller.publisher.serve(ask, peer), **self.controller.beside(ask["who"])}
+        ask = Ask.decode(read_json(body, PATH, peer), peer)
+        answer = await self.controller.publisher.serve(ask)
+        return replace(answer, **self.controller.beside(ask.who)).encode()
 
     async def register(self, of, body, peer):
         return await self.controller.telling(read_json(body, register.PATH, peer), peer)
--- a/honeywood/gateway/controller/machines.py
+++ b/honeywood/gateway/controller/machines.py
@@ -45,7 +45,7 @@
     """Machines at one controller: notes only of what has changed; the rest are signs of life."""
 
     def __init__(self, store, beat_s):
-        self.store, self.silence, self.heard, self.past = store, MISSED * beat_s, {}, History(store)
+        self.store, self.silence, self.heard, self.history = store, MISSED * beat_s, {}, History(store)
         self.changed = lambda id, note: None  # told of each note on the store that changes
 
     def beat(self, now, id, stamp, value):
@@ -61,17 +61,17 @@
 
     def hear(self, now, id, value):
         """A note of a machine has come to the store, from here or from others."""
-        self.past.hear(now, id, value["state"])
+        self.history.hear(now, id, value["state"])
         if value["state"] in (GONE, LOST):
             self.heard.pop(id, None)
         if value["state"] == GONE:
             self.store.drop(f"beat/{id}")
-        self.changed(id, [self.store.notes[f"machine/{id}"][0], value])
+        self.changed(id, [self.store.stamp(f"machine/{id}"), value])
 
     def hear_departed(self, key, bucket):
         """A bucket of names that left has come to the store: machines that were taken meanwhile, by late
         copies of their beats, leave once more, so that whoever has heard of them hears that too."""
-        self.changed(DEPARTED_ROW + key, [self.store.notes[key][0], bucket])
+        self.changed(DEPARTED_ROW + key, [self.store.stamp(key), bucket])
         names = departed.decode(bucket)
         for known, value in self.store.under("machine/"):
             id = known.partition("/")[2]
@@ -98,7 +98,7 @@
     def look(self, now):
         """Takes for lost whoever has been silent for long; its next beat brings it back. Forgets lives that
         were over long ago."""
-        for id in self.past.look(now):
+        for id in self.history.look(now):
             self.changed(id, None)
         known = {key.partition("/")[2]: value for key, value in self.store.under("machine/")}
         for id in self.heard.keys() - known:
@@ -111,7 +111,7 @@
                 continue
             at, _ = self.heard.setdefault(id, (now, None))
             if now - at > self.silence:
-                last = self.store.notes.get(f"beat/{id}")
-                held = self.store.notes[f"machine/{id}"][0]
-                stamp = [max(held[0], last[0][0] if last else 0), 1]
+                last = self.store.stamp(f"beat/{id}")
+                held = self.store.stamp(f"machine/{id}")
+                stamp = [max(held[0], last[0] if last else 0), 1]
                 self.store.put(f"machine/{id}", stamp, {**value, "state": LOST})
--- a/honeywood/gateway/controller/orders.py
+++ b/honeywood/gateway/controller/orders.py
@@ -65,8 +65,8 @@
     async def replace(self, version, raw, peer):
         """(outcome, version held) of an order; 412 where its number stands for another content."""
         mark = held.digest(raw)
-        told, found, value = self.controller.store.notes.get(CONFIG), None, None
-        if told is not None and told[0][0] >= version:  # likely a copy: a read is cheaper than a round
+        told, found, value = self.controller.store.stamp(CONFIG), None, None
+        if told is not None and told[0] >= version:  # likely a copy: a read is cheaper than a round
             value = await self._read(REPLACE, CONFIG, peer)
             found = held.outcome(value, version, mark)
         if found is None:
--- a/honeywood/gateway/controller/program.py
+++ b/honeywood/gateway/controller/program.py
@@ -13,8 +13,10 @@
 from honeywood.gateway.dissemination.backoff import Backoff
 from honeywood.gateway.dissemination.epochs import EpochClock
 from honeywood.gateway.dissemination.local import LocalRecords
-from honeywood.gateway.dissemination.publisher import Subscriber, Publisher, whole
+from honeywood.gateway.dissemination.messages import Asker
+from honeywood.gateway.dissemination.publisher import Publisher
 from honeywood.gateway.dissemination.rendezvous import order, parents
+from honeywood.gateway.dissemination.subscriber import Subscriber
 from honeywood.gateway.program import COUNTS, Program
 from honeywood.gateway.register.disk import Disk
 from honeywood.gateway.register.membership import replacement
@@ -65,23 +67,23 @@
         self.contact, self.began = {}, self.clock()  # since when each other controller has been in contact
 
     def config_held(self):
-        held = self.store.notes.get(CONFIG)
-        return f"{held[0][0]:08x}" if held else None
+        stamp = self.store.stamp(CONFIG)
+        return f"{stamp[0]:08x}" if stamp else None
 
     def found(self, controllers):
         self.controllers += [ip for ip in controllers if ip not in self.controllers]
 
     def who(self):
-        return {"ip": self.settings.ip, "node": self.settings.node, "private": True}
+        return Asker(self.settings.node, self.settings.ip, controller=True)
 
     def met(self, who, rev):
         """Somebody asked for news who has all up to `rev`: a sign of its life."""
         now = self.clock()
-        if who.get("front"):
-            self.fronts[who.get("node")] = now, [who.get("zone"), who.get("ip")]
-        elif who.get("private"):
-            self.found([who.get("ip")])  # of more than three controllers not all are among the seeds of each
-            self.others[who.get("ip")] = now, rev
+        if who.proxy:
+            self.fronts[who.node] = now, [who.zone, who.ip]
+        elif who.controller:
+            self.found([who.ip])  # of more than three controllers not all are among the seeds of each
+            self.others[who.ip] = now, rev
             for wait in self.waits:
                 wait.set()
 
@@ -172,7 +174,7 @@
             if asked - self.reached.get(ip, -HEARD) >= HEARD:
                 self.contact[ip] = asked
             self.reached[ip] = asked
-            if whole(reply.value):
+            if reply.value.whole:
                 self.heard_all[ip] = asked
         await asyncio.sleep(min(REST, self.subscriber.backoff.rest(ip, self.clock())))
 
@@ -181,7 +183,7 @@
 
         async def told(ip):
             reply = await self.subscriber.ask(ip, self.settings.controller_port, 0.0)
-            return reply.ok and whole(reply.value)
+            return reply.ok and reply.value.whole
 
         others = [ip for ip in self.controllers if ip != self.settings.ip]
         answers = await asyncio.gather(*[told(ip) for ip in others])
@@ -255,13 +257,13 @@
     def beside(self, who):
         """What goes with an answer to news: whether enough others are heard; for a front how many fronts
         there are, the relays that it hears from, and which of its counts are known here."""
-        found = {"joined": self.joined}
-        if who.get("front"):
-            node, zone = who.get("node"), who.get("zone")
-            if node not in self.chains:
-                self.chains[node] = parents(node, zone, self.fleet)
-            held = self.store.notes.get(f"count/{node}/{who.get('life')}")
-            found |= {"fleet": [len(self.fleet), self.chains[node]], "counted": held[0][0] if held else 0}
+        found = {"in_quorum": self.joined}
+        if who.proxy:
+            if who.node not in self.chains:
+                self.chains[who.node] = parents(who.node, who.zone, self.fleet)
+            counted = self.store.stamp(f"count/{who.node}/{who.life}")
+            found["fleet"] = len(self.fleet), self.chains[who.node]
+            found["counted"] = counted[0] if counted else 0
         return found
 
     async def steer(self):
--- a/honeywood/gateway/dissemination/history.py
+++ b/honeywood/gateway/dissemination/history.py
@@ -1,18 +1,19 @@
 """Lives of machines that are over: told of for a while, then forgotten. Pure.
 
-Who left said so and its id is never given again: once its notes are dropped, none that comes late is taken.
-Who fell silent may come back; after a while its notes are dropped too, and its next beat makes it known anew.
+Who left said so and its id is never given again: once its records are dropped, none that comes late is taken
+(departed.py). Who fell silent may come back; after a while its records are dropped too, and its next
+heartbeat makes it known anew.
 """
 
 from honeywood.gateway.routing.endpoints import GONE, LOST
 
-KEEP = 120.0  # seconds for which a life that is over is told of: above any late beat's, and CUT by far
+KEEP = 120.0  # seconds for which a life that is over is told of: above any late heartbeat's, and CUT by far
 CUT = 60.0  # seconds without a controller that hears a majority after which a front doubts what it knows
 MOST = 2000  # lives that are over and told of; beyond them the oldest are dropped sooner
 
 
 def over(value):
-    """Whether a note says that a machine's life is over, or seems to be."""
+    """Whether a record says that a machine's life is over, or seems to be."""
     return isinstance(value, dict) and value.get("state") in (GONE, LOST)
 
 
@@ -23,7 +24,7 @@
         self.store, self.over = store, {}
 
     def hear(self, now, id, state):
-        """A note on the store says that a machine is in `state`."""
+        """A record on the store says that a machine is in `state`."""
         self.over.pop(id, None)
         if state in (GONE, LOST):
             self.over[id] = now, state
--- a/honeywood/gateway/dissemination/local.py
+++ b/honeywood/gateway/dissemination/local.py
@@ -1,21 +1,22 @@
-"""MachineRecords that a program tells of itself. Its clock may have been set back since its last life: who
-hears one of its own notes from before goes above the stamp (as OSPF does, RFC 2328, 13.4)."""
+"""Records that a program tells of itself. Its clock may have been set back since its last incarnation: who
+hears one of its own records from before goes above the stamp (as OSPF does, RFC 2328, 13.4)."""
 
 
 class LocalRecords:
-    """Keys of ours on the store; stamps are [incarnation, a number that rises, epoch]. `mine` knows our
+    """Keys of ours on the store; stamps are [incarnation, a number that rises, epoch]. `mine(key)` knows our
     keys."""
 
     def __init__(self, store, incarnation, mine):
-        self.store, self.incarnation, self.mine, self.n, self.values = store, incarnation, mine, 0, {}
+        self.store, self.incarnation, self.mine, self.number, self.values = store, incarnation, mine, 0, {}
         self.telling, self.epoch = False, store.epoch
 
     def tell(self, key, value):
+        """Tells all of a value, in place of the one before."""
         self.values[key] = value
-        self.n += 1
+        self.number += 1
         self.telling = True
         try:
-            self.store.put(key, [self.incarnation, self.n, self.store.epoch], value)
+            self.store.put(key, [self.incarnation, self.number, self.store.epoch], value)
         finally:
             self.telling = False
 
@@ -29,13 +30,13 @@
             self.tell(key, value)
 
     def heard(self, key):
-        """A note has come to the store: where it is of an earlier life of ours, all is told again above it;
-        what this life hasn't told is taken back with the value None."""
+        """A record has come to the store: where it is of an earlier incarnation of ours, all is told again
+        above it; what this one hasn't told is taken back with the value None."""
         if self.telling or not self.mine(key):
             return
-        past = self.store.notes[key][0][0]
+        earlier = self.store.stamp(key)[0]
         again = {key: self.values.get(key)}
-        if past >= self.incarnation:
-            self.incarnation, again = past + 1, {**self.values, **again}
+        if earlier >= self.incarnation:
+            self.incarnation, again = earlier + 1, {**self.values, **again}
         for one, value in again.items():
             self.tell(one, value)
--- /dev/null
+++ b/honeywood/gateway/dissemination/subscriber.py
@@ -0,0 +1,52 @@
+"""Asking other programs for what they have heard."""
+
+import asyncio
+from dataclasses import replace
+
+from honeywood.gateway.configuration.outcome import Done, Wrong
+from honeywood.gateway.dissemination.messages import Answer, Ask
+from honeywood.gateway.dissemination.record import PATH
+
+MARGIN_S = 0.5  # seconds that an answer may take besides those that it is held
+
+
+class Subscriber:
+    """Asks one peer after the other; `who()` says who asks, `records_for(ip)` gives the records that go along
+    to one. Peers that don't answer are in `backoff`; `known` is up to where each has told what it holds:
+    {(ip, port): (life, rev)}."""
+
+    def __init__(self, publisher, caller, who, backoff, records_for=lambda ip: []):
+        self.publisher, self.caller, self.who, self.records_for = publisher, caller, who, records_for
+        self.backoff, self.known = backoff, {}
+
+    def _ask(self, ip, port, hold_s):
+        store, (life, rev) = self.publisher.store, self.known.get((ip, port), ("", 0))
+        return Ask(
+            replace(self.who(), epoch=store.epoch),
+            life,
+            rev,
+            self.records_for(ip),
+            hold_s,
+            f"{store.digest:x}",
+            self.publisher.most,
+            store.held(),
+            self.publisher.chunks.have(),
+        )
+
+    async def ask(self, ip, port, hold_s):
+        """One ask; Done with the Answer once it is heard, or Failed."""
+        body = self._ask(ip, port, hold_s).encode()
+        reply = await self.caller.call(ip, port, PATH, body, hold_s + MARGIN_S, again=True)
+        now = asyncio.get_running_loop().time()
+        if not reply.ok:
+            self.backoff.silent(ip, now)
+            return reply
+        try:
+            answer = Answer.decode(reply.value, ip)
+        except Wrong as wrong:
+            self.backoff.silent(ip, now)
+            return wrong.failed
+        self.backoff.answered(ip, now + (answer.later_s or 0.0))
+        self.publisher.hear_answer(answer)
+        self.known[ip, port] = answer.life, answer.rev
+        return Done(answer)
--- a/honeywood/gateway/proxy/app.py
+++ b/honeywood/gateway/proxy/app.py
@@ -4,7 +4,8 @@
 
 from honeywood.gateway.configuration.check import read_json
 from honeywood.gateway.configuration.outcome import Wrong
-from honeywood.gateway.dissemination.publisher import PATH
+from honeywood.gateway.dissemination.messages import Ask
+from honeywood.gateway.dissemination.record import PATH
 from honeywood.gateway.proxy.forwarding import AGAIN_S, ours
 from honeywood.gateway.rpc.asgi import answer, body_of
 
@@ -76,7 +77,8 @@
 
     async def hear(self, raw, peer):
         """The answer to another front's ask for news."""
-        return await self.proxy.publisher.serve(read_json(raw, PATH, peer), peer)
+        ask = Ask.decode(read_json(raw, PATH, peer), peer)
+        return (await self.proxy.publisher.serve(ask)).encode()
 
     async def news(self, scope, receive, send):
         peer = scope["client"][0]
--- a/honeywood/gateway/proxy/program.py
+++ b/honeywood/gateway/proxy/program.py
@@ -6,8 +6,11 @@
 from honeywood.gateway.configuration import config
 from honeywood.gateway.dissemination.backoff import FIRST, Backoff
 from honeywood.gateway.dissemination.history import CUT, History
-from honeywood.gateway.dissemination.publisher import HOLD, Subscriber, Publisher, whole
+from honeywood.gateway.dissemination.messages import Asker
+from honeywood.gateway.dissemination.publisher import HOLD, Publisher
+from honeywood.gateway.dissemination.record import Record
 from honeywood.gateway.dissemination.rendezvous import order
+from honeywood.gateway.dissemination.subscriber import Subscriber
 from honeywood.gateway.program import COUNTS, Program
 from honeywood.gateway.proxy.app import App
 from honeywood.gateway.proxy.connections import ConnectionPool
@@ -50,7 +53,7 @@
             self.clock, self.random, s.zone, self.endpoints, self.gate, self.stage, self.links, self.budget_of
         )
         self.publisher, self.tasks = Publisher(self.store_incarnation(), self.hear, rate=s.link), set()
-        self.past, self.doubted_at = History(self.publisher.store), None
+        self.history, self.doubted_at = History(self.publisher.store), None
         backoff = Backoff(self.random, REST)
         self.subscriber = Subscriber(self.publisher, self.caller, self.who, backoff)
         self.sure = Subscriber(self.publisher, self.caller, self.who, backoff, self.own)
@@ -93,13 +96,8 @@
 
     # news
     def who(self):
-        return {
-            "node": self.settings.node,
-            "ip": self.settings.ip,
-            "zone": self.settings.zone,
-            "life": self.life,
-            "front": True,
-        }
+        s = self.settings
+        return Asker(s.node, s.ip, s.zone, self.life, proxy=True)
 
     def own(self, ip):
         """This front's counts, where they have changed since that controller had them."""
@@ -111,7 +109,7 @@
         if self.counted.get(ip, 0) >= self.told:
             return []
         key, stamp = f"count/{self.settings.node}/{self.life}", [self.told, self.told_in]
-        return [[key, stamp, {"life": self.life, **told}]]
+        return [Record(key, stamp, {"life": self.life, **told})]
 
     def hear(self, key, value):
         kind, _, name = key.partition("/")
@@ -122,7 +120,7 @@
             self.endpoints.most.update({name: service.max_conns for name, service in read.services.items()})
             self.say("configuration")
         elif kind == "machine":
-            self.past.hear(self.clock(), name, value["state"])
+            self.history.hear(self.clock(), name, value["state"])
             machine, left = self.endpoints.hear(self.clock(), name, value)
             if left and machine is not None:
                 self.links.drop(machine)
@@ -139,7 +137,7 @@
         for ip, port in places:
             reply = await self.subscriber.ask(ip, port, HOLD)
             if reply.ok:
-                return await asyncio.sleep(min(HOLD, reply.value.get("later", 0.0)))
+                return await asyncio.sleep(min(HOLD, reply.value.later_s or 0.0))
         await asyncio.sleep(FIRST)
 
     async def make_sure(self):
@@ -152,13 +150,13 @@
             for _ in range(TURNS):
                 asked = self.clock()  # an answer may have lain here unread while this process was frozen
                 reply = await self.sure.ask(ip, self.settings.controller_port, 0.0)
-                if reply.ok and "fleet" in reply.value:
-                    (count, self.relays), self.counted[ip] = reply.value["fleet"], reply.value["counted"]
+                if reply.ok and reply.value.fleet is not None:
+                    (count, self.relays), self.counted[ip] = reply.value.fleet, reply.value.counted or 0
                     self.hear_fleet(ip, count)
-                if not (reply.ok and reply.value.get("more")):
+                if not (reply.ok and reply.value.more):
                     break
-            if reply.ok and reply.value.get("joined"):
-                if whole(reply.value):  # else what ends a stage may be among what was not told
+            if reply.ok and reply.value.in_quorum:
+                if reply.value.whole:  # else what ends a stage may be among what was not told
                     if self.met_majority and asked - self.stage.heard_at > CUT:
                         self.doubt()
                     self.stage.heard_at = asked
@@ -195,7 +193,7 @@
     async def tidy(self):
         now, store = self.clock(), self.publisher.store
         self.links.tidy(self.endpoints.machines.values())
-        self.past.look(now)
+        self.history.look(now)
         store.prune()
         if self.doubted_at is not None and now - self.doubted_at > DOUBTS:
             self.doubted_at = None
--- a/honeywood/lab/emulator/world.py
+++ b/honeywood/lab/emulator/world.py
@@ -127,8 +127,8 @@
         program = self.nodes.get(name)
         if program is None:
             return None
-        held = program.publisher.store.notes.get("config")
-        return held[0][0] if held else None
+        stamp = program.publisher.store.stamp("config")
+        return stamp[0] if stamp else None
 
     def state(self, name, id):
         """A machine's state as a program knows it."""
--- a/tests/gateway/test_dissemination.py
+++ b/tests/gateway/test_dissemination.py
@@ -116,7 +116,7 @@
 
             def counted(life, rev, private, held=None, since=since, name=name):
                 found = since(life, rev, private, held)
-                told[name] = told.get(name, 0) + sum(key == "config" for key, *_ in found)
+                told[name] = told.get(name, 0) + sum(record.key == "config" for record in found)
                 return found
 
             world.nodes[name].publisher.store.since = counted
--- a/tests/gateway/test_dissemination_links.py
+++ b/tests/gateway/test_dissemination_links.py
@@ -3,16 +3,20 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 from timeline import World, config
 from ward import each, test
 
 from honeywood.gateway.configuration.outcome import Done, Failed
-from honeywood.gateway.dissemination.backoff import FIRST, LEAST, MOST, SHARE, Pace, Backoff, part
-from honeywood.gateway.dissemination.chunk import ChunkCollector
+from honeywood.gateway.dissemination.backoff import FIRST, Backoff
+from honeywood.gateway.dissemination.chunk import ChunkCollector, Progress
+from honeywood.gateway.dissemination.link_pacer import LEAST, MOST, SHARE, LinkPacer, answer_bytes
 from honeywood.gateway.dissemination.local import LocalRecords
-from honeywood.gateway.dissemination.publisher import Subscriber, Publisher, whole
+from honeywood.gateway.dissemination.messages import Ask, Asker
+from honeywood.gateway.dissemination.publisher import Publisher
 from honeywood.gateway.dissemination.store import Store
+from honeywood.gateway.dissemination.subscriber import Subscriber
 from honeywood.lab.emulator.world import Loop
 
 
@@ -37,7 +41,7 @@
     """One answer: its bytes and the count of changes that it reaches."""
     found = teller.since(teller.life, rev, False, hearer.held())
     notes, piece, reached = teller.tell(found, most, pieces.have())
-    size = sum(teller.size(key) for key, *_ in notes) + (len(piece["text"]) if piece else 0)
+    size = sum(teller.size(note.key) for note in notes) + (len(piece.text) if piece else 0)
     return notes, piece, reached, size
 
 
@@ -65,7 +69,7 @@
         _, piece, _, _ = ask(draw.choice(tellers), hearer, pieces, 0, 2000)
         if draw.random() < 0.6:
             continue  # the answer is lost
-        got += len(piece["text"])
+        got += len(piece.text)
         whole = pieces.take(piece)
         hearer.hear([whole] if whole else [])
     assert hearer.get("config") == tellers[0].get("config") and got <= 30_002
@@ -76,12 +80,12 @@
     one, two, pieces = full(0, 5000), full(0, 5000, seed=1), ChunkCollector()
     first = one.tell(one.since("", 0, False), 3000)[1]
     assert pieces.take(first) is None
-    rest = two.tell(two.since("", 0, False), 3000, {"config": [[7], first["mark"], 3000]})[1]
-    assert rest["at"] == 0, "nobody goes on with a text that it doesn't have"
-    assert pieces.take({**rest, "at": 3000}) is None and pieces.have()["config"][2] == 3000
-    assert pieces.take({**first, "at": 3000, "text": "x" * 2002}) is None, "the whole has another mark"
+    rest = two.tell(two.since("", 0, False), 3000, {"config": Progress([7], first.mark, 3000)})[1]
+    assert rest.at == 0, "nobody goes on with a text that it doesn't have"
+    assert pieces.take(replace(rest, at=3000)) is None and pieces.have()["config"].length == 3000
+    assert pieces.take(replace(first, at=3000, text="x" * 2002)) is None, "the whole has another mark"
     assert pieces.have() == {}
-    assert pieces.take({**first, "at": 3000}) is None and pieces.have() == {}
+    assert pieces.take(replace(first, at=3000)) is None and pieces.have() == {}
 
 
 @test("a version that is being collected is told to its end though newer ones come")
@@ -94,7 +98,7 @@
         hearer.hear([whole] if whole else [])
         if version < 10:
             teller.put("config", [version], "z" * 9000)
-    assert hearer.notes["config"][0] == [7]
+    assert hearer.stamp("config") == [7]
 
 
 @test("a front cut off amid a long configuration goes on where it was, at whoever answers")
@@ -104,13 +108,13 @@
         for program in world.nodes.values():
             program.publisher.most = 1500
         world.run(4.5)
-        pieces = world.nodes["f"].publisher.pieces
+        pieces = world.nodes["f"].publisher.chunks
         take = pieces.take
 
         def cut_off(piece):
             if not taken:
                 world.cut("f", "abc")
-            taken.append(piece["at"])
+            taken.append(piece.at)
             return take(piece)
 
         pieces.take = cut_off
@@ -130,14 +134,14 @@
 
 @test("answers on a slow link go one after the other, within its part; who would wait long is sent away")
 def _():
-    pace, now, left = Pace(300_000), 0.0, []
+    pace, now, left = LinkPacer(300_000), 0.0, []
     for _ in range(20):
         if pace.behind(now) <= 0.25:
             left.append(now + pace.take(now, 30_000))
         now += 0.05
     sent = sum(at < 1.0 for at in left)
     assert 30_000 * (sent - 1) <= SHARE * 300_000 and max(at - 0.05 * n for n, at in enumerate(left)) < 2.0
-    assert part(300_000) == 36_000 and part(1) == LEAST and part(1e9) == MOST
+    assert answer_bytes(300_000) == 36_000 and answer_bytes(1) == LEAST and answer_bytes(1e9) == MOST
 
 
 @test("many fronts that ask one relay at once are told in turn or sent away, none is kept beyond its time")
@@ -150,15 +154,15 @@
 
         async def one():
             body = {"who": {"front": True}, "rev": 0, "hold": 1.0}
-            answers.append((await publisher.serve(body, "p"), loop.time()))
+            answers.append((await publisher.serve(Ask.decode(body)), loop.time()))
 
         async def all_at_once():
             await asyncio.gather(*[one() for _ in range(20)])
 
         loop.run_until_complete(all_at_once())
-        told = [answer for answer, _ in answers if answer["notes"]]
+        told = [answer for answer, _ in answers if answer.records]
         assert 2 <= len(told) <= 3 and all(at <= 0.4 for _, at in answers)
-        assert all(answer["later"] > 0 and answer["rev"] == 0 for answer, _ in answers if not answer["notes"])
+        assert all(answer.later_s > 0 and answer.rev == 0 for answer, _ in answers if not answer.records)
     finally:
         loop.close()
 
@@ -244,8 +248,8 @@
         world.run(6.0)
         held = {name: world.nodes[name].store.get(f"count/f/{front.life}") for name in "abc"}
         assert all(note and note["rows"][0][4] == 9 for note in held.values()), held
-        own, asked = front.sure.own, []
-        front.sure.own = lambda ip: asked.append(own(ip)) or asked[-1]
+        own, asked = front.sure.records_for, []
+        front.sure.records_for = lambda ip: asked.append(own(ip)) or asked[-1]
         world.run(9.0)
         assert asked and not any(asked), "what hasn't changed is told again"
     finally:
@@ -265,7 +269,7 @@
         world.start("a")
         world.run(9.0)
         assert all(set(world.nodes[name].fleet) == {"f"} for name in "abc")
-        stamps = {name: world.nodes[name].store.notes["fleet/a/f"][0] for name in "abc"}
+        stamps = {name: world.nodes[name].store.stamp("fleet/a/f") for name in "abc"}
         assert len({str(stamp) for stamp in stamps.values()}) == 1, stamps
     finally:
         world.close()
@@ -278,12 +282,12 @@
     own = held["own"] = LocalRecords(store, 5, lambda key: key.startswith("own/"))
     own.tell("own/a", 1)
     store.put("own/a", [9, 4], 0)
-    assert store.notes["own/a"][0] > [9, 4] and store.get("own/a") == 1
+    assert store.stamp("own/a") > [9, 4] and store.get("own/a") == 1
     store.put("own/b", [9, 3], 0)
-    assert store.get("own/b") is None and "own/b" in store.notes, "what this life doesn't say is taken back"
-    before = dict(store.notes)
+    assert store.get("own/b") is None and "own/b" in store.records, "what this life doesn't say is taken back"
+    before = dict(store.records)
     store.put("own/a", [9, 99], 0)
-    assert store.notes == before, "late copies change nothing"
+    assert store.records == before, "late copies change nothing"
 
 
 @test("a controller that is heard no more keeps no front alive")
@@ -336,14 +340,14 @@
         publisher = Publisher("l", lambda key, value: None)
 
         async def held():
-            ask = {"who": {"private": True}, "rev": 0, "hold": 0.5}
-            asked = asyncio.ensure_future(publisher.serve(ask, "p"))
+            ask = Ask.decode({"who": {"private": True}, "rev": 0, "hold": 0.5})
+            asked = asyncio.ensure_future(publisher.serve(ask))
             await asyncio.sleep(0.45)
             publisher.store.put("beat/m", [1], None)
             publisher.store.put("fleet/a/f", [1], None)
             return await asked
 
-        assert [key for key, *_ in loop.run_until_complete(held())["notes"]] == ["beat/m", "fleet/a/f"]
+        assert [record.key for record in loop.run_until_complete(held()).records] == ["beat/m", "fleet/a/f"]
     finally:
         loop.close()
 
@@ -361,14 +365,14 @@
 
         class Caller:
             async def call(self, ip, port, path, body, within, again=False):
-                return Done(await told_by.serve(body, ip))
+                return Done((await told_by.serve(Ask.decode(body, ip))).encode())
 
-        subscriber = Subscriber(hearer, Caller(), lambda: {"front": True}, Backoff(random.Random(0), 1.0))
+        subscriber = Subscriber(hearer, Caller(), lambda: Asker(proxy=True), Backoff(random.Random(0), 1.0))
         reply = loop.run_until_complete(subscriber.ask("p", 1, 0.0))
-        assert reply.value["notes"] == [] and reply.value["rev"] == 50
+        assert reply.value.records == [] and reply.value.rev == 50
         told_by.store.put("machine/7", [99], {"n": 0})
         reply = loop.run_until_complete(subscriber.ask("p", 1, 0.0))
-        assert [key for key, *_ in reply.value["notes"]] == ["machine/7"]
+        assert [record.key for record in reply.value.records] == ["machine/7"]
     finally:
         loop.close()
 
@@ -384,8 +388,8 @@
         publisher.store.put("config", [1], "x" * 29_000)
 
         async def one(who):
-            answer = await publisher.serve({"who": who, "rev": 0, "hold": 1.0}, "p")
-            answers.append((bool(who.get("private")), whole(answer), loop.time()))
+            answer = await publisher.serve(Ask.decode({"who": who, "rev": 0, "hold": 1.0}))
+            answers.append((bool(who.get("private")), answer.whole, loop.time()))
 
         async def all_at_once():
             await asyncio.gather(*[one({"front": True}) for _ in range(20)], one({"private": True}))
--- a/tests/gateway/test_emulator.py
+++ b/tests/gateway/test_emulator.py
@@ -12,6 +12,7 @@
 from honeywood.gateway.configuration import config
 from honeywood.gateway.configuration.outcome import Wrong
 from honeywood.gateway.controller.app import App
+from honeywood.gateway.dissemination.record import Record
 from honeywood.gateway.dissemination.store import Store
 from honeywood.gateway.proxy import forwarding as carry
 from honeywood.gateway.proxy import program
@@ -103,13 +104,14 @@
 
 def last_wins(self, key, stamp, value, put=Store.put):
     if key == "config" and self.get(key) not in (None, value):
-        self.notes.pop(key)
+        self.records.pop(key)
     return put(self, key, stamp, value)
 
 
 def all_again(self, life, rev, private, held=None, since=Store.since):
-    found = [note for note in since(self, life, rev, private) if note[0] != "config"]
-    return found + [(key, *self.notes[key][:2]) for key in ("config",) if key in self.notes]
+    found = [record for record in since(self, life, rev, private) if record.key != "config"]
+    again = [Record(key, self.stamp(key), self.get(key)) for key in ("config",) if key in self.records]
+    return found + again
 
 
 async def idle(self):
@@ -125,8 +127,8 @@
     try:
         return await replace(self, of, body, peer)
     except Wrong:
-        held = self.controller.store.notes.get("config")
-        if held is None or held[0][0] != int(json.loads(body)["ver"], 16):
+        stamp = self.controller.store.stamp("config")
+        if stamp is None or stamp[0] != int(json.loads(body)["ver"], 16):
             raise
         return {}
 
--- a/tests/gateway/test_epochs.py
+++ b/tests/gateway/test_epochs.py
@@ -10,12 +10,18 @@
 from honeywood.gateway.controller.retention import still_counted
 from honeywood.gateway.dissemination import departed, epochs
 from honeywood.gateway.dissemination.local import LocalRecords
+from honeywood.gateway.dissemination.record import Record
 from honeywood.gateway.dissemination.store import Store
 
 STEP = 10.0  # seconds between exchanges of the stores below
 DAY = 86400.0
 
 
+def carried(records):
+    """Records as they come out of a message."""
+    return [Record.decode(one, "notes") for one in json.loads(json.dumps([one.encode() for one in records]))]
+
+
 class Peer:
     """A controller's store, its own records and its epoch clock, without any I/O."""
 
@@ -36,7 +42,7 @@
         """Hears what the other has to tell, as an ask of /news does."""
         other.store.learn(self.store.epoch)
         life, rev = self.heard.get(other.ip, ("", 0))
-        self.store.hear(json.loads(json.dumps(other.store.since(life, rev, True))))
+        self.store.hear(carried(other.store.since(life, rev, True)))
         self.heard[other.ip] = other.store.life, other.store.rev
 
     def look(self, now, in_quorum):
@@ -107,7 +113,7 @@
     def sizes(self):
         """Records and bytes of the largest full retelling."""
         stores = [peer.store for peer in self.connected()]
-        found = [[store.size(key) for key in store.notes] for store in stores]
+        found = [[store.size(key) for key in store.records] for store in stores]
         return max(map(len, found)), max(map(sum, found))
 
     def check(self):
@@ -115,7 +121,7 @@
         self.exchange()
         self.exchange()
         stores = [peer.store for peer in self.connected()]
-        held = [{key: note[:2] for key, note in store.notes.items()} for store in stores]
+        held = [{key: (one.stamp, one.value) for key, one in store.records.items()} for store in stores]
         assert all(one == held[0] for one in held), held
         assert len({store.digest for store in stores}) == 1
         alive = {f"count/{node}/{proxy[0]}" for node, proxy in self.proxies.items()}
@@ -189,7 +195,7 @@
     assert all(peer.store.get("bourse/d") for peer in site.peers.values())
     site.cut = {"d"}
     site.run(LONG)
-    assert not any("/d" in key for peer in site.connected() for key in peer.store.notes)
+    assert not any("/d" in key for peer in site.connected() for key in peer.store.records)
     site.cut = set()
     site.run(60.0)
     site.check()
@@ -241,9 +247,9 @@
             world.run(world.loop.time() + 1.4)
             world.kill(name)
             stores = [world.nodes[one].publisher.store for one in "abc"]
-            sizes.append(max(sum(store.size(key) for key in store.notes) for store in stores))
+            sizes.append(max(sum(store.size(key) for key in store.records) for store in stores))
         world.run(world.loop.time() + 60.0)
-        held = {name: set(world.nodes[name].publisher.store.notes) for name in "abcf"}
+        held = {name: set(world.nodes[name].publisher.store.records) for name in "abcf"}
         life = world.nodes["f"].life
         shared = {"bourse/a", "bourse/b", "bourse/c"}
         assert held["f"] == shared, held["f"]
@@ -276,7 +282,7 @@
         store.forget(f"i-{n}", True)
         if n % 7 == 0:
             for other in stores:
-                other.hear(json.loads(json.dumps(store.since("", 0, True))))
+                other.hear(carried(store.since("", 0, True)))
     for _ in range(2):
         for store in stores:
             for other in stores:
@@ -297,7 +303,7 @@
         world.run(1.5)
         world.loop.create_task(world.ask("a", "instances.leave", "m"))
         world.run(130.0)
-        assert not any("m" in key.split("/")[1] for key in world.nodes["b"].store.notes if "machine" in key)
+        assert not any("m" in key.split("/")[1] for key in world.nodes["b"].store.records if "machine" in key)
         world.fresh = False
         for name in "abc" if what == "a restart of all" else "b":
             world.wipe(name) if what == "the loss of its disk" else world.kill(name)
--- a/tests/gateway/test_history.py
+++ b/tests/gateway/test_history.py
@@ -10,6 +10,7 @@
 from honeywood.gateway.controller.machines import DEPARTED_ROW, Machines
 from honeywood.gateway.dissemination.history import KEEP, MOST, History
 from honeywood.gateway.dissemination import departed
+from honeywood.gateway.dissemination.record import Record
 from honeywood.gateway.dissemination.store import Store
 
 BEAT = {"svc": "s", "ip": "m", "port": 1, "zone": "z", "ver": "v1", "slots": 4, "state": "ready", "cold": 0.0}
@@ -25,7 +26,7 @@
 
 def told(world, name, id):
     store = world.nodes[name].publisher.store
-    return [kind for kind in ("machine/", "beat/") if kind + id in store.notes]
+    return [kind for kind in ("machine/", "beat/") if kind + id in store.records]
 
 
 def leave(world, name, id):
@@ -39,7 +40,8 @@
     try:
         world.say("a", "beat m ready")
         world.run(1.5)
-        late = world.nodes["b"].publisher.store.notes["machine/m"][:2]
+        held = world.nodes["b"].publisher.store.records["machine/m"]
+        late = [Record("machine/m", held.stamp, held.value), Record("beat/m", [9, 0], None)]
         assert told(world, "b", "m") == ["machine/", "beat/"] and told(world, "f", "m") == ["machine/"]
         leave(world, "a", "m")
         world.run(3.0)
@@ -50,7 +52,7 @@
         world.run(KEEP + 5.0)
         assert not any(told(world, name, "m") for name in "abcf")
         world.say("b", "beat m ready")  # and after it
-        world.nodes["c"].publisher.store.hear([["machine/m", *late], ["beat/m", [9, 0], None]])
+        world.nodes["c"].publisher.store.hear(late)
         world.run(KEEP + 7.0)
         assert not any(told(world, name, "m") for name in "abcf")
         assert "m" not in world.nodes["b"].machines.heard
@@ -130,7 +132,7 @@
             machines.look(now)
     machines.look(now)
     names = departed.BUCKETS * departed.MOST
-    assert len(store.notes) < 2 * (MOST + 600) + departed.BUCKETS
+    assert len(store.records) < 2 * (MOST + 600) + departed.BUCKETS
     assert len(rows) < MOST + 600 and len(machines.heard) < 600
     assert 1000 < store.departed <= names
     for life in range(20_000):
--- a/tests/gateway/test_orders.py
+++ b/tests/gateway/test_orders.py
@@ -7,6 +7,7 @@
 
 from honeywood.gateway.configuration import versions as held
 from honeywood.gateway.configuration.config import unpack
+from honeywood.gateway.dissemination.messages import Answer
 from honeywood.gateway.configuration.outcome import Done
 from honeywood.gateway.controller.orders import Orders
 from honeywood.gateway.rollout import record as rollouts
@@ -466,7 +467,7 @@
 
         async def old(ip, port, hold):
             world.loop.now += 20.0  # all stand still while the answer lies there
-            return Done({"joined": True})
+            return Done(Answer("", 0, in_quorum=True))
 
         controller.subscriber.ask = front.sure.ask = old
         world.loop.run_until_complete(controller.listen("b"))
@@ -513,7 +514,7 @@
     if key != "config" or value is None:
         return value
     mark = held.digest(unpack(value))
-    return {"ver": self.controller.store.notes[key][0][0], "text": value, "digest": mark, "past": []}
+    return {"ver": self.controller.store.stamp(key)[0], "text": value, "digest": mark, "past": []}
 
 
 @test("without the read of a majority {call} is answered from what a cut-off controller last heard")
