--- a/tests/gateway/test_deploy.py
+++ b/tests/gateway/test_deploy.py
@@ -18,9 +18,9 @@
 # On every machine, or brought by a listed package: the first three are marked essential (`dpkg-query -W -f
 # '${Essential}' NAME`), python3 depends on libc6 (`apt-cache depends --recurse python3`).
 BROUGHT = {"coreutils", "dash", "diffutils", "libc6"}
-# Shared libraries outside each wheel, by the package that holds them: `ldd` of each .so of the wheel for CPython
-# 3.11 on x86-64, traced by `dpkg -S`. Both load libc.so.6, libpthread.so.0 and ld-linux-x86-64.so.2 only; the
-# other wheels are tagged py3-none-any and hold no .so.
+# Shared libraries outside each wheel, by the package that holds them: `ldd` of each .so of the wheel for
+# CPython 3.11 on x86-64, traced by `dpkg -S`. Both load libc.so.6, libpthread.so.0 and ld-linux-x86-64.so.2
+# only; the other wheels are tagged py3-none-any and hold no .so.
 LIBRARY_PACKAGES = {
     "anyio": set(),
     "httpcore": set(),
