--- a/honeywood/lab/emulator/report.py
+++ b/honeywood/lab/emulator/report.py
@@ -20,7 +20,7 @@
     """A day's outcome in a few lines."""
     ends = ", ".join(f"{end}: {count}" for end, count in outcome.answers.most_common())
     faults = ", ".join(f"{fault.kind} at {fault.at_s:g} s" for fault in day.faults) or "none"
-    lines = [f"  {breach.rule} at {breach.at_s} s: {breach.why}" for breach in outcome.breaches[:SHOWN]]
+    lines = [f"  {breach}" for breach in outcome.breaches[:SHOWN]]
     broken = "\n".join(lines) or "  none"
     return (
         f"seed {day.seed}: worth {outcome.worth / max(1, outcome.owed):.3f} of {outcome.owed} requests\n"
--- a/honeywood/lab/emulator/rules/core.py
+++ b/honeywood/lab/emulator/rules/core.py
@@ -11,6 +11,10 @@
     at_s: float
     why: str
 
+    def __str__(self):
+        """What a report says of it."""
+        return f"{self.rule} at {self.at_s} s: {self.why}"
+
 
 class Core:
     """Troubles and breaches of a day."""
