--- a/tests/gateway/test_orders.py
+++ b/tests/gateway/test_orders.py
@@ -323,7 +323,7 @@
 
 def heard_of(world, name, id, ver):
     """A machine of a version beats at one controller."""
-    body = {"svc": "s", "addr": f"{id}:1", "zone": "z", "ver": ver, "slots": 4}
+    body = {"svc": "s", "addr": "10.0.0.1:1", "zone": "z", "ver": ver, "slots": 4}
     world.call(name, id, "instances.heartbeat", id, {**body, "state": "ready", "cold_left_s": 0, "seq": 1})
 
 
