--- a/tests/gateway/test_dissemination_links.py
+++ b/tests/gateway/test_dissemination_links.py
@@ -232,6 +232,8 @@
             world.run(12.0)
             each_front[n] = (sum(told(world, world.nodes).values()) - sum(after.values())) / n
             assert {world.version(name) for name in world.nodes} == {5}
+            kinds = {key.partition("/")[0] for key in world.nodes["f"].publisher.store.records}
+            assert kinds == {"config", "machine", "bourse"}, kinds
         finally:
             world.close()
     assert calm[6] == calm[24] == 0, calm
--- a/tests/gateway/test_epochs.py
+++ b/tests/gateway/test_epochs.py
@@ -220,6 +220,21 @@
     assert store.epoch == 0 and store.get("fleet/a/p")
 
 
+@test("what has lapsed is taken from nobody, and gives way to its owner whose clock was set back")
+def _():
+    store = Store("l")
+    assert store.put("bourse/a", [900, 7, 1], "a") and store.put("bourse/b", [900, 7, 1], "b")
+    assert store.put("bourse/a", [100, 1, 5], "a"), "the higher incarnation of before has lapsed"
+    assert store.prune() == ["bourse/b"]
+    for stamp in ([900, 9, 1], [900, 9, 3]):
+        assert not store.put("bourse/b", stamp, "b") and store.get("bourse/b") is None
+    assert not store.put("bourse/a", [900, 8, 3], "a") and store.stamp("bourse/a") == [100, 1, 5]
+    assert store.put("bourse/b", [100, 1, 4], "b")
+    other = Store("o")
+    other.hear(store.since("", 0, True))
+    assert other.digest == store.digest and other.epoch == 5
+
+
 @test("programs: hundreds of starts of proxies leave as many records and bytes as a few")
 def _():
     before, epochs.EPOCH_S = epochs.EPOCH_S, 8.0
