--- a/honeywood/gateway/configuration/config.py
+++ b/honeywood/gateway/configuration/config.py
@@ -34,11 +34,14 @@
 
     @property
     def safe(self):
+        """Whether a request may run twice."""
         return self.kind == SAFE
 
 
 @dataclass(frozen=True, slots=True)
 class Service:
+    """A service's name, the path of its health checks and the connections that one machine may have."""
+
     name: str
     health: str
     max_conns: int
@@ -56,6 +59,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Config:
+    """A whole configuration: routes, services by name, and what clients may do."""
+
     version: int
     routes: tuple
     services: dict
--- a/honeywood/gateway/configuration/outcome.py
+++ b/honeywood/gateway/configuration/outcome.py
@@ -23,6 +23,7 @@
     ok = False
 
     def __str__(self):
+        """The step, the peer and what was wrong."""
         return f"{self.step}{' with ' + self.peer if self.peer else ''}: {self.why}"
 
 
@@ -30,5 +31,6 @@
     """Something that can't be used; carries the Failed that tells it."""
 
     def __init__(self, step, why, peer="", status=400):
+        """`step` and `peer` say where, `why` what was wrong, `status` what a caller is told."""
         self.failed = Failed(step, why, peer, status)
         super().__init__(str(self.failed))
--- a/honeywood/gateway/configuration/versions.py
+++ b/honeywood/gateway/configuration/versions.py
@@ -13,6 +13,7 @@
 
 
 def digest(raw):
+    """A content's hash, 64 bits, by which copies of an order are known."""
     return blake2b(raw, digest_size=8).hexdigest()
 
 
--- a/honeywood/gateway/controller/machine_records.py
+++ b/honeywood/gateway/controller/machine_records.py
@@ -1,5 +1,5 @@
-"""MachineRecords of machines on this controller's disk, a row each: written when they change, one write at a
-time."""
+"""Records of machines on this controller's disk, a row each, and of names that left: written when they change,
+one write at a time."""
 
 import asyncio
 
@@ -7,14 +7,16 @@
 
 
 class MachineRecords:
-    """`write` puts {id: note or None} on disk, or raises outcome.Wrong. While it does, at most one more write
+    """`write` puts {id: [stamp, value] or None} on disk, or raises outcome.Wrong. While it does, at most one more write
     waits, with all that changes meanwhile: a disk that hangs leaves nothing queued behind it but that."""
 
     def __init__(self, write):
+        """Nothing has changed yet."""
         self.write, self.changed, self.writing, self.waiting = write, {}, None, None
 
-    def change(self, id, note):
-        self.changed[id] = note
+    def change(self, id, record):
+        """A row is to be [stamp, value], or to go (None)."""
+        self.changed[id] = record
 
     async def keep(self):
         """Ends when what has changed by now is on disk; raises outcome.Wrong where the disk refuses."""
--- a/honeywood/gateway/controller/machines.py
+++ b/honeywood/gateway/controller/machines.py
@@ -1,4 +1,4 @@
-"""What machines tell of themselves, as notes. Pure."""
+"""What machines tell of themselves, as records. Pure."""
 
 from honeywood.gateway.configuration.check import address, need
 from honeywood.gateway.configuration.outcome import Wrong
@@ -23,7 +23,7 @@
 
 
 def beat(id, body, peer):
-    """(stamp, value) out of a beat's body; raises outcome.Wrong naming the key."""
+    """(stamp, value) out of a heartbeat's body; raises outcome.Wrong naming the key."""
     named(STEP, id, peer)
     state = need(body, "state", str, STEP, peer=peer)
     if state not in (READY, DRAINING):
@@ -42,14 +42,15 @@
 
 
 class Machines:
-    """Machines at one controller: notes only of what has changed; the rest are signs of life."""
+    """Machines at one controller: records only of what has changed; the rest are signs of life."""
 
     def __init__(self, store, beat_s):
+        """`beat_s` are the seconds between two heartbeats of a machine."""
         self.store, self.silence, self.heard, self.history = store, MISSED * beat_s, {}, History(store)
-        self.changed = lambda id, note: None  # told of each note on the store that changes
+        self.changed = lambda id, record: None  # told of each record on the store that changes
 
     def beat(self, now, id, stamp, value):
-        """Takes a beat; whether it tells that the machine leaves service."""
+        """Takes a heartbeat; whether it tells that the machine leaves service."""
         held = self.store.get(f"machine/{id}")
         if held is not None and held["state"] == GONE:
             return value["state"] == DRAINING  # a beat that comes after its machine has left
@@ -60,7 +61,7 @@
         return value["state"] == DRAINING
 
     def hear(self, now, id, value):
-        """A note of a machine has come to the store, from here or from others."""
+        """A record of a machine has come to the store, from here or from others."""
         self.history.hear(now, id, value["state"])
         if value["state"] in (GONE, LOST):
             self.heard.pop(id, None)
@@ -79,7 +80,7 @@
                 self.leave(id)
 
     def recall(self, notes):
-        """Takes what an earlier life kept: any newer note wins, and who doesn't beat is lost as ever."""
+        """Takes what an earlier life kept: any newer record wins, and who doesn't beat is lost as ever."""
         rows = list(notes)
         for id, stamp, bucket in rows:
             if id.startswith(DEPARTED_ROW):
@@ -89,6 +90,7 @@
                 self.store.put(f"machine/{id}", stamp, {**value, "cold": 0.0})
 
     def alive(self, now, id, stamp):
+        """A sign of life of a machine, here or at another controller."""
         self.heard[id] = now, stamp
 
     def leave(self, id):
--- a/honeywood/gateway/dissemination/backoff.py
+++ b/honeywood/gateway/dissemination/backoff.py
@@ -8,6 +8,7 @@
     and by chance down to half of it, so that not all ask one that returns in the same moment."""
 
     def __init__(self, random, most):
+        """`random` is handed in; `most` is in seconds."""
         self.random, self.most, self.failed = random, most, {}
 
     def answered(self, peer, again=0.0):
--- a/honeywood/gateway/dissemination/chunk.py
+++ b/honeywood/gateway/dissemination/chunk.py
@@ -80,6 +80,7 @@
     """What has been collected of long records: at most one value a key, the newest that was begun."""
 
     def __init__(self):
+        """Nothing has been begun."""
         self.open = {}
 
     def have(self):
--- a/honeywood/gateway/dissemination/epochs.py
+++ b/honeywood/gateway/dissemination/epochs.py
@@ -32,6 +32,7 @@
     """For how long an epoch has stood, by one controller's steady clock."""
 
     def __init__(self):
+        """No epoch has been heard of."""
         self.epoch, self.since = None, 0.0
 
     def next(self, now, epoch, in_quorum):
--- a/honeywood/gateway/dissemination/history.py
+++ b/honeywood/gateway/dissemination/history.py
@@ -21,6 +21,7 @@
     """The lives on a store that are over, the one that ended first in front."""
 
     def __init__(self, store):
+        """No life on `store` is over."""
         self.store, self.over = store, {}
 
     def hear(self, now, id, state):
--- a/honeywood/gateway/dissemination/link_pacer.py
+++ b/honeywood/gateway/dissemination/link_pacer.py
@@ -14,6 +14,7 @@
     """Answers one after the other on their share of a link; `rate` is in bytes a second."""
 
     def __init__(self, rate):
+        """Nothing has been promised."""
         self.rate, self.free_at = SHARE * rate, 0.0
 
     def behind(self, now):
--- a/honeywood/gateway/dissemination/local.py
+++ b/honeywood/gateway/dissemination/local.py
@@ -7,6 +7,7 @@
     keys."""
 
     def __init__(self, store, incarnation, mine):
+        """Nothing has been told; `incarnation` rises from start to start, clocks willing."""
         self.store, self.incarnation, self.mine, self.number, self.values = store, incarnation, mine, 0, {}
         self.telling, self.epoch = False, store.epoch
 
--- a/honeywood/gateway/dissemination/publisher.py
+++ b/honeywood/gateway/dissemination/publisher.py
@@ -28,6 +28,8 @@
     the program's link carries in bytes a second; `told` counts the bytes of answers by kind of record."""
 
     def __init__(self, life, hear, met=lambda who, rev: None, rate=FAST, needed=lambda *record: False):
+        """`hear(key, value)` is told of each record that is taken, `met(who, rev)` of each Asker and what it
+        has; `life` and `needed` are the store's."""
         self.store, self.hear, self.met, self.waiting = Store(life, self._told, needed), hear, met, {}
         self.most, self.pacer, self.chunks = answer_bytes(rate), LinkPacer(rate), ChunkCollector()
         self.told, self.due = Counter(), False
--- a/honeywood/gateway/dissemination/rendezvous.py
+++ b/honeywood/gateway/dissemination/rendezvous.py
@@ -6,6 +6,7 @@
 
 
 def weight(name, place):
+    """A hash of both; the name with the highest weight is the first for a place."""
     return blake2b(f"{name}|{place}".encode(), digest_size=8).digest()
 
 
--- a/honeywood/gateway/dissemination/store.py
+++ b/honeywood/gateway/dissemination/store.py
@@ -31,6 +31,7 @@
     record that is taken; `needed(store, key, value)` says whether one that has lapsed must still stay."""
 
     def __init__(self, life, told=lambda key, value: None, needed=lambda store, key, value: False):
+        """Nothing is held."""
         self.life, self.told, self.needed, self.records, self.rev = life, told, needed, {}, 0
         self.digest, self.sizes, self.earlier = 0, {}, {}
         self.epoch, self.pruned = 0, 0  # the epoch heard; that in which all that had lapsed was dropped
--- a/honeywood/gateway/dissemination/subscriber.py
+++ b/honeywood/gateway/dissemination/subscriber.py
@@ -16,6 +16,7 @@
     {(ip, port): (life, rev)}."""
 
     def __init__(self, publisher, caller, who, backoff, records_for=lambda ip: []):
+        """`caller` carries calls; nobody has been asked."""
         self.publisher, self.caller, self.who, self.records_for = publisher, caller, who, records_for
         self.backoff, self.known = backoff, {}
 
