--- a/honeywood/gateway/controller/machine_records.py
+++ b/honeywood/gateway/controller/machine_records.py
@@ -1,5 +1,5 @@
-"""Records of machines on this controller's disk, a row each, and of names that left: written when they change,
-one write at a time."""
+"""Records of machines on this controller's disk, a row each, and of names that left: written when they
+change, one write at a time."""
 
 import asyncio
 
@@ -7,8 +7,9 @@
 
 
 class MachineRecords:
-    """`write` puts {id: [stamp, value] or None} on disk, or raises outcome.Wrong. While it does, at most one more write
-    waits, with all that changes meanwhile: a disk that hangs leaves nothing queued behind it but that."""
+    """`write` puts {id: [stamp, value] or None} on disk, or raises outcome.Wrong. While it does, at most one
+    more write waits, with all that changes meanwhile: a disk that hangs leaves nothing queued behind it but
+    that."""
 
     def __init__(self, write):
         """Nothing has changed yet."""
