--- a/honeywood/lab/emulator/world.py
+++ b/honeywood/lab/emulator/world.py
@@ -6,10 +6,9 @@
 import json
 import random
 
-from honeywood.gateway.configuration.settings import read
 from honeywood.gateway.controller.program import Controller
 from honeywood.gateway.proxy.program import Proxy
-from honeywood.lab.emulator.boot import BOUNDS, boot
+from honeywood.lab.emulator.boot import BOUNDS, settings
 from honeywood.lab.emulator.loop import Loop
 from honeywood.lab.emulator.network import OUTSIDE, Network, Wire
 from honeywood.lab.emulator.process import Process
@@ -69,9 +68,8 @@
 
     def _program(self, name):
         """The real program of a name, made from its settings file, that writes no log."""
-        seeds = [f"{controller}:82" for controller in self.seeds.get(name, self.controllers[:3])]
-        zone = self.zones.get(name, "z")
-        settings = read(boot(name, zone, seeds, self.fresh, self.bear, bounds=self.bounds))
+        seeds, zone = self.seeds.get(name, self.controllers[:3]), self.zones.get(name, "z")
+        found = settings(name, seeds, zone=zone, fresh=self.fresh, bear=self.bear, bounds=self.bounds)
         clock = self.loop.time
 
         def time_of_day():
@@ -83,7 +81,7 @@
             kind, more = Proxy, self.more(name)
         quiet = type("Quiet", (kind,), {"say": lambda *said, **more: None})
         chance = random.Random(self.random.random())
-        return quiet(settings, Wire(self, name), clock, time_of_day, random=chance, **more)
+        return quiet(found, Wire(self, name), clock, time_of_day, random=chance, **more)
 
     def _disk(self):
         return type("Disk", (MemoryDisk,), {"kept": self.disks})
@@ -129,8 +127,8 @@
         program = self.nodes.get(name)
         if program is None:
             return None
-        held = program.publisher.store.notes.get("config")
-        return held[0][0] if held else None
+        stamp = program.publisher.store.stamp("config")
+        return stamp[0] if stamp else None
 
     def state(self, name, id):
         """A machine's state as a program knows it."""
