--- a/tests/gateway/test_emulator.py
+++ b/tests/gateway/test_emulator.py
@@ -127,7 +127,7 @@
     self.rows.update(rows)
 
 
-async def without_rollouts(self, rows, keep=Register._keep):
+async def without_rollouts(self, rows, keep=Storage.keep):
     """Rollouts are kept in memory alone."""
     await keep(self, {key: row for key, row in rows.items() if "rollout/" not in key})
     self.rows.update(rows)
@@ -211,9 +211,9 @@
         lambda: [(members, "majority", lambda here: len(here["members"]))],
         lambda: [(App, "start", unlooked)],
         lambda: [(record, "start", forgetful)],
-        lambda: [(Register, "_keep", unwritten)],
-        lambda: [(Register, "_keep", unwritten)],
-        lambda: [(Register, "_keep", without_rollouts)],
+        lambda: [(Storage, "keep", unwritten)],
+        lambda: [(Storage, "keep", unwritten)],
+        lambda: [(Storage, "keep", without_rollouts)],
         lambda: barless("state"),
         lambda: [(members, "majority", lambda here: len(here["members"]))],
         lambda: [(Proxy, "listen", gives_up), (Proxy, "make_sure", idle)],
