--- a/honeywood/gateway/controller/program.py
+++ b/honeywood/gateway/controller/program.py
@@ -9,10 +9,14 @@
 from honeywood.gateway.controller.machine_records import MachineRecords
 from honeywood.gateway.controller.machines import Machines
 from honeywood.gateway.controller.orders import CONFIG, ROLLOUT, TICK, Orders
+from honeywood.gateway.controller.retention import still_counted
 from honeywood.gateway.dissemination.backoff import Backoff
+from honeywood.gateway.dissemination.epochs import EpochClock
 from honeywood.gateway.dissemination.local import LocalRecords
-from honeywood.gateway.dissemination.publisher import Subscriber, Publisher, whole
+from honeywood.gateway.dissemination.messages import Asker
+from honeywood.gateway.dissemination.publisher import Publisher
 from honeywood.gateway.dissemination.rendezvous import order, parents
+from honeywood.gateway.dissemination.subscriber import Subscriber
 from honeywood.gateway.program import COUNTS, Program
 from honeywood.gateway.register.disk import Disk
 from honeywood.gateway.register.membership import replacement
@@ -41,8 +45,10 @@
     def __init__(self, *given, random=None, disk=Disk):
         super().__init__(*given)
         s, self.random = self.settings, random or Random()
-        self.app, self.publisher = App(self), Publisher(self.store_incarnation(), self.hear, self.met, s.link)
-        self.store = self.publisher.store
+        self.app = App(self)
+        life = self.store_incarnation()
+        self.publisher = Publisher(life, self.hear, self.met, s.link, needed=still_counted)
+        self.store, self.epochs = self.publisher.store, EpochClock()
         self.own = LocalRecords(self.store, int(self.life, 16), self.mine)
         self.register = Register(s, PagedCaller(self.caller), self.random, self.say, disk)
         self.telling = PagedResponder(self.register.serve, self.clock)
@@ -61,23 +67,23 @@
         self.contact, self.began = {}, self.clock()  # since when each other controller has been in contact
 
     def config_held(self):
-        held = self.store.notes.get(CONFIG)
-        return f"{held[0][0]:08x}" if held else None
+        stamp = self.store.stamp(CONFIG)
+        return f"{stamp[0]:08x}" if stamp else None
 
     def found(self, controllers):
         self.controllers += [ip for ip in controllers if ip not in self.controllers]
 
     def who(self):
-        return {"ip": self.settings.ip, "node": self.settings.node, "private": True}
+        return Asker(self.settings.node, self.settings.ip, controller=True)
 
     def met(self, who, rev):
         """Somebody asked for news who has all up to `rev`: a sign of its life."""
         now = self.clock()
-        if who.get("front"):
-            self.fronts[who.get("node")] = now, [who.get("zone"), who.get("ip")]
-        elif who.get("private"):
-            self.found([who.get("ip")])  # of more than three controllers not all are among the seeds of each
-            self.others[who.get("ip")] = now, rev
+        if who.proxy:
+            self.fronts[who.node] = now, [who.zone, who.ip]
+        elif who.controller:
+            self.found([who.ip])  # of more than three controllers not all are among the seeds of each
+            self.others[who.ip] = now, rev
             for wait in self.waits:
                 wait.set()
 
@@ -94,6 +100,8 @@
             self.machines.alive(self.clock(), name, None)
         elif kind == "machine":
             self.machines.hear(self.clock(), name, value)
+        elif kind == "left":
+            self.machines.hear_departed(key, value)
         elif kind == "rollout":
             self.known_at[name] = value["n"], self.clock()
 
@@ -166,10 +174,21 @@
             if asked - self.reached.get(ip, -HEARD) >= HEARD:
                 self.contact[ip] = asked
             self.reached[ip] = asked
-            if whole(reply.value):
+            if reply.value.whole:
                 self.heard_all[ip] = asked
         await asyncio.sleep(min(REST, self.subscriber.backoff.rest(ip, self.clock())))
 
+    async def hear_others(self):
+        """Asks all other controllers for what they know now; whether enough told all of it."""
+
+        async def told(ip):
+            reply = await self.subscriber.ask(ip, self.settings.controller_port, 0.0)
+            return reply.ok and reply.value.whole
+
+        others = [ip for ip in self.controllers if ip != self.settings.ip]
+        answers = await asyncio.gather(*[told(ip) for ip in others])
+        return self._enough(ip for ip, answered in zip(others, answers) if answered)
+
     def meet(self):
         """A loop for each other controller that is known."""
         for ip in self.controllers:
@@ -204,11 +223,21 @@
         now = self.clock()
         if self.joined and self._enough(ip for ip, at in self.heard_all.items() if now - at < HEARD):
             self.machines.look(now)  # parts of what others know are no silence of the machines they hear
-        for node, (at, place) in self.fronts.items():
+        for node, (at, place) in list(self.fronts.items()):
             key, place = f"fleet/{self.settings.ip}/{node}", place if now - at < FRONT_LOST else None
             if self.store.get(key) != place:
                 self.own.tell(key, place)
+            if place is None:
+                del self.fronts[node]
         self.look_at_fleet()
+        self.look_at_epoch()
+
+    def look_at_epoch(self):
+        """Brings the epoch on once it has stood long enough, tells this controller's records again in a new
+        one, and drops records whose owners have ended."""
+        self.store.learn(self.epochs.next(self.clock(), self.store.epoch, self.joined))
+        self.own.refresh()
+        self.store.prune()
 
     def look_at_fleet(self):
         """The fronts that share in the traffic, {node: (zone, ip)}: all that ask a controller which is
@@ -228,13 +257,13 @@
     def beside(self, who):
         """What goes with an answer to news: whether enough others are heard; for a front how many fronts
         there are, the relays that it hears from, and which of its counts are known here."""
-        found = {"joined": self.joined}
-        if who.get("front"):
-            node, zone = who.get("node"), who.get("zone")
-            if node not in self.chains:
-                self.chains[node] = parents(node, zone, self.fleet)
-            held = self.store.notes.get(f"count/{node}/{who.get('life')}")
-            found |= {"fleet": [len(self.fleet), self.chains[node]], "counted": held[0][0] if held else 0}
+        found = {"in_quorum": self.joined}
+        if who.proxy:
+            if who.node not in self.chains:
+                self.chains[who.node] = parents(who.node, who.zone, self.fleet)
+            counted = self.store.stamp(f"count/{who.node}/{who.life}")
+            found["fleet"] = len(self.fleet), self.chains[who.node]
+            found["counted"] = counted[0] if counted else 0
         return found
 
     async def steer(self):
--- a/honeywood/gateway/proxy/app.py
+++ b/honeywood/gateway/proxy/app.py
@@ -4,7 +4,8 @@
 
 from honeywood.gateway.configuration.check import read_json
 from honeywood.gateway.configuration.outcome import Wrong
-from honeywood.gateway.dissemination.publisher import PATH
+from honeywood.gateway.dissemination.messages import Ask
+from honeywood.gateway.dissemination.record import PATH
 from honeywood.gateway.proxy.forwarding import AGAIN_S, ours
 from honeywood.gateway.rpc.asgi import answer, body_of
 
@@ -69,14 +70,15 @@
         return await self.carry(scope, route, fields, body)
 
     async def carry(self, scope, route, fields, body):
-        left = scope.get("left", lambda: False)
+        left, arrived = scope.get("left", lambda: False), scope.get("arrived")
         return await self.proxy.forwarder.carry(
-            route, scope["method"].encode(), scope["target"], scope["headers"], fields, body, left
+            route, scope["method"].encode(), scope["target"], scope["headers"], fields, body, left, arrived
         )
 
     async def hear(self, raw, peer):
         """The answer to another front's ask for news."""
-        return await self.proxy.publisher.serve(read_json(raw, PATH, peer), peer)
+        ask = Ask.decode(read_json(raw, PATH, peer), peer)
+        return (await self.proxy.publisher.serve(ask)).encode()
 
     async def news(self, scope, receive, send):
         peer = scope["client"][0]
