Controllers that were removed are asked no more

Each controller that was ever heard of was called once a second by every proxy and controller for ever. Those whose records have lapsed are dropped, but seeds and members, and found again by their next word.

--- a/honeywood/gateway/controller/program.py
+++ b/honeywood/gateway/controller/program.py
@@ -168,6 +168,10 @@
 
     # loops
     async def listen(self, ip):
+        """Asks another controller for what it has heard, for as long as that one is known."""
+        if ip not in self.controllers:
+            self.asking.discard(ip)
+            raise asyncio.CancelledError  # ends the loop that this is a turn of
         asked = self.clock()  # an answer may have lain here unread while this process was frozen
         reply = await self.subscriber.ask(ip, self.settings.controller_port, NEAR)
         if reply.ok:
@@ -237,7 +241,20 @@
         one, and drops records whose owners have ended."""
         self.store.learn(self.epochs.next(self.clock(), self.store.epoch, self.joined))
         self.own.refresh()
-        self.store.prune()
+        if self.store.prune():
+            self.lose_controllers()
+
+    def lose_controllers(self):
+        """Some records have lapsed: asks those controllers no more that have none, but seeds and members."""
+        now, s = self.clock(), self.settings
+        known = {s.ip, *(ip for ip, _ in s.seeds), *self.register.members}
+        known |= {key.partition("/")[2] for key, _ in self.store.under("bourse/")}
+        known |= {ip for ip, (at, _) in self.others.items() if now - at < CONTROLLER_LOST}
+        for ip in set(self.controllers) - known:
+            self.controllers = [one for one in self.controllers if one != ip]
+            self.subscriber.forget(ip)
+            for heard in (self.others, self.reached, self.heard_all, self.contact):
+                heard.pop(ip, None)
 
     def look_at_fleet(self):
         """The fronts that share in the traffic, {node: (zone, ip)}: all that ask a controller which is
--- a/honeywood/gateway/dissemination/backoff.py
+++ b/honeywood/gateway/dissemination/backoff.py
@@ -20,6 +20,10 @@
         length = min(self.most, self.failed.get(peer, (0.0, FIRST / GROWTH))[1] * GROWTH)
         self.failed[peer] = now + length * (0.5 + 0.5 * self.random.random()), length
 
+    def forget(self, peer):
+        """A peer is asked no more."""
+        self.failed.pop(peer, None)
+
     def rest(self, peer, now):
         """Seconds for which a peer isn't asked."""
         return max(0.0, self.failed.get(peer, (0.0,))[0] - now)
--- a/honeywood/gateway/dissemination/subscriber.py
+++ b/honeywood/gateway/dissemination/subscriber.py
@@ -34,6 +34,11 @@
             self.publisher.chunks.have(),
         )
 
+    def forget(self, ip):
+        """A peer is asked no more."""
+        self.backoff.forget(ip)
+        self.known = {place: told for place, told in self.known.items() if place[0] != ip}
+
     async def ask(self, ip, port, hold_s):
         """One ask; Done with the Answer once it is heard, or Failed."""
         body = self._ask(ip, port, hold_s).encode()
--- a/honeywood/gateway/proxy/program.py
+++ b/honeywood/gateway/proxy/program.py
@@ -67,6 +67,15 @@
     def found(self, controllers):
         self.controllers += [ip for ip in controllers if ip not in self.controllers]
 
+    def lose(self, keys):
+        """Records of controllers have lapsed: whoever isn't a seed is asked no more."""
+        seeds = {ip for ip, _ in self.settings.seeds}
+        for ip in {key.partition("/")[2] for key in keys} - seeds:
+            self.controllers = [one for one in self.controllers if one != ip]
+            self.counted.pop(ip, None)
+            for subscriber in (self.subscriber, self.sure):
+                subscriber.forget(ip)
+
     def start(self, work):
         task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
@@ -194,7 +203,7 @@
         now, store = self.clock(), self.publisher.store
         self.links.tidy(self.endpoints.machines.values())
         self.history.look(now)
-        store.prune()
+        self.lose(key for key in store.prune() if key.startswith("bourse/"))
         if self.doubted_at is not None and now - self.doubted_at > DOUBTS:
             self.doubted_at = None
             for key in store.doubted("machine/"):
--- a/tests/gateway/test_epochs.py
+++ b/tests/gateway/test_epochs.py
@@ -278,6 +278,39 @@
         world.close()
 
 
+@test("programs: a controller that was removed is asked no more, and found again if it comes back")
+def _():
+    # Each was called once a second by every proxy and controller for ever.
+    before, epochs.EPOCH_S = epochs.EPOCH_S, 8.0
+    world = World("abcd", fronts="f")
+
+    def asked():
+        found = {name: "".join(sorted(world.nodes[name].controllers)) for name in "abcf"}
+        tasks = {name: len(world.nodes[name].asking) for name in "abc"}
+        return set(found.values()), set(tasks.values())
+
+    try:
+        for name in "abcdf":
+            world.start(name)
+        world.run(4.0)
+        assert asked() == ({"abcd"}, {3})
+        world.kill("d")
+        world.run(40.0)
+        assert asked() == ({"abc"}, {2})
+        assert "d" not in world.nodes["a"].others and "d" not in world.nodes["f"].sure.backoff.failed
+        world.kill("b")  # a seed and a member
+        world.run(80.0)
+        assert world.nodes["f"].controllers.count("b") == world.nodes["a"].controllers.count("b") == 1
+        world.fresh = False
+        world.start("b")
+        world.start("d")
+        world.run(84.0)
+        assert asked() == ({"abcd"}, {3})
+    finally:
+        epochs.EPOCH_S = before
+        world.close()
+
+
 # names that left
 @test("buckets of names that left come to the same in any order, and keep the newest")
 def _():
