Contact counts only by evidence that can't be an old copy; a member whose disk refuses is replaced

Cause: any request that arrived from another controller counted as a sign of its life, late copies of a gone one's too, so its place was taken up to 6 s late. A member whose disk refuses all writes answered, so it stayed a member for ever. Change: a request counts at the moment when the answer was sent whose stamp it repeats; a controller writes to its disk once a second and tells others whether it takes writes; a member that is silent, refuses or stays lost is replaced by the same rule (contact_s, or 21 s), never while too few others are healthy.

--- a/honeywood/gateway/controller/program.py
+++ b/honeywood/gateway/controller/program.py
@@ -4,18 +4,21 @@
 from collections import Counter
 from random import Random
 
+from honeywood.gateway.configuration.check import need
 from honeywood.gateway.configuration.outcome import Wrong
 from honeywood.gateway.controller.app import App
+from honeywood.gateway.controller.contact import DISK, STAMP, STAMPS, Contacts, disk_told
+from honeywood.gateway.controller.disk_health import CHECK_S, DiskHealth
 from honeywood.gateway.controller.machine_records import MachineRecords
 from honeywood.gateway.controller.machines import Machines
 from honeywood.gateway.controller.orders import CONFIG, ROLLOUT, TICK, Orders
 from honeywood.gateway.dissemination.backoff import Backoff
 from honeywood.gateway.dissemination.local import LocalRecords
-from honeywood.gateway.dissemination.publisher import Subscriber, Publisher, whole
+from honeywood.gateway.dissemination.publisher import PATH, Publisher, Subscriber, whole
 from honeywood.gateway.dissemination.rendezvous import order, parents
 from honeywood.gateway.program import COUNTS, Program
 from honeywood.gateway.register.disk import Disk
-from honeywood.gateway.register.membership import replacement
+from honeywood.gateway.register.membership import DiskState, replacement
 from honeywood.gateway.register.paging import PagedResponder, PagedCaller
 from honeywood.gateway.register.replica import Register
 from honeywood.gateway.rollout import record as rollouts
@@ -23,11 +26,10 @@
 from honeywood.gateway.rpc.server import HttpServer
 
 LOOK = 0.1  # seconds between looks at rollouts, and at whether this disk is where it counts
-MISSED = 3.0  # times contact_s and sync_s together that a member is silent before a spare takes its place
+MISSED = 3.0  # times contact_s and sync_s together that a member is silent, or its disk refuses all writes,
+# before a spare that was there takes its place
 SURVEY = 1.0  # seconds between looks at the register
 NEAR = 0.5  # seconds that another controller holds an ask while there is nothing new
-HEARD = 1.6  # seconds from its sending for which an ask that was answered shows contact
-CONTROLLER_LOST = 3.0  # seconds after which a controller that neither asks nor answers vouches for no front
 REST = 0.5  # seconds at most for which a controller that doesn't answer isn't asked
 FRONT_LOST = 3.0  # seconds after which a front that asks no more shares nothing
 LATE = 0.5  # seconds beyond a controller's turn after which what it decided before is looked at again
@@ -50,15 +52,12 @@
         self.machines, self.notes = Machines(self.store, s.beat_s), MachineRecords(self.register.keep_notes)
         self.machines.changed = self.notes.change
         self.subscriber = Subscriber(self.publisher, self.caller, self.who, Backoff(self.random, REST))
-        self.fronts, self.others, self.verdicts = {}, {}, {}
-        self.reached, self.heard_all = (
-            {},
-            {},
-        )  # when each other controller was asked that answered; that told all
+        self.fronts, self.verdicts = {}, {}
+        self.contacts = Contacts(s.ip, self.store.life, self.clock(), s.bear, lambda: self.register.members)
+        self.disk_health = DiskHealth(lambda: self.register.keep_notes({}), self.clock, self.say)
         self.fleet, self.chains = {}, {}
         self.controllers, self.waits = [ip for ip, _ in s.seeds], []
         self.asking, self.known_at = set(), {}
-        self.contact, self.began = {}, self.clock()  # since when each other controller has been in contact
 
     def config_held(self):
         held = self.store.notes.get(CONFIG)
@@ -68,16 +67,32 @@
         self.controllers += [ip for ip in controllers if ip not in self.controllers]
 
     def who(self):
-        return {"ip": self.settings.ip, "node": self.settings.node, "private": True}
+        """Who asks for news, with the stamps of others' answers and what becomes of writes to this disk."""
+        found = {"ip": self.settings.ip, "node": self.settings.node, "private": True}
+        found[STAMPS] = self.contacts.stamps()
+        return found | self.disk_told()
+
+    @property
+    def disk_state(self):
+        """What becomes of this disk."""
+        if not self.register.sound:
+            return DiskState.LOST
+        return DiskState.REFUSES if self.disk_health.refuses_writes else DiskState.WORKS
+
+    def disk_told(self):
+        """What others are told of this disk: nothing while it works."""
+        return {} if self.disk_state is DiskState.WORKS else {DISK: self.disk_state.value}
 
     def met(self, who, rev):
-        """Somebody asked for news who has all up to `rev`: a sign of its life."""
+        """Somebody asked for news who has all up to `rev`."""
         now = self.clock()
         if who.get("front"):
             self.fronts[who.get("node")] = now, [who.get("zone"), who.get("ip")]
         elif who.get("private"):
-            self.found([who.get("ip")])  # of more than three controllers not all are among the seeds of each
-            self.others[who.get("ip")] = now, rev
+            ip = who.get("ip")
+            self.found([ip])  # of more than three controllers not all are among the seeds of each
+            stamp = need(who, STAMPS, dict, PATH, {}).get(self.settings.ip)
+            self.contacts.asked(ip, now, stamp, rev, disk_told(who))
             for wait in self.waits:
                 wait.set()
 
@@ -99,17 +114,8 @@
 
     @property
     def joined(self):
-        """Whether enough other controllers answer this one, there and back, that nothing told here is lost:
-        one that is cut off in one direction still hears others ask."""
-        now = self.clock()
-        return self._enough(ip for ip, at in self.reached.items() if now - at < HEARD)
-
-    def _enough(self, others):
-        """Whether so many members are among the `others` that one stays, itself counted if it is one, when as
-        many as may be are lost. While none are known, any controller counts."""
-        members, s = self.register.members, self.settings
-        some = sum(ip in members or not members for ip in others)
-        return some + (s.ip in members or not members) > s.bear
+        """Whether enough other controllers are in contact."""
+        return self.contacts.in_quorum(self.clock())
 
     # machines
     async def beat(self, id, stamp, value):
@@ -141,7 +147,7 @@
         rev, until, wait = self.store.rev, self.clock() + TELL, asyncio.Event()
         self.waits.append(wait)
         try:
-            while not self._enough(ip for ip, (_, at) in self.others.items() if at >= rev):
+            while not self.contacts.have_heard(rev):
                 wait.clear()
                 async with asyncio.timeout(until - self.clock()):
                     await wait.wait()
@@ -163,11 +169,8 @@
         asked = self.clock()  # an answer may have lain here unread while this process was frozen
         reply = await self.subscriber.ask(ip, self.settings.controller_port, NEAR)
         if reply.ok:
-            if asked - self.reached.get(ip, -HEARD) >= HEARD:
-                self.contact[ip] = asked
-            self.reached[ip] = asked
-            if whole(reply.value):
-                self.heard_all[ip] = asked
+            told = reply.value
+            self.contacts.answered(ip, asked, whole(told), told.get(STAMP), disk_told(told))
         await asyncio.sleep(min(REST, self.subscriber.backoff.rest(ip, self.clock())))
 
     def meet(self):
@@ -181,15 +184,20 @@
         """Brings this disk to where it counts, and a spare controller into a lost member's place."""
         if not self.register.settled:
             return await self.register.settle(self.controllers)
-        now, s = self.clock(), self.settings
-        heard = {
-            ip: max(self.reached.get(ip, self.began), self.others.get(ip, (self.began, 0))[0])
-            for ip in {*self.register.members, *self.contact}
-        }
+        if self.disk_state is not DiskState.WORKS:
+            return  # the others see to it
+        s = self.settings
         soon, late = s.bounds["contact_s"], MISSED * (s.bounds["contact_s"] + s.bounds["sync_s"])
-        found = replacement(self.register.here, s.ip, heard, self.contact, now, soon, late)
+        states = self.contacts.states()
+        found = replacement(self.register.here, s.ip, states, self.clock(), soon, late)
         if found:
-            await self.register.replace(*found)
+            self.say("member unusable", 1.0, member=found.lost, spare=found.spare, why=found.why)
+            await self.register.replace(found.lost, found.spare)
+
+    async def check_disk(self):
+        """Learns whether this disk takes writes."""
+        if self.register.sound:
+            await self.disk_health.check()
 
     async def keep(self):
         """Takes part in the register, and tells what it has come to hold."""
@@ -202,7 +210,7 @@
     async def watch(self):
         """Looks at machines and fronts."""
         now = self.clock()
-        if self.joined and self._enough(ip for ip, at in self.heard_all.items() if now - at < HEARD):
+        if self.joined and self.contacts.knows_all(now):
             self.machines.look(now)  # parts of what others know are no silence of the machines they hear
         for node, (at, place) in self.fronts.items():
             key, place = f"fleet/{self.settings.ip}/{node}", place if now - at < FRONT_LOST else None
@@ -213,10 +221,7 @@
     def look_at_fleet(self):
         """The fronts that share in the traffic, {node: (zone, ip)}: all that ask a controller which is
         heard."""
-        now, ip = self.clock(), self.settings.ip
-        heard = {ip} | {one for one, at in self.reached.items() if now - at < CONTROLLER_LOST}
-        heard |= {one for one, (at, _) in self.others.items() if now - at < CONTROLLER_LOST}
-        fleet = {}
+        heard, fleet = self.contacts.vouching(self.clock()), {}
         for key, place in self.store.under("fleet/"):
             _, told_by, node = key.split("/", 2)
             if place is not None and told_by in heard:
@@ -229,6 +234,8 @@
         """What goes with an answer to news: whether enough others are heard; for a front how many fronts
         there are, the relays that it hears from, and which of its counts are known here."""
         found = {"joined": self.joined}
+        if who.get("private"):
+            found |= {STAMP: self.contacts.stamp(self.clock())} | self.disk_told()
         if who.get("front"):
             node, zone = who.get("node"), who.get("zone")
             if node not in self.chains:
@@ -340,4 +347,5 @@
         self.loop(self.steer, LOOK)
         self.loop(self.orders.tick, TICK)
         self.loop(self.keep_notes, NOTING)
+        self.loop(self.check_disk, CHECK_S)
         self.loop(self.count, COUNTS)
--- a/honeywood/gateway/register/membership.py
+++ b/honeywood/gateway/register/membership.py
@@ -9,12 +9,15 @@
 Epoch START has the seeds of the first start as its members and agrees on nothing but the members of epoch 1.
 """
 
+from dataclasses import dataclass
+from enum import StrEnum
 from math import inf
 
 from honeywood.gateway.register.proposer import current
 
 START = 0
 STAYED = 0.75  # times `soon` that a newcomer is in contact before it takes a place
+SILENT = "silent"  # why a member is replaced, where it isn't for its disk
 SUCCESSOR = "successor"  # the register with which an epoch agrees on the next one: {"epoch", "members"}
 
 
@@ -93,19 +96,64 @@
     return {**here, "next": following}, counted
 
 
-def replacement(here, own, heard, since, now, soon, late):
-    """(member, the one to take its place), or None. `heard` says when each controller was last in contact,
-    `since` when its present contact began, in seconds. A member is replaced after `late` seconds of silence,
-    after `soon` by one that came while it was silent and has stayed: where a cut has ended, all come
-    back, but not at one moment. Never while too few others have been in contact for so long themselves."""
-    stayed = [ip for ip in here["members"] if ip == own or now - since.get(ip, inf) > STAYED * soon]
-    lost = [ip for ip in here["members"] if ip != own and now - heard[ip] > soon]
-    if here["next"] or own not in here["members"] or len({*stayed} - {*lost}) < majority(here):
+class DiskState(StrEnum):
+    """What a controller tells of its disk."""
+
+    WORKS = "works"
+    REFUSES = "refuses writes"  # all of them, by the latest one, or it hangs
+    LOST = "lost"  # and not rebuilt from the others' yet
+
+
+@dataclass(frozen=True, slots=True)
+class PeerState:
+    """What a member knows of another controller; times are in seconds of its own steady clock."""
+
+    contact_at: float  # when it was last in contact
+    usable_at: float  # when it was last in contact and told that its disk works
+    contact_since: float = inf  # when the present contact began
+    disk: DiskState = DiskState.WORKS  # by the latest that it told
+
+
+@dataclass(frozen=True, slots=True)
+class Replacement:
+    """A member, the controller to take its place, and why."""
+
+    lost: str
+    spare: str
+    why: str
+
+
+def replacement(here, local, peers, now, soon, late):
+    """The Replacement that the member `local` is to propose, whose own disk works; or None. `peers` are the
+    PeerStates by address.
+
+    A member that is silent, or whose disk refuses all writes or stays lost, is replaced after `late` seconds
+    of that, after `soon` by one that came during it and has stayed: where a cut has ended, all come back, but
+    not at one moment. Never while too few others have been in contact for so long themselves, with disks
+    that work. The one that comes may have a lost disk still: it may be waiting for this very change (see
+    `joins`)."""
+    others = [ip for ip in here["members"] if ip != local]
+    unusable = [ip for ip in others if now - peers[ip].usable_at > soon]
+    healthy = [ip for ip in others if ip not in unusable and _stayed(peers[ip], now, soon)]
+    healthy = [ip for ip in healthy if peers[ip].disk is DiskState.WORKS]
+    if here["next"] or local not in here["members"] or len(healthy) + 1 < majority(here):
         return None
-    for ip in lost:
-        for spare in sorted(since):
-            there = now - heard[spare] < STAYED * soon < now - since[spare]
-            after = soon if since[spare] > heard[ip] else late
-            if spare not in here["members"] and there and now - heard[ip] > after:
-                return ip, spare
+    spares = [ip for ip in sorted(peers) if ip not in here["members"] and _fit(peers[ip], now, soon)]
+    for ip in unusable:
+        lost = peers[ip]
+        for spare in spares:
+            came_since = peers[spare].contact_since > lost.usable_at
+            if now - lost.usable_at > (soon if came_since else late):
+                return Replacement(ip, spare, SILENT if lost.disk is DiskState.WORKS else lost.disk.value)
     return None
+
+
+def _stayed(peer, now, soon):
+    """Whether a controller has been in contact for long enough."""
+    return now - peer.contact_since > STAYED * soon
+
+
+def _fit(peer, now, soon):
+    """Whether a controller may take a place."""
+    fresh = now - peer.contact_at < STAYED * soon
+    return fresh and _stayed(peer, now, soon) and peer.disk is not DiskState.REFUSES
--- a/tests/gateway/test_register.py
+++ b/tests/gateway/test_register.py
@@ -8,7 +8,9 @@
 from ward import each, test
 
 from honeywood.gateway.configuration.outcome import Done
+from honeywood.gateway.controller.contact import Contacts
 from honeywood.gateway.register import acceptor
+from honeywood.gateway.register.membership import DiskState
 from honeywood.gateway.register.replica import BORN, Register
 
 
@@ -443,3 +445,113 @@
         """)
     finally:
         world.close()
+
+
+@test("a member that is gone is replaced in time though copies of its requests keep arriving")
+def _():
+    # Each copy passed for a sign of its life: the place was taken up to 6 s later than sync_s (4 s).
+    world = World("abcd")
+    try:
+        world.play("""
+          at | a     | b     | c
+          0  | start | start | start
+        """)
+        world.fresh, world.copies = False, 0.9
+        world.play("""
+          at  | c    | d
+          6   | kill |
+          6.5 |      | start
+        """)
+        world.run(10.3)
+        assert configurations(world) == [{"epoch": 2, "members": ["a", "b", "d"], "next": None}] * 3
+    finally:
+        world.close()
+
+
+@test("a request shows contact when the answer was sent whose stamp it repeats, a copy nothing")
+def _():
+    contacts = Contacts("a", "a1", 0.0, 1, lambda: ["a", "b", "c"])
+    contacts.asked("b", 1.0, None, 7, DiskState.WORKS)  # nothing of ours: it may be of any age
+    assert contacts.states()["b"].contact_at == 0.0 and not contacts.have_heard(7)
+    first, second = contacts.stamp(2.0), contacts.stamp(3.0)
+    contacts.asked("b", 3.1, second, 9, DiskState.WORKS)
+    contacts.asked("b", 8.0, first, 4, DiskState.WORKS)
+    contacts.asked("b", 8.0, second, 9, DiskState.WORKS)
+    contacts.asked("b", 8.0, ["a0", 7.0], 99, DiskState.WORKS)  # of an earlier life of this controller
+    assert contacts.states()["b"].contact_at == 3.0 and not contacts.have_heard(10)
+    assert contacts.vouching(5.9) == {"a", "b"} and contacts.vouching(6.1) == {"a"}
+
+
+def refusing(world, name, until):
+    """Plays on with a disk that takes no writes."""
+    world.disk(name, None)
+    world.run(until)
+
+
+@test("a member whose disk refuses all writes is replaced, and is the spare once its disk works again")
+def _():
+    # It answered, so it was in contact: it stayed a member for ever, and one more loss ended all changes.
+    world, after = World("abcd"), {"epoch": 2, "members": ["a", "b", "d"], "next": None}
+    try:
+        world.play("""
+          at | a     | b     | c     | d
+          0  | start | start | start | start
+        """)
+        world.run(3.0)
+        world.fresh = False
+        refusing(world, "c", 23.5)  # of 21 s: three times contact_s and sync_s together
+        assert [one["epoch"] for one in configurations(world)] == [1] * 4
+        world.run(26.0)
+        assert [world.nodes[name].register.here for name in "abd"] == [after] * 3
+        assert not world.nodes["c"].register.settled
+        world.play("""
+          at   | a    | b     | d
+          26.1 | kill |       |
+          26.2 |      | put 3 |
+          27.2 |      | acked 3 | = 3
+        """)
+        world.disk("c", 1.0)
+        world.start("a")
+        world.run(30.0)
+        assert configurations(world) == [after] * 4 and not world.nodes["c"].register.counts
+    finally:
+        world.close()
+
+
+@test("a disk that refuses for less, or while too few others are healthy, costs nobody the place")
+def _():
+    world = World("abcd")
+    try:
+        world.play("""
+          at | a     | b     | c     | d
+          0  | start | start | start | start
+        """)
+        world.run(3.0)
+        world.fresh = False
+        refusing(world, "c", 20.0)
+        world.disk("c", 1.0)
+        world.run(23.0)
+        world.kill("b")
+        refusing(world, "c", 60.0)
+        assert [one["epoch"] for one in configurations(world)] == [1] * 3
+    finally:
+        world.close()
+
+
+@test("a member that comes back with an empty disk which refuses all writes is replaced as well")
+def _():
+    world = World("abcd")
+    try:
+        world.play("""
+          at | a     | b     | c     | d
+          0  | start | start | start | start
+          3  |       |       | wipe  |
+        """)
+        world.fresh = False
+        world.start("c")
+        world.run(3.006)  # its disk is open
+        assert not world.nodes["c"].register.sound
+        refusing(world, "c", 26.0)
+        assert [world.nodes[name].register.epoch for name in "abd"] == [2] * 3
+    finally:
+        world.close()
