--- a/tests/gateway/test_emulator.py
+++ b/tests/gateway/test_emulator.py
@@ -19,7 +19,7 @@
 from honeywood.gateway.proxy.forwarding import Forwarder
 from honeywood.gateway.proxy.program import Proxy
 from honeywood.gateway.register import membership as members
-from honeywood.gateway.register.replica import Register
+from honeywood.gateway.register.storage import Storage
 from honeywood.gateway.rollout import record
 from honeywood.gateway.rollout.stage import Stage
 from honeywood.gateway.routing import answers
@@ -29,6 +29,7 @@
 from honeywood.lab.emulator.day import Day, draw, play
 from honeywood.lab.emulator.faults import Fault
 from honeywood.lab.emulator.loop import Loop
+from honeywood.lab.emulator.machines import Connection
 from honeywood.lab.emulator.process import FROZEN, Process
 from honeywood.lab.emulator.rules import Breach
 
@@ -102,6 +103,10 @@
     return answers.GOOD if 200 <= status < 300 else answers.FAILED
 
 
+def unexpecting(self, *given, expected=None, exchange=Connection.exchange):
+    return exchange(self, *given)
+
+
 def last_wins(self, key, stamp, value, put=Store.put):
     if key == "config" and self.get(key) not in (None, value):
         self.records.pop(key)
@@ -122,7 +127,7 @@
     self.rows.update(rows)
 
 
-async def without_rollouts(self, rows, keep=Register._keep):
+async def without_rollouts(self, rows, keep=Storage.keep):
     """Rollouts are kept in memory alone."""
     await keep(self, {key: row for key, row in rows.items() if "rollout/" not in key})
     self.rows.update(rows)
@@ -192,13 +197,13 @@
     patch=each(
         lambda: barless("may have run"),
         lambda: [(Forwarder, "_given_up", promise)],
-        lambda: [(carry, "meaning", any_answer)],
+        lambda: [(carry, "meaning", any_answer), (Connection, "exchange", unexpecting)],
         lambda: barless("state"),
         lambda: [(program, "SURE", 3.0), (Proxy, "listen", idle)],
         lambda: [(Store, "put", last_wins), (Store, "since", all_again)],
         lambda: [(Budget, "allows", lambda self, now, fronts: True)],
         lambda: [(Stage, "room", lambda self, now, ask: True)],
-        lambda: [(Register, "_keep", unwritten)],
+        lambda: [(Storage, "keep", unwritten)],
         lambda: [(App, "replace", by_number)],
         lambda: [(App, "start", once_only)],
         lambda: [(App, "read", own_board)],
@@ -206,9 +211,9 @@
         lambda: [(members, "majority", lambda here: len(here["members"]))],
         lambda: [(App, "start", unlooked)],
         lambda: [(record, "start", forgetful)],
-        lambda: [(Register, "_keep", unwritten)],
-        lambda: [(Register, "_keep", unwritten)],
-        lambda: [(Register, "_keep", without_rollouts)],
+        lambda: [(Storage, "keep", unwritten)],
+        lambda: [(Storage, "keep", unwritten)],
+        lambda: [(Storage, "keep", without_rollouts)],
         lambda: barless("state"),
         lambda: [(members, "majority", lambda here: len(here["members"]))],
         lambda: [(Proxy, "listen", gives_up), (Proxy, "make_sure", idle)],
