--- a/honeywood/gateway/controller/contact.py
+++ b/honeywood/gateway/controller/contact.py
@@ -115,6 +115,10 @@
         """Whether enough others have told all that they knew lately."""
         return self.is_enough(ip for ip, peer in self.peers.items() if now - peer.complete_at < CONTACT_S)
 
+    def forget(self, ip):
+        """Drops what is known of a controller that was removed."""
+        self.peers.pop(ip, None)
+
     def have_heard(self, revision):
         """Whether enough others have all changes of the store up to `revision`."""
         return self.is_enough(ip for ip, peer in self.peers.items() if peer.revision >= revision)
--- a/honeywood/gateway/controller/program.py
+++ b/honeywood/gateway/controller/program.py
@@ -247,15 +247,14 @@
 
     def lose_controllers(self):
         """Some records have lapsed: asks those controllers no more that have none, but seeds and members."""
-        now, s = self.clock(), self.settings
-        known = {s.ip, *(ip for ip, _ in s.seeds), *self.register.members}
+        s = self.settings
+        known = {*(ip for ip, _ in s.seeds), *self.register.members}
         known |= {key.partition("/")[2] for key, _ in self.store.under("bourse/")}
-        known |= {ip for ip, (at, _) in self.others.items() if now - at < CONTROLLER_LOST}
+        known |= self.contacts.vouching(self.clock())
         for ip in set(self.controllers) - known:
             self.controllers = [one for one in self.controllers if one != ip]
             self.subscriber.forget(ip)
-            for heard in (self.others, self.reached, self.heard_all, self.contact):
-                heard.pop(ip, None)
+            self.contacts.forget(ip)
 
     def look_at_fleet(self):
         """The fronts that share in the traffic, {node: (zone, ip)}: all that ask a controller which is
