--- a/tests/gateway/test_dissemination_mutations.py
+++ b/tests/gateway/test_dissemination_mutations.py
@@ -16,7 +16,7 @@
 from honeywood.gateway.dissemination.backoff import Backoff
 from honeywood.gateway.dissemination.link_pacer import LinkPacer
 from honeywood.gateway.dissemination.local import LocalRecords
-from honeywood.gateway.dissemination.messages import Answer
+from honeywood.gateway.dissemination.messages import Answer, Asker
 from honeywood.gateway.dissemination.publisher import Publisher
 from honeywood.gateway.proxy import program as proxy
 
@@ -80,6 +80,10 @@
     return next(self, now, epoch, True)
 
 
+def no_epoch(self, encode=Asker.encode):
+    return {**encode(self), "epoch": 0}
+
+
 def heard_alone(self, key, bucket):
     """Names that left are kept, and machines of these names stay."""
 
@@ -124,6 +128,7 @@
     Mutation("lapsed ones come back", Store, "_lapsed", lambda *given: False, EPOCHS, "what has lapsed"),
     Mutation("incarnations alone", Store, "_outlived", lambda *given: False, EPOCHS, "what has lapsed"),
     Mutation("no quorum", epochs.EpochClock, "next", without_quorum, EPOCHS, "the epoch needs a quorum"),
+    Mutation("asks without epoch", Asker, "encode", no_epoch, EPOCHS, "programs: controllers that all begin"),
     Mutation("no disk", MachineRecords, "change", machines_alone, EPOCHS, "a machine that left stays"),
     Mutation("names not told", Store, "since", without_names, EPOCHS, "a machine that left stays"),
     Mutation("copies stay", controller.Machines, "hear_departed", heard_alone, EPOCHS, "a copy taken before"),
--- a/tests/gateway/test_epochs.py
+++ b/tests/gateway/test_epochs.py
@@ -278,6 +278,36 @@
         world.close()
 
 
+@test("programs: controllers that all begin anew, clocks set back, learn the epoch from proxies")
+def _():
+    before, epochs.EPOCH_S = epochs.EPOCH_S, 8.0
+    world = World(fronts="fg")
+    try:
+        for name in "abcfg":
+            world.start(name)
+        world.run(40.0)
+        store = world.nodes["f"].publisher.store
+        epoch = store.epoch
+        assert epoch >= 4
+        for name in "abc":
+            world.kill(name)
+            world.skew[name] = -9999.0
+        world.fresh = False
+        for name in "abc":
+            world.start(name)
+        world.run(43.0)
+        stores = [world.nodes[name].publisher.store for name in "abcfg"]
+        assert all(one.epoch >= epoch for one in stores)
+        world.run(70.0)  # what proxies hold of the higher incarnations before has lapsed
+        assert len({one.digest for one in stores}) == 1
+        assert len({str(one.stamp("bourse/a")) for one in stores}) == 1
+        assert all(len([key for key, _ in one.under("bourse/")]) == 3 for one in stores)
+        assert {len(world.nodes[name].fleet) for name in "abc"} == {2}
+    finally:
+        epochs.EPOCH_S = before
+        world.close()
+
+
 @test("programs: a controller that was removed is asked no more, and found again if it comes back")
 def _():
     # Each was called once a second by every proxy and controller for ever.
