Exposure is bounded by an allowance of each proxy, and a wide stage for few outcomes

Cause: with six outcomes on trial all traffic went to a version, and attempts that classes had banked before an order were spent by it at every proxy: with many classes and proxies more than the slack. Change: each proxy counts its requests and attempts since the order; attempts stay within eight tenths of the share of these and of its part of the slack, which only proxies in contact at the order have. With fewer than 25 outcomes at 0.55 of the time the stage is wide: all traffic, any class, within that allowance; all without a bound follows 25 outcomes and 0.6 s, or 0.85 of the time.

--- a/honeywood/gateway/proxy/program.py
+++ b/honeywood/gateway/proxy/program.py
@@ -41,7 +41,7 @@
         s, self.app = self.settings, App(self)
         self.random, self.table, self.limits, self.config_at = random or Random(), None, config.Limits(), None
         self.endpoints = Endpoints()
-        self.stage = Stage(self.endpoints, s.bounds["canary_share"], self.fronts)
+        self.stage = Stage(self.endpoints, s.bounds["canary_share"], s.bounds["canary_slack"], self.fronts)
         self.budgets, self.server = {}, None
         self.fleet, self.known, self.fell, self.relays = {}, 1, (self.clock(), MANY), []
         self.links = ConnectionPool(self.clock, connect)
@@ -124,7 +124,7 @@
             if left and machine is not None:
                 self.links.drop(machine)
         elif kind == "rollout":
-            self.stage.hear(value)
+            self.stage.hear(self.clock(), value)
         elif kind == "bourse":
             self.found([name])
 
--- a/honeywood/gateway/rollout/verdict.py
+++ b/honeywood/gateway/rollout/verdict.py
@@ -1,7 +1,7 @@
 """What counts say of a version on trial: at a front of its own ones, at a controller of all fronts' pooled
 ones; and the next step of the rollout, from the pooled counts and the fronts' votes."""
 
-from honeywood.gateway.rollout.record import DONE, FULL, REVERTED, TRIAL
+from honeywood.gateway.rollout.record import DONE, FULL, REVERTED, TRIAL, WIDE
 from honeywood.judge.counts import Counts, summed
 from honeywood.judge.cut import FAIL_MARGIN, LEAST, Q, sorted_cut, trails
 
@@ -11,6 +11,9 @@
 SHORT = 3.0  # seconds after a stage's start at which short samples vote on as well (the design's)
 WATCHED = 0.55  # part of the time given over which a version stays on trial: it may turn bad late
 LATEST = 0.7  # part of it after which votes and outcomes that are still missing are waited for no more
+CLEAR = 25  # outcomes on the version, none of them rejected, before all traffic goes to it without a bound
+SETTLED = 0.6  # seconds of the wide stage before that: slow answers end last, so the first outcomes flatter
+WIDEST = 0.85  # part of it after which few outcomes are taken for few requests, not for a want of allowance
 LAST = 0.9  # part of it after which a version that few have met is done all the same
 LEFT = 0.4  # seconds that all fronts must have left the earlier machines before they are stopped
 GAP = 1.5  # seconds between two looks above which nothing is known of the time between them
@@ -122,6 +125,7 @@
 
     def __init__(self, n):
         self.n, self.suspicion, self.all_left, self.why = n, Suspicion(), Standing(), ""
+        self.watched = Standing()
 
     def look(self, now, elapsed, record, rows, votes, left):
         """The changes to make to an active record, or None. `elapsed` seconds since the order, `votes` of the
@@ -133,7 +137,14 @@
             return {"stage": TRIAL} if record["stage"] == FULL else None
         part, met = elapsed / record["over_s"], ended(rows, record["svc"], record["to_ver"])
         if record["stage"] == TRIAL:
-            on = part >= WATCHED and votes and all(vote == ON for vote in votes) and met >= LEAST_TRIAL
+            if part < WATCHED:
+                return None
+            if met < CLEAR:
+                return {"stage": WIDE}
+            on = votes and all(vote == ON for vote in votes)
             return {"stage": FULL} if on or part >= LATEST else None
+        if record["stage"] == WIDE:
+            settled = self.watched.look(now, True) >= SETTLED
+            return {"stage": FULL} if settled and met >= CLEAR or part >= WIDEST else None
         left = left and (part >= LAST or met >= LEAST)
         return {"state": DONE} if self.all_left.look(now, left) >= LEFT else None
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -24,7 +24,7 @@
 
     def __init__(self, slack=64.0):
         self.endpoints = Endpoints()
-        self.stage = Stage(self.endpoints, 0.1, lambda: 1)
+        self.stage = Stage(self.endpoints, 0.1, 50, lambda: 1)
         self.budget = Budget(0.2, slack, 10.0)
         self.gate = AttemptGate(lambda svc: self.budget, lambda: 4, self.stage, {"s": 9})
         for id in "mno":
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -15,10 +15,12 @@
 class Fleet:
     """Fronts that share a service's requests, with the real rules; news take `lag` seconds."""
 
-    def __init__(self, bad, seed, fronts=12, per_s=400.0, classes=1, lag=0.4, paces=(1.0,)):
+    def __init__(
+        self, bad, seed, fronts=12, per_s=400.0, classes=1, lag=0.4, paces=(1.0,), over_s=14.0, warm_s=-5.0
+    ):
         from honeywood.gateway.routing.endpoints import Endpoints
 
-        self.paces = paces  # times of machines beside each other, in turn
+        self.over_s, self.paces = over_s, paces  # times of machines beside each other, in turn
         self.draw, self.bad, self.rate, self.lag = random.Random(seed), bad, per_s, lag
         self.routes = [
             Route(f"r{n}", "h", f"/{n}/", "safe", 0.6, 0.25, 0, 2, (("s", 1.0),)) for n in range(classes)
@@ -27,29 +29,30 @@
         for _ in range(fronts):
             endpoints = Endpoints()
             for id, ver in (("m", "v1"), *((f"n{n}", "v2") for n in range(8))):
-                endpoints.hear(-5.0, id, machine(id, ver, slots=6))
-            self.fronts.append((endpoints, Stage(endpoints, 0.1, lambda: fronts)))
-        self.record = record.start(None, "s", "v2", 14.0, 0.0)
+                endpoints.hear(warm_s if ver == "v2" else -5.0, id, machine(id, ver, slots=6))
+            self.fronts.append((endpoints, Stage(endpoints, 0.1, 50, lambda: fronts)))
+        self.record = record.start(None, "s", "v2", over_s, 0.0)
         for _, stage in self.fronts:
-            stage.hear(self.record)
+            stage.hear(0.0, self.record)
         self.trial = self.total = self.bads = 0
         self.fiftieth = self.last_trial = self.end = None
         self.loads = {}  # when what is at each machine on trial ends
 
-    def one(self, now):
-        """One request at one front."""
-        endpoints, stage = self.draw.choice(self.fronts)
-        route = self.draw.choice(self.routes)
+    @staticmethod
+    def passed_on(now, endpoints, stage, route):
+        """A request that a front takes, and the machine that it goes to."""
         ask = Ask(route, "s", b"i", now, now + 0.6)
         stage.taking(ask)
-        self.total += 1
-        machine = next(
-            m
-            for group in stage.groups(now, ask, endpoints.services["s"])
-            for m in group
-            if stage.allows(now, ask, m)
-        )
+        groups = stage.groups(now, ask, endpoints.services["s"])
+        machine = next(m for group in groups for m in group if stage.allows(now, ask, m))
         stage.sent(now, ask, machine)
+        return ask, machine
+
+    def one(self, now):
+        """One request at one front."""
+        endpoints, stage = self.draw.choice(self.fronts)
+        ask, machine = self.passed_on(now, endpoints, stage, self.draw.choice(self.routes))
+        route, self.total = ask.route, self.total + 1
         failed, took = self.draw.random() < 0.003, 0.06 * self.draw.lognormvariate(0, 0.5)
         if machine.ver == "v2":
             took *= self.paces[int(machine.id[1:]) % len(self.paces)]
@@ -67,8 +70,8 @@
             failed, took = True, 0.6
         stage.ended(now, ask, machine, "failed" if failed else "good", took)
 
-    def run(self, until=14.0):
-        verdict, now, told, heard = Verdict(1), 0.0, [], []
+    def run(self):
+        until, verdict, now, told, heard = self.over_s, Verdict(1), 0.0, [], []
         while now < until and self.record["state"] == record.ACTIVE:
             for _ in range(int(self.rate / 10)):
                 self.one(now + self.draw.random() / 10)
@@ -88,7 +91,7 @@
                 self.record = record.advance(self.record, "v2", self.record["n"], **changes)
             heard.append(self.record)
             for _, stage in self.fronts:
-                stage.hear(heard[max(0, len(heard) - 1 - int(self.lag * 10))])
+                stage.hear(0.0, heard[max(0, len(heard) - 1 - int(self.lag * 10))])
         self.end = now
         return self
 
@@ -149,6 +152,97 @@
         assert fleet.end < 13.0
 
 
+def row(ver, count):
+    """Good outcomes of a version, as fronts tell them."""
+    return ["s", "r", ver, 0, count, [float(count), *[0.0] * 8]]
+
+
+@test("{met} outcomes on trial, {part} of the time over: the stage is {stage_now}")
+def _(
+    met=each(6, 6, 24, 24, 25, 25, 25),
+    part=each(0.5, 0.56, 0.56, 0.99, 0.5, 0.56, 0.7),
+    votes=each(["on"], ["on"], ["on"], [None], ["on"], ["on"], [None]),
+    stage_now=each(None, record.WIDE, record.WIDE, record.WIDE, None, record.FULL, record.FULL),
+):
+    # Found by the emulator (30230, 10342, 14648): six outcomes, of which few failed, and then all traffic.
+    held = record.start(None, "s", "v2", 10.0, 0.0)
+    found = Verdict(1).look(10 * part, 10 * part, held, [row("v1", 900), row("v2", met)], votes, False)
+    assert found == (stage_now and {"stage": stage_now})
+
+
+@test("the wide stage, {met} outcomes after {seconds} s and {part} of the time: {stage_now}")
+def _(
+    met=each(24, 24, 25, 25),
+    seconds=each(1.0, 1.0, 0.5, 0.7),
+    part=each(0.84, 0.86, 0.6, 0.6),
+    stage_now=each(None, record.FULL, None, record.FULL),
+):
+    # The first outcomes are those of quick answers.
+    held = {**record.start(None, "s", "v2", 10.0, 0.0), "stage": record.WIDE}
+    verdict, rows = Verdict(1), [row("v1", 900), row("v2", met)]
+    verdict.look(0.0, 10 * part, held, rows, [], False)
+    found = verdict.look(seconds, 10 * part, held, rows, [], False)
+    assert found == (stage_now and {"stage": stage_now})
+
+
+@test(
+    "in the wide stage all requests go to the version until the allowance is spent, then to the earlier one"
+)
+def _():
+    fleet = Fleet(good, 0, fronts=4)
+    endpoints, stage = fleet.fronts[0]
+    stage.hear(0.0, {**fleet.record, "stage": record.WIDE, "n": 2})
+    write = Route("w", "h", "/w/", "unsafe", 0.6, 0.25, 0, 2, (("s", 1.0),))
+    sends = [fleet.passed_on(0.0, endpoints, stage, route) for route in [write, *fleet.routes] * 100]
+    vers = [taken.ver for _, taken in sends]
+    assert vers[:10] == ["v2"] * 10 and "v1" in vers[10:14] and 0 < vers[100:].count("v2") <= 10
+    assert stage.told(0.0)["left"]["s"] == [2, 1]  # the earlier machines are still needed
+    assert not stage.allows(9.0, sends[0][0], endpoints.machines["n1"])  # a lease, as on trial
+
+
+@test("a good version whose machines start with its order is done by its term, at {per_s} requests a second")
+def _(per_s=each(10.0, 30.0, 30.0, 100.0, 400.0), over_s=each(12.0, 6.0, 12.0, 6.0, 12.0)):
+    for seed in range(8):
+        fleet = Fleet(good, seed, fronts=4, per_s=per_s, over_s=over_s, warm_s=0.0, lag=0.2).run()
+        assert fleet.record["state"] == record.DONE, f"seed {seed}: {fleet.record}"
+        assert fleet.end <= over_s, f"seed {seed}: {fleet.end}"
+
+
+@test(
+    "all fronts together stay within share and slack, whichever stage they hold for however long: {stage_now}"
+)
+def _(stage_now=each(record.TRIAL, record.WIDE)):
+    # Attempts that classes had banked before the order were spent by it: 24 fronts with 20 classes spent 480.
+    draw, tried = random.Random(1), 0
+    for fronts, classes, per_front in ((24, 20, 10), (4, 1, 30), (12, 3, 200)):
+        fleet = Fleet(good, 1, fronts=fronts, classes=classes)
+        attempts = requests = 0
+
+        for _, stage in fleet.fronts:  # a service's classes have earned what they may before the order
+            for route in fleet.routes * 40:
+                stage.taking(Ask(route, "s", b"i", 0.0, 9.0))
+        ordered = record.start(
+            record.advance(fleet.record, "v2", 1, state=record.REVERTED), "s", "v2", 9.0, 9.0
+        )
+        held = {**ordered, "stage": stage_now}
+        for _, stage in fleet.fronts:
+            stage.hear(0.0, held)
+        for turn in range(per_front * fronts):
+            n = turn % fronts
+            endpoints, stage = fleet.fronts[n]
+            if draw.random() < 0.02:  # a front dies and starts anew, or comes back from a cut
+                stage = Stage(endpoints, 0.1, 50, lambda: 1)
+                stage.heard_at = -9.0
+                stage.hear(0.0, held)
+                stage.heard_at = 0.0
+                fleet.fronts[n] = endpoints, stage
+            _, taken = fleet.passed_on(0.0, endpoints, stage, draw.choice(fleet.routes))
+            attempts, requests = attempts + (taken.ver == "v2"), requests + 1
+        assert attempts <= 0.1 * requests + 50, (fronts, attempts, requests)
+        tried += attempts
+    assert tried
+
+
 PACES = (1 / 0.7, 1.0, 1.0, 1 / 1.5)  # the users' machines of one service, as they differ
 
 
@@ -177,7 +271,7 @@
     def bins(stage_now):
         fleet = Fleet(good, 0)
         endpoints, stage = fleet.fronts[0]
-        stage.hear({**fleet.record, "stage": stage_now, "n": 2})
+        stage.hear(0.0, {**fleet.record, "stage": stage_now, "n": 2})
         ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
         for id in ("m", "n0"):
             stage.ended(0.0, ask, endpoints.machines[id], "good", 0.3)
@@ -192,9 +286,6 @@
     # Found by the emulator (day 83): a version was done with eight answers, the slow ones still out.
     held = record.advance(record.start(None, "s", "v2", 10.0, 0.0), "v2", 1, stage=record.FULL)
 
-    def row(ver, count):
-        return ["s", "r", ver, 0, count, [float(count), *[0.0] * 8]]
-
     for count, elapsed, state in ((8, 7.5, None), (20, 7.5, record.DONE), (8, 9.5, record.DONE)):
         verdict = Verdict(2)
         rows = [row("v1", 90), row("v2", count)]
@@ -234,7 +325,7 @@
     fleet = Fleet(good, 0)
     _, stage = fleet.fronts[0]
     for full in (fleet.record, record.advance(fleet.record, "v2", 1, stage=record.FULL)):
-        stage.hear(full)
+        stage.hear(0.0, full)
     for n in range(60):
         ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
         machine = stage.endpoints.machines["m" if n < 30 else "n1"]
@@ -248,7 +339,7 @@
 def _():
     fleet = Fleet(good, 0)
     endpoints, stage = fleet.fronts[0]
-    stage.hear(fleet.record)
+    stage.hear(0.0, fleet.record)
     stage.heard_at = 0.0
     ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
     for _ in range(20):
@@ -265,7 +356,7 @@
 def _():
     fleet = Fleet(good, 0)
     endpoints, stage = fleet.fronts[0]
-    stage.hear(fleet.record)
+    stage.hear(0.0, fleet.record)
     ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
     for now, versions in ((-3.0, {"v1"}), (-1.0, {"v1", "v2"})):
         groups = stage.groups(now, ask, endpoints.services["s"])
@@ -470,7 +561,7 @@
     assert stage.told(2.0)["rows"]
     sent_back = record.advance(fleet.record, "v2", 1, 3.0, state=record.REVERTED)
     again = record.start(sent_back, "s", "v2", 14.0, 20.0)
-    stage.hear(again)  # of the return it may never have heard
+    stage.hear(0.0, again)  # of the return it may never have heard
     told = stage.told(30.0)
     assert told["rows"] == [] and told["votes"]["s"] == [3, None] and told["known"]["s"][0] == 3
 
@@ -499,10 +590,10 @@
     # version again, and all its failures were served.
     fleet = Fleet(good, 0)
     endpoints, stage = fleet.fronts[0]
-    stage.hear(played((0, V2), (3, "reverted"), (1, V3)))
+    stage.hear(0.0, played((0, V2), (3, "reverted"), (1, V3)))
     endpoints.hear(0.0, "o", machine("o", "v3"))
     assert [stage.standing("s", ver) for ver in ("v1", "v2", "v3")] == ["established", "closed", "trial"]
     endpoints.hear(0.0, "m", {**machine("m", "v1"), "state": "gone"})
     assert stage.standing("s", "v2") == "established"
-    stage.hear(played((0, V2), (3, "reverted"), (1, V3), (9, "done"), (1, V2)))
+    stage.hear(0.0, played((0, V2), (3, "reverted"), (1, V3), (9, "done"), (1, V2)))
     assert stage.standing("s", "v2") == "trial"
