--- a/honeywood/gateway/program.py
+++ b/honeywood/gateway/program.py
@@ -100,6 +100,7 @@
         self.loops.add(task)
 
     async def until_stopped(self):
+        """Returns at SIGTERM; until then reads the settings again at SIGHUP and when the file has changed."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
         loop.add_signal_handler(signal.SIGHUP, lambda: loop.create_task(self.reread()))
