--- a/honeywood/gateway/register/paging.py
+++ b/honeywood/gateway/register/paging.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 
-from honeywood.gateway.configuration.outcome import Done, Failed
+from honeywood.gateway.configuration.outcome import Done, Failed, Wrong
 from honeywood.gateway.register.parts import PartReceiver, PartSender
 
 LONG = ("pull", "survey")  # steps whose answers may be long
@@ -32,6 +32,8 @@
         key = _question(ip, body) if body["step"] == "pull" else self.calls
         try:
             return await self._parts(key, ip, port, path, body, within, again)
+        except Wrong as wrong:
+            return wrong.failed
         finally:
             if body["step"] != "pull":
                 self.hearer.open.pop(key, None)
@@ -45,7 +47,7 @@
             reply = await self.caller.call(ip, port, path, asked, step, again=again)
             if not reply.ok:
                 return reply
-            whole = self.hearer.take(key, reply.value)
+            whole = self.hearer.take(key, reply.value, ip)
             if whole is not None:
                 return Done(whole)
             if have == self.hearer.have(key):
--- a/honeywood/gateway/register/parts.py
+++ b/honeywood/gateway/register/parts.py
@@ -8,6 +8,9 @@
 import json
 import zlib
 from _blake2 import blake2b  # hashlib would bring OpenSSL
+from dataclasses import dataclass
+
+from honeywood.gateway.register.fields import Fields
 
 PART = 1 << 14  # characters of a part; 30,000 B/s carry it in 0.55 s, less than a step has
 OPEN = 8  # answers that are kept to be gone on with; of more, the oldest goes
@@ -18,6 +21,38 @@
     return blake2b(text.encode(), digest_size=16).hexdigest()
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerPart:
+    """The characters `part` of an answer, from `at` on, of `of` in all; `mark` is the hash of the whole."""
+
+    part: str
+    at: int
+    of: int
+    mark: str
+    sum: int
+
+    @classmethod
+    def cut(cls, mark, text, at):
+        """The part of a text from `at` on."""
+        part = text[at : at + PART]
+        return cls(part, at, len(text), mark, zlib.crc32(part.encode()))
+
+    @property
+    def sound(self):
+        """Whether the part is as it was cut."""
+        return zlib.crc32(self.part.encode()) == self.sum
+
+    def encode(self):
+        """As JSON."""
+        return {"part": self.part, "at": self.at, "of": self.of, "mark": self.mark, "sum": self.sum}
+
+    @classmethod
+    def decode(cls, fields):
+        """The part in fields of a message."""
+        place = fields.take("at", int, least=0), fields.take("of", int, least=0)
+        return cls(fields.take("part", str), *place, fields.take("mark", str), fields.take("sum", int))
+
+
 class PartSender:
     """Answers that are being told."""
 
@@ -30,7 +65,7 @@
         begun, marked, text = self.open.get(question, (0.0, None, ""))
         if not have or have[0] != marked or now - begun > KEPT:
             return None
-        return self._part(marked, text, have[1])
+        return AnswerPart.cut(marked, text, have[1]).encode()
 
     def begin(self, now, question, answer):
         """The answer, or where it is long its first part."""
@@ -38,15 +73,11 @@
         if len(text) <= PART:
             return answer
         self.open.pop(question, None)
-        self.open[question] = now, _mark(text), text
+        marked = _mark(text)
+        self.open[question] = now, marked, text
         while len(self.open) > OPEN:
             del self.open[next(iter(self.open))]
-        return self._part(_mark(text), text, 0)
-
-    @staticmethod
-    def _part(marked, text, at):
-        part = text[at : at + PART]
-        return {"part": part, "at": at, "of": len(text), "mark": marked, "sum": zlib.crc32(part.encode())}
+        return AnswerPart.cut(marked, text, 0).encode()
 
 
 class PartReceiver:
@@ -60,25 +91,26 @@
         marked, text = self.open.get(question, (None, ""))
         return [marked, len(text)] if marked else []
 
-    def take(self, question, answer):
-        """Takes an answer or a part of one: the whole answer once it is there, else None. A part that is
-        damaged or doesn't go on where the last one ended changes nothing, a first one begins anew."""
+    def take(self, question, answer, peer=""):
+        """Takes an answer or a part of one: the whole answer once it is there, else None; Wrong where it is
+        neither. A part that is damaged or doesn't go on where the last one ended changes nothing, a first one
+        begins anew."""
         if "part" not in answer:
             self.open.pop(question, None)
             return answer
         marked, text = self.open.get(question, (None, ""))
-        part, at = answer["part"], answer["at"]
-        if zlib.crc32(part.encode()) != answer["sum"]:
+        part = AnswerPart.decode(Fields(answer, "part of an answer", peer))
+        if not part.sound:
             return None
-        if at == 0:
+        if part.at == 0:
             text = ""
-        elif answer["mark"] != marked or at != len(text):
+        elif part.mark != marked or part.at != len(text):
             return None
-        text += part
-        self.open[question] = answer["mark"], text
+        text += part.part
+        self.open[question] = part.mark, text
         while len(self.open) > OPEN:
             del self.open[next(iter(self.open))]
-        if len(text) < answer["of"]:
+        if len(text) < part.of:
             return None
         del self.open[question]
-        return json.loads(text) if _mark(text) == answer["mark"] else None
+        return json.loads(text) if _mark(text) == part.mark else None
--- a/tests/gateway/test_register_parts.py
+++ b/tests/gateway/test_register_parts.py
@@ -58,6 +58,17 @@
         assert gone_on(PartSender(), PartReceiver(), spoil=spoiler(random.Random(seed)), most=400) == LONG
 
 
+@test("an answer that is no part and no whole is a failed call that names field and peer")
+def _():
+    class Peer:
+        async def call(self, ip, port, path, body, within, again):
+            return Done({"part": "x", "at": "0", "of": 9, "mark": "m", "sum": 0})
+
+    ask = {"step": "survey", "known": {}}
+    found = asyncio.run(whole.PagedCaller(Peer()).call("b", 1, "/register", ask, 1.0))
+    assert not found.ok and "at must be int" in str(found) and "with b" in str(found)
+
+
 @test("an answer that changed, or is kept no more, begins anew; no more than so many are kept")
 def _():
     teller, hearer = PartSender(), PartReceiver()
