Every logged event stands on an operators' page, held by a test

Cause: three events of the controller's disk and members were on no page, nor was the wait for a disk in the log's table.

--- a/tests/gateway/test_architecture.py
+++ b/tests/gateway/test_architecture.py
@@ -139,3 +139,22 @@
 @test("{page} calls nothing by a withdrawn name")
 def _(page=each(*PAGES)):
     assert not WITHDRAWN_NAMES & set(QUOTED_WORD.findall(text_of(page)))
+
+
+def calls(path, method):
+    """The calls of a method of this name in a file."""
+    nodes = ast.walk(ast.parse(path.read_text()))
+    found = (node for node in nodes if isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute))
+    return [node for node in found if node.func.attr == method]
+
+
+def events():
+    """The events that the gateway's programs log, but for those whose names are worked out."""
+    said = [call.args[0] for path in GATEWAY.rglob("*.py") for call in calls(path, "say")]
+    return {event.value for event in said if isinstance(event, ast.Constant)}
+
+
+@test("every event in a log stands on an operators' page")
+def _():
+    pages = "".join((ROOT / page).read_text() for page in PAGES if page.startswith("docs/operate/"))
+    assert not sorted(event for event in events() if f"`{event}`" not in pages)
