--- a/tests/ci/known_red.py
+++ b/tests/ci/known_red.py
@@ -17,6 +17,11 @@
     """KNOWN-RED.txt can't be used; says which line and why."""
 
 
+def is_case_of(name: str, test: str) -> bool:
+    """Whether `name` is the test or one of its cases, `test[case]`."""
+    return name == test or name.startswith(f"{test}[")
+
+
 @dataclass(frozen=True, slots=True)
 class KnownRed:
     """One listed test."""
@@ -27,7 +32,7 @@
 
     def covers(self, name: str) -> bool:
         """Whether `name` is this test or one of its cases."""
-        return name == self.test or name.startswith(self.test + "[")
+        return is_case_of(name, self.test)
 
 
 def parse(text: str) -> list[KnownRed]:
--- a/tests/ci/run_tests.py
+++ b/tests/ci/run_tests.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 
 import known_red
+import pytest_known_red
 from shards import Outcome, Report, Shard, compare, plan, read_outcomes
 from ward_shard import VARIABLE, Selection
 
@@ -71,8 +72,9 @@
         with tempfile.TemporaryDirectory() as folder:
             results = Path(folder, "results.xml")
             command = [sys.executable, "-m", "pytest", "-q", "--dist", "worksteal", "-n", str(workers())]
-            command += [f"--junitxml={results}", "--durations=10", *(f"--deselect={test}" for test in skip)]
-            status = subprocess.run(command, cwd=ROOT, env=environment()).returncode
+            command += [f"--junitxml={results}", "--durations=10", "-p", "pytest_known_red"]
+            variables = environment(**{pytest_known_red.VARIABLE: "\n".join(skip)})
+            status = subprocess.run(command, cwd=ROOT, env=variables).returncode
             return self.report(results, status)
 
     def report(self, results: Path, status: int) -> Report:
--- a/tests/ci/test_runner.py
+++ b/tests/ci/test_runner.py
@@ -100,3 +100,12 @@
     assert not done.returncode and [outcome.name for outcome in outcomes] == ["test_it.py::sound"]
     done, outcomes = ward_in(tmp_path, only=("test_it.py::{one} is true",))
     assert done.returncode and len(outcomes) == 2
+
+
+def test_pytest_passes_over_what_is_listed_and_no_more(tmp_path):
+    (tmp_path / "test_it.py").write_text("def test_a(): assert 0\n\n\ndef test_a_b(): pass\n")
+    command = [sys.executable, "-m", "pytest", "-q", "-p", "pytest_known_red", "test_it.py"]
+    path = str(run_tests.ROOT / "tests/ci")
+    variables = run_tests.environment(KNOWN_RED="test_it.py::test_a", PYTHONPATH=path)
+    done = subprocess.run(command, cwd=tmp_path, env=variables, capture_output=True, text=True)
+    assert not done.returncode and "1 passed" in done.stdout
