--- a/tests/ci/pytest_known_red.py
+++ b/tests/ci/pytest_known_red.py
@@ -1,5 +1,5 @@
 """A plugin of pytest's (`-p pytest_known_red`): passes over the tests that the environment variable KNOWN_RED
-names, one a line, each with all its cases. pytest's own --deselect goes by prefix: `test_ab` goes with `test_a`.
+names, one a line, each with all its cases. By whole names: `--deselect` would take `test_ab` with `test_a`.
 """
 
 import os
