--- a/honeywood/gateway/controller/app.py
+++ b/honeywood/gateway/controller/app.py
@@ -87,8 +87,8 @@
         return self.told(await self.controller.orders.rollout(of, peer))
 
     @staticmethod
-    def told(record):
-        return {key: record[key] for key in ("state", "to_ver")}
+    def told(rollout):
+        return {"state": rollout.state, "to_ver": rollout.version}
 
     # our own
     async def news(self, of, body, peer):
--- a/honeywood/gateway/controller/orders.py
+++ b/honeywood/gateway/controller/orders.py
@@ -7,7 +7,7 @@
 from honeywood.gateway.configuration import config
 from honeywood.gateway.configuration import versions as held
 from honeywood.gateway.configuration.outcome import Wrong
-from honeywood.gateway.rollout import record as rollouts
+from honeywood.gateway.rollout import record
 from honeywood.gateway.routing.endpoints import DRAINING, READY
 
 CONFIG, ROLLOUT = "config", "rollout/"  # keys of the register
@@ -82,32 +82,41 @@
         return found, value["ver"]
 
     async def order(self, svc, to_ver, over_s, peer, left=lambda: False):
-        """The record once a rollout has begun, or that in which this order was taken before. `left` tells
-        whether the caller has gone: nothing is begun for one who has."""
-        came, again_s = self.clock(), self.controller.settings.bounds["ack_s"] + AGAIN
+        """The Rollout once it has begun, or that in which this order was taken before. `left` tells whether
+        the caller has gone: nothing is begun for one who has."""
+        came = self.clock()
         if self.late:
             raise Wrong(START, "this controller stood still; the order may be an old one", peer, 503)
-        value, held = await asyncio.gather(
-            self._read(START, CONFIG, peer), self._read(START, ROLLOUT + svc, peer)
-        )
-        if value is not None and svc not in config.read(config.unpack(value["text"])).services:
-            raise Wrong(START, f"svc {svc!r} is not known", peer)
+        held = await self._orderable(svc, peer)
         alone = await self._agreed_alone(svc, to_ver, peer)
-        if rollouts.sent_back(held, to_ver):
+        if record.sent_back(held, to_ver):
             await asyncio.sleep(LINGER)
 
-        def begun(value):
+        def begun(held):
             if left():
                 raise Wrong(START, "its caller has left", peer, 503)
             if self.clock() - came > FRESH:
                 raise Wrong(START, "too late; it is no longer waited for", peer, 503)
-            since = 0.0 if value is None else self.controller.since(value)
-            still = alone and self._alone(svc, to_ver)
-            return rollouts.start(value, svc, to_ver, over_s, since, again_s, still)
-
-        value = await self._change(START, ROLLOUT + svc, begun, peer)
-        self.say("rollout ordered", svc=svc, to_ver=to_ver, over_s=over_s, n=value["n"], state=value["state"])
-        return value
+            since_s = 0.0 if held is None else self.controller.rollouts.since(held)
+            still_alone = alone and self._alone(svc, to_ver)
+            again_s = self.controller.settings.bounds["ack_s"] + AGAIN
+            return record.start(held, svc, to_ver, over_s, since_s, again_s, still_alone)
+
+        change = lambda value: record.rewritten(value, begun)  # noqa: E731
+        rollout = record.decode(await self._change(START, ROLLOUT + svc, change, peer))
+        told = {"svc": svc, "to_ver": to_ver, "over_s": over_s}
+        self.say("rollout ordered", **told, n=rollout.revision, state=rollout.state)
+        return rollout
+
+    async def _orderable(self, svc, peer):
+        """The rollout that is held of a service, or None; refuses a service that no configuration names."""
+        configuration, value = await asyncio.gather(
+            self._read(START, CONFIG, peer), self._read(START, ROLLOUT + svc, peer)
+        )
+        known = configuration is None or svc in config.read(config.unpack(configuration["text"])).services
+        if not known:
+            raise Wrong(START, f"svc {svc!r} is not known", peer)
+        return None if value is None else record.decode(value)
 
     def _alone(self, svc, ver):
         """Whether all machines of the service that are known here to be in service are of that version."""
@@ -125,8 +134,8 @@
         return self._alone(svc, ver)
 
     async def rollout(self, svc, peer):
-        """The record of the service's rollout; 404 where a majority holds none."""
+        """The Rollout of a service; 404 where a majority holds none."""
         value = await self._read(ROLLOUT_READ, ROLLOUT + svc, peer)
         if value is None:
             raise Wrong(ROLLOUT_READ, f"no rollout of {svc!r}", peer, 404)
-        return value
+        return record.decode(value)
--- a/honeywood/gateway/controller/program.py
+++ b/honeywood/gateway/controller/program.py
@@ -10,22 +10,21 @@
 from honeywood.gateway.controller.disk_health import CHECK_S, DiskHealth
 from honeywood.gateway.controller.machine_records import MachineRecords
 from honeywood.gateway.controller.machines import Machines
-from honeywood.gateway.controller.orders import CONFIG, ROLLOUT, TICK, Orders
+from honeywood.gateway.controller.orders import CONFIG, TICK, Orders
 from honeywood.gateway.controller.retention import still_counted
+from honeywood.gateway.controller.rollouts import Rollouts
 from honeywood.gateway.dissemination.backoff import Backoff
 from honeywood.gateway.dissemination.epochs import EpochClock
 from honeywood.gateway.dissemination.local import LocalRecords
 from honeywood.gateway.dissemination.messages import Asker
 from honeywood.gateway.dissemination.publisher import Publisher
-from honeywood.gateway.dissemination.rendezvous import order, parents
+from honeywood.gateway.dissemination.rendezvous import parents
 from honeywood.gateway.dissemination.subscriber import Subscriber
 from honeywood.gateway.program import COUNTS, Program
 from honeywood.gateway.register.disk import Disk
 from honeywood.gateway.register.membership import DiskState, replacement
 from honeywood.gateway.register.paging import PagedResponder, PagedCaller
 from honeywood.gateway.register.replica import Register
-from honeywood.gateway.rollout import record as rollouts
-from honeywood.gateway.rollout.verdict import Verdict
 from honeywood.gateway.rpc.server import HttpServer
 
 LOOK = 0.1  # seconds between looks at rollouts, and at whether this disk is where it counts
@@ -35,8 +34,6 @@
 NEAR = 0.5  # seconds that another controller holds an ask while there is nothing new
 REST = 0.5  # seconds at most for which a controller that doesn't answer isn't asked
 FRONT_LOST = 3.0  # seconds after which a front that asks no more shares nothing
-LATE = 0.5  # seconds beyond a controller's turn after which what it decided before is looked at again
-SPREAD = 0.15  # seconds by which controllers act after each other
 TELL = 0.8  # seconds in which enough others must know of a leaving before it is acknowledged
 KEPT = 0.2  # seconds that an acknowledgement waits for this disk besides
 NOTING = 0.5  # seconds between looks at whether notes of machines have changed
@@ -53,16 +50,16 @@
         self.own = LocalRecords(self.store, int(self.life, 16), self.mine)
         self.register = Register(s, PagedCaller(self.caller), self.random, self.say, disk)
         self.telling = PagedResponder(self.register.serve, self.clock)
-        self.orders = Orders(self)
+        self.orders, self.rollouts = Orders(self), Rollouts(self)
         self.machines, self.notes = Machines(self.store, s.beat_s), MachineRecords(self.register.keep_notes)
         self.machines.changed = self.notes.change
         self.subscriber = Subscriber(self.publisher, self.caller, self.who, Backoff(self.random, REST))
-        self.fronts, self.verdicts = {}, {}
+        self.fronts = {}
         self.contacts = Contacts(s.ip, self.store.life, self.clock(), s.bear, lambda: self.register.members)
         self.disk_health = DiskHealth(lambda: self.register.keep_notes({}), self.clock, self.say)
         self.fleet, self.chains = {}, {}
         self.controllers, self.waits = [ip for ip, _ in s.seeds], []
-        self.asking, self.known_at = set(), {}
+        self.asking = set()
 
     def config_held(self):
         stamp = self.store.stamp(CONFIG)
@@ -111,7 +108,7 @@
         elif kind == "left":
             self.machines.hear_departed(key, value)
         elif kind == "rollout":
-            self.known_at[name] = value["n"], self.clock()
+            self.rollouts.hear(name, value)
 
     @property
     def joined(self):
@@ -283,70 +280,6 @@
             found["counted"] = counted[0] if counted else 0
         return found
 
-    async def steer(self):
-        """Brings rollouts on or back. Whoever has not heard enough others lately decides nothing: what it
-        knows of fronts' counts may be as old as its cut or its standstill."""
-        if not self.joined:
-            return
-        for key, record in self.store.under(ROLLOUT):
-            if record["state"] != rollouts.ACTIVE:
-                self.verdicts.pop(record["svc"], None)
-                continue
-            verdict = self.verdicts.get(record["svc"])
-            if verdict is None or verdict.n != record["n"]:
-                verdict = self.verdicts[record["svc"]] = Verdict(record["n"])
-            rows, votes, left = self.counted(record)
-            lasted = record["lasted"] + self.since(record)
-            changes = verdict.look(self.clock(), lasted, record, rows, votes, left)
-            if changes is None:
-                continue
-            ring = order({*self.register.members, self.settings.ip}, record["svc"])
-            wait = ring.index(self.settings.ip) * SPREAD
-            decided = self.clock()
-            await asyncio.sleep(wait)
-            late = self.clock() - decided - wait > LATE or not self.joined
-            if late or self.store.get(key) != record:
-                continue
-            found = await self.register.change(
-                key,
-                lambda held, record=record, changes=changes: rollouts.advance(
-                    held, record["to_ver"], record["n"], self.since(record), **changes
-                ),
-            )
-            if found.ok:
-                self.publish(key, found.value)
-                self.say("rollout", svc=record["svc"], to_ver=record["to_ver"], why=verdict.why, **changes)
-
-    def since(self, record):
-        """For how many seconds the record's `n` has been known at least: here, or at a front, whose steady
-        clocks go on where all controllers begin anew."""
-        n, at = self.known_at.get(record["svc"], (0, 0.0))
-        known = [self.clock() - at] if n == record["n"] else []
-        told = [note["known"].get(record["svc"], (0, 0.0)) for _, note in self.store.under("count/")]
-        return max([*known, *(seconds for n, seconds in told if n == record["n"])], default=0.0)
-
-    def counted(self, record):
-        """All fronts' counts since the order, those of fronts that have died too; of the fronts that share
-        in the traffic their votes on this stage, and whether all follow it and have nothing out where it
-        leaves."""
-        told = sorted(self.store.heard("count/"), key=lambda one: one[2])
-        notes, last = [note for _, note, _ in told], {}
-        for key, note, _ in told:  # the life last heard of is the one that lives, whatever its clock said
-            last[key.split("/")[1]] = note
-        alive = self.look_at_fleet()
-        votes = [last[node]["votes"].get(record["svc"]) if node in last else None for node in alive]
-        left = [last[node]["left"].get(record["svc"]) if node in last else None for node in alive]
-        return (
-            [
-                row
-                for note in notes
-                if note["known"].get(record["svc"], (0, 0.0))[0] >= record["order"]
-                for row in note["rows"]
-            ],
-            [vote[1] if vote and vote[0] == record["n"] else None for vote in votes],
-            bool(left) and all(one == [record["n"], 0] for one in left),
-        )
-
     async def count(self):
         """A line of what stands now."""
         states = Counter(value["state"] for _, value in self.store.under("machine/"))
@@ -383,7 +316,7 @@
         self.loop(self.settle, LOOK)
         self.loop(self.keep, SURVEY)
         self.loop(self.watch, 0.5)
-        self.loop(self.steer, LOOK)
+        self.loop(self.rollouts.steer, LOOK)
         self.loop(self.orders.tick, TICK)
         self.loop(self.keep_notes, NOTING)
         self.loop(self.check_disk, CHECK_S)
--- /dev/null
+++ b/honeywood/gateway/controller/rollouts.py
@@ -0,0 +1,104 @@
+"""Steering of rollouts at one controller: what proxies tell of them, and the next step by a round."""
+
+import asyncio
+
+from honeywood.gateway.dissemination.rendezvous import order
+from honeywood.gateway.rollout import record, report
+from honeywood.gateway.rollout.verdict import Verdict
+
+ROLLOUT, COUNT = "rollout/", "count/"  # keys of the register, and of what proxies tell
+SPREAD = 0.15  # seconds by which controllers act after each other
+LATE = 0.5  # seconds beyond a controller's turn after which what it decided before is looked at again
+
+
+class Rollouts:
+    """The rollouts that one controller knows of; a part of it."""
+
+    def __init__(self, controller):
+        self.controller, self.clock, self.store = controller, controller.clock, controller.store
+        self.verdicts, self.known_at = {}, {}
+
+    def hear(self, service, value):
+        """A record has come to the store."""
+        self.known_at[service] = value["n"], self.clock()
+
+    async def steer(self):
+        """Brings rollouts on or back. Whoever has not heard enough others lately decides nothing: what it
+        knows of proxies' counts may be as old as its cut or its standstill."""
+        if not self.controller.joined:
+            return
+        for key, value in self.store.under(ROLLOUT):
+            rollout = record.decode(value)
+            if not rollout.active:
+                self.verdicts.pop(rollout.service, None)
+                continue
+            change = self._look(rollout)
+            if change is not None and await self._turn(rollout, key, value):
+                await self._carry_out(key, rollout, change)
+
+    def _look(self, rollout):
+        """The change that is to be made, or None."""
+        verdict = self.verdicts.get(rollout.service)
+        if verdict is None or verdict.revision != rollout.revision:
+            verdict = self.verdicts[rollout.service] = Verdict(rollout.revision)
+        tallies, votes, left = self.counted(rollout)
+        elapsed_s = rollout.held_s + self.since(rollout)
+        return verdict.look(self.clock(), elapsed_s, rollout, tallies, votes, left)
+
+    async def _turn(self, rollout, key, value):
+        """Waits for this controller's turn; whether what was decided before still holds."""
+        here = self.controller.settings.ip
+        ring = order({*self.controller.register.members, here}, rollout.service)
+        wait, decided = ring.index(here) * SPREAD, self.clock()
+        await asyncio.sleep(wait)
+        late = self.clock() - decided - wait > LATE
+        return not late and self.controller.joined and self.store.get(key) == value
+
+    async def _carry_out(self, key, rollout, change):
+        def changed(held):
+            since_s = self.since(rollout)
+            step = (rollout.version, rollout.revision, since_s, change.state, change.stage)
+            return record.advance(held, *step)
+
+        found = await self.controller.register.change(key, lambda value: record.rewritten(value, changed))
+        if not found.ok:
+            return
+        self.controller.publish(key, found.value)
+        changes = {name: getattr(change, name) for name in ("state", "stage") if getattr(change, name)}
+        told = {"svc": rollout.service, "to_ver": rollout.version, "why": change.why}
+        self.controller.say("rollout", **told, **changes)
+
+    def since(self, rollout):
+        """For how many seconds the rollout's revision has been known at least: here, or at a proxy, whose
+        steady clocks go on where all controllers begin anew."""
+        revision, at = self.known_at.get(rollout.service, (0, 0.0))
+        known = [self.clock() - at] if revision == rollout.revision else []
+        ballots = (report.decode(value).ballot(rollout.service) for _, value in self.store.under(COUNT))
+        known += [
+            ballot.known_s
+            for ballot in ballots
+            if ballot is not None and ballot.revision == rollout.revision and ballot.known_s is not None
+        ]
+        return max(known, default=0.0)
+
+    def counted(self, rollout):
+        """All proxies' tallies since the order, those of proxies that have died too; of the proxies that
+        share in the traffic their votes on this revision, and whether all follow it and have nothing out
+        where it leaves."""
+        told = sorted(self.store.heard(COUNT), key=lambda one: one[2])
+        reports = [(key.split("/")[1], report.decode(value)) for key, value, _ in told]
+        last = dict(reports)  # the life last heard of is the one that lives, whatever its clock said
+        tallies = [tally for _, one in reports if self._since_order(one, rollout) for tally in one.tallies]
+        ballots = [
+            last[node].ballot(rollout.service) if node in last else None
+            for node in self.controller.look_at_fleet()
+        ]
+        current = [one if one and one.revision == rollout.revision else None for one in ballots]
+        votes = [one.vote if one else None for one in current]
+        return tallies, votes, bool(current) and all(one and not one.pending for one in current)
+
+    @staticmethod
+    def _since_order(one, rollout):
+        """Whether a report was told by a proxy that had heard of the order."""
+        ballot = one.ballot(rollout.service)
+        return ballot is not None and ballot.known_s is not None and ballot.revision >= rollout.ordered_at
--- a/honeywood/gateway/proxy/program.py
+++ b/honeywood/gateway/proxy/program.py
@@ -15,6 +15,7 @@
 from honeywood.gateway.proxy.app import App
 from honeywood.gateway.proxy.connections import ConnectionPool
 from honeywood.gateway.proxy.forwarding import Forwarder
+from honeywood.gateway.rollout import record, report
 from honeywood.gateway.rollout.stage import Stage
 from honeywood.gateway.routing.attempts import AttemptGate
 from honeywood.gateway.routing.budget import Budget
@@ -110,7 +111,7 @@
 
     def own(self, ip):
         """This front's counts, where they have changed since that controller had them."""
-        told = self.stage.told(self.clock())
+        told = report.encode(self.stage.report(self.clock()))
         known = {svc: [n, int(seconds / TELLING)] for svc, (n, seconds) in told["known"].items()}
         epoch = self.publisher.store.epoch
         if {**told, "known": known} != self.last or self.told and epoch != self.told_in:
@@ -134,7 +135,7 @@
             if left and machine is not None:
                 self.links.drop(machine)
         elif kind == "rollout":
-            self.stage.hear(self.clock(), value)
+            self.stage.hear(self.clock(), record.decode(value))
         elif kind == "bourse":
             self.found([name])
 
--- a/honeywood/gateway/rollout/stage.py
+++ b/honeywood/gateway/rollout/stage.py
@@ -1,137 +1,118 @@
-"""What each version of a service may get at one front."""
+"""What each version of a service may get at one proxy. Pure."""
 
 from bisect import bisect_left
 from collections import Counter
 from math import ceil
 
 from honeywood.gateway.dissemination.rendezvous import order
-from honeywood.gateway.rollout.record import ACTIVE, DONE, FULL, REVERTED, TRIAL, WIDE
+from honeywood.gateway.rollout.allowance import Allowance
+from honeywood.gateway.rollout.record import DONE, FULL, REVERTED, TRIAL, WIDE
+from honeywood.gateway.rollout.report import Ballot, Report, Tally
 from honeywood.gateway.rollout.verdict import Voter
 from honeywood.gateway.routing.answers import GOOD, NOT_RUN
 from honeywood.judge.counts import EDGES, Counts
 
-SAFETY = (
-    0.8  # of the share that is told: requests end up elsewhere than they began; the slack is kept for that
-)
+# of the share and the slack that are told: requests end up elsewhere than they began
+SAFETY = 0.8
 BANKED = 1.5  # attempts that a class may have earned and not used
 YOUNG = 3.0  # seconds: machines that started since say nothing of their version (the design's)
-KNOWN = 3.0  # seconds after which a proxy that has just started, and guesses high, knows how many there are
-LEASE = 3.0  # seconds a stage holds at a front that hears no controller; then the earlier version alone
+LEASE = 3.0  # seconds a stage holds at a proxy that hears no controller; then the earlier version alone
 UNLIKE = 1.5  # times that a slow machine of a service takes beside the usual one, whatever its version
 ESTABLISHED, ON_TRIAL, CLOSED = "established", "trial", "closed"
 
 
-class Allowance:
-    """What one proxy may send to the version of one order: its share of the requests that it has taken since,
-    and its part of the slack. So all proxies together stay within the share of all requests and the slack."""
-
-    __slots__ = ("share", "slack", "ordered_at", "fronts", "fixed", "requests", "attempts")
-
-    def __init__(self, share, slack, ordered_at):
-        self.share, self.slack, self.ordered_at = share, slack, ordered_at
-        self.fronts, self.fixed, self.requests, self.attempts = 1, False, 0, 0
-
-    def taking(self, now, fronts):
-        """A request is taken, while `fronts` proxies are known. Their number at the order counts, and is known
-        KNOWN seconds later: one that dies afterwards has had its part."""
-        self.requests += 1
-        if not self.fixed:
-            self.fronts, self.fixed = fronts, now - self.ordered_at >= KNOWN
-
-    @property
-    def room(self):
-        """Whether one more attempt fits."""
-        return self.attempts + 1 <= self.share * self.requests + self.slack / self.fronts
-
-
 class Stage:
-    """One front's view of all services' versions."""
+    """One proxy's view of all services' versions."""
 
-    def __init__(self, endpoints, share, slack, fronts):
-        self.endpoints, self.share, self.fronts = endpoints, share * SAFETY, fronts
+    def __init__(self, endpoints, share, slack, proxies):
+        """`share` and `slack` bound what a version on trial may get from all proxies together, of which there
+        are `proxies()`."""
+        self.endpoints, self.share, self.proxies = endpoints, share * SAFETY, proxies
         self.slack, self.allowances = slack * SAFETY, {}
-        self.records, self.earned, self.counts = {}, Counter(), {}
+        self.rollouts, self.earned, self.counts = {}, Counter(), {}
         self.heard_at, self.voters, self.chosen = 0.0, {}, {}
 
-    def hear(self, now, record):
-        svc = record["svc"]
-        held = self.records.get(svc)
-        if held is not None and record["n"] <= held["n"]:
+    def hear(self, now, rollout):
+        """Takes a rollout's news; older ones change nothing."""
+        held = self.rollouts.get(rollout.service)
+        if held is not None and rollout.revision <= held.revision:
             return
-        if held is None or held["order"] != record["order"]:
-            self._begin(now, svc)
-        self.records[svc] = record
+        if held is None or held.ordered_at != rollout.ordered_at:
+            self._begin(now, rollout.service)
+        self.rollouts[rollout.service] = rollout
 
-    def _begin(self, now, svc):
+    def _begin(self, now, service):
         """A version's trial begins with its order: nothing from before it is counted, nor was earned for it.
         A proxy that comes later, or back from a cut, has no part in the slack, which the others share."""
-        self.counts = {key: count for key, count in self.counts.items() if key[0] != svc}
-        self.earned = Counter({key: earned for key, earned in self.earned.items() if key[0] != svc})
+        self.counts = {key: count for key, count in self.counts.items() if key[0] != service}
+        self.earned = Counter({key: earned for key, earned in self.earned.items() if key[0] != service})
         slack = self.slack if now - self.heard_at <= LEASE else 0.0
-        self.allowances[svc] = Allowance(self.share, slack, now)
-
-    def standing(self, svc, ver):
-        """What `ver` of `svc` is just now."""
-        record = self.records.get(svc)
-        if record is None:
-            vers = Counter(m.ver for m in self.endpoints.services.get(svc, ()))
-            most = max(vers.values(), default=0)
-            first = min((v for v, n in vers.items() if n == most), default=ver)
-            return ESTABLISHED if ver == first else ON_TRIAL
-        named = ver == record["to_ver"]
-        if ver in record["back"]:  # sent back before this order; better than nothing where no other is there
-            vers = {m.ver for m in self.endpoints.services.get(svc, ())}
-            if vers - {record["to_ver"], *record["back"]}:
-                return CLOSED
-        if record["state"] == REVERTED:
+        self.allowances[service] = Allowance(self.share, slack, now)
+
+    def standing(self, service, version):
+        """What a version of a service is just now: ESTABLISHED, ON_TRIAL or CLOSED."""
+        rollout = self.rollouts.get(service)
+        if rollout is None:
+            return ESTABLISHED if version == self._commonest(service, version) else ON_TRIAL
+        named = version == rollout.version
+        if version in rollout.back and self._versions(service) - {rollout.version, *rollout.back}:
+            return CLOSED  # sent back before this order; better than nothing where no other is there
+        if rollout.state == REVERTED:
             return CLOSED if named else ESTABLISHED
-        if record["state"] == DONE or record["stage"] == FULL and not self.doubted(record):
+        if rollout.state == DONE or rollout.stage == FULL and not self.doubted(rollout):
             return ESTABLISHED if named else CLOSED
         return ON_TRIAL if named else ESTABLISHED
 
-    def doubted(self, record):
-        """Whether this front's own counts reject the version, not yet confirmed: the full stage is held back
+    def _versions(self, service):
+        return {machine.ver for machine in self.endpoints.services.get(service, ())}
+
+    def _commonest(self, service, default):
+        """The version of most machines of a service, where no order names one."""
+        counted = Counter(machine.ver for machine in self.endpoints.services.get(service, ()))
+        most = max(counted.values(), default=0)
+        return min((version for version, count in counted.items() if count == most), default=default)
+
+    def doubted(self, rollout):
+        """Whether this proxy's own counts reject the version, not yet confirmed: the full stage is held back
         to the trial's part at once, without waiting for what the others see."""
-        voter = self.voters.get(record["svc"])
-        return voter is not None and voter.n == record["n"] and voter.doubts
+        voter = self.voters.get(rollout.service)
+        return voter is not None and voter.revision == rollout.revision and voter.doubts
 
-    def behind(self, svc):
-        """Requests still out at machines whose version gets nothing any more."""
-        return sum(
-            m.open for m in self.endpoints.services.get(svc, ()) if self.standing(svc, m.ver) == CLOSED
-        )
+    def _wide(self, service):
+        rollout = self.rollouts.get(service)
+        return rollout is not None and rollout.active and rollout.stage == WIDE
 
     def room(self, now, ask):
         """Whether one more request may go to the version on trial: within the order's allowance, and on trial
         within the cap of the request's class, where only safe classes are tried."""
-        record = self.records.get(ask.service)
         if now - self.heard_at > LEASE:
             return False
-        if record is not None and record["state"] == ACTIVE:
-            if not self.allowances[ask.service].room:
-                return False
-            if record["stage"] == WIDE:
-                return True
+        rollout = self.rollouts.get(ask.service)
+        if rollout is not None and rollout.active and not self.allowances[ask.service].room:
+            return False
+        if self._wide(ask.service):
+            return True
         return ask.route.safe and self.earned[ask.service, ask.route.name] >= 1
 
     def taking(self, ask):
         """A request is taken: it earns its class the cap's part of an attempt. What was not used is not saved
-        up: all fronts would spend it at once on the few machines on trial, which would look slow by that."""
-        place = ask.service, ask.route.name
-        self.earned[place] = min(BANKED, self.earned[place] + self.share)
+        up: all proxies would spend it at once on the few machines on trial, which would look slow by that."""
+        key = ask.service, ask.route.name
+        self.earned[key] = min(BANKED, self.earned[key] + self.share)
         if ask.service in self.allowances:
-            self.allowances[ask.service].taking(ask.taken, self.fronts())
+            self.allowances[ask.service].taking(ask.taken, self.proxies())
 
     def allows(self, now, ask, machine):
+        """Whether a request may go to a machine."""
         standing = self.standing(ask.service, machine.ver)
         return standing == ESTABLISHED or standing == ON_TRIAL and self.room(now, ask)
 
     def sent(self, now, ask, machine):
-        record = self.records.get(ask.service)
-        if record is not None and machine.ver == record["to_ver"]:
+        """A request goes to a machine."""
+        rollout = self.rollouts.get(ask.service)
+        if rollout is not None and machine.ver == rollout.version:
             self.allowances[ask.service].attempts += 1
-        wide = record is not None and record["state"] == ACTIVE and record["stage"] == WIDE
-        if not wide and self.standing(ask.service, machine.ver) == ON_TRIAL:
+        if not self._wide(ask.service) and self.standing(ask.service, machine.ver) == ON_TRIAL:
             self.earned[ask.service, ask.route.name] -= 1
 
     def groups(self, now, ask, machines):
@@ -142,52 +123,60 @@
             if standing[machine.ver] != ON_TRIAL or now - machine.seen_at >= YOUNG and now >= machine.warm_at:
                 by[standing[machine.ver]].append(machine)  # what can't be counted yet isn't tried either
         if by[ON_TRIAL] and not ask.sends and self.room(now, ask):
-            return [self.tried(ask.service, by[ON_TRIAL]), by[ESTABLISHED]]
+            return [self._tried(ask.service, by[ON_TRIAL]), by[ESTABLISHED]]
         return [by[ESTABLISHED], by[ON_TRIAL]]
 
-    def tried(self, svc, machines):
+    def _tried(self, service, machines):
         """The machines on trial to ask: all of them in the wide stage, where all traffic goes to them."""
-        record = self.records.get(svc)
-        return machines if record is not None and record["stage"] == WIDE else self.few(svc, machines)
+        return machines if self._wide(service) else self.few(service, machines)
 
-    def few(self, svc, machines):
+    def few(self, service, machines):
         """So many of the machines on trial that each gets what it would if all traffic went to all of them,
-        the same at each front: spread over all, a version that fails only under load would show nothing."""
-        ids = [m.id for m in machines]
-        if self.chosen.get(svc, (None,))[0] != ids:
-            first = order(ids, svc)[: max(1, ceil(self.share * len(ids)))]
-            self.chosen[svc] = ids, [m for m in machines if m.id in first]
-        return self.chosen[svc][1]
+        the same at each proxy: spread over all, a version that fails only under load would show nothing."""
+        ids = [machine.id for machine in machines]
+        if self.chosen.get(service, (None,))[0] != ids:
+            first = order(ids, service)[: max(1, ceil(self.share * len(ids)))]
+            self.chosen[service] = ids, [machine for machine in machines if machine.id in first]
+        return self.chosen[service][1]
 
     def ended(self, now, ask, machine, meaning, took):
-        """Counts how a send ended, by class and version, while a version is on trial."""
-        record = self.records.get(ask.service)
-        if record is None or record["state"] != ACTIVE or meaning == NOT_RUN or now < machine.warm_at:
+        """Counts how a send ended, by class and version, while a rollout is under way."""
+        rollout = self.rollouts.get(ask.service)
+        if rollout is None or not rollout.active or meaning == NOT_RUN or now < machine.warm_at:
             return
-        place = ask.service, ask.route.name, machine.ver
         # few are tried, and these may be the slow ones of the service; in full service all are asked
-        if machine.ver == record["to_ver"] and record["stage"] == TRIAL:
+        if machine.ver == rollout.version and rollout.stage == TRIAL:
             took /= UNLIKE
-        counts = self.counts.setdefault(place, Counts())
+        counts = self.counts.setdefault((ask.service, ask.route.name, machine.ver), Counts())
         counts.add(1, meaning != GOOD, 1, bisect_left(EDGES, took / ask.route.timeout))
 
-    def told(self, now):
-        """What controllers are told: counts as rows [svc, class, version, failed, ended, bins], this front's
-        votes {svc: [n, vote]}, {svc: [n, requests still out at machines that the stage leaves]}, and for how
-        many seconds each has been known."""
-        rows = [[*place, c.failed, c.ended, c.bins] for place, c in self.counts.items()]
-        votes, left, known = {}, {}, {}
-        for svc, record in self.records.items():
-            if record["state"] == ACTIVE:
-                if svc not in self.voters or self.voters[svc].n != record["n"]:
-                    self.voters[svc] = Voter(record["n"], now, self.fronts())
-                known[svc] = [record["n"], round(now - self.voters[svc].began, 2)]
-                votes[svc] = [record["n"], self.voters[svc].vote(now, record, rows)]
-            stays = record["state"] == ACTIVE and record["stage"] != FULL
-            left[svc] = [record["n"], self.behind(svc) + (stays or self.doubted(record))]
-        return {"rows": rows, "votes": votes, "left": left, "known": known}
+    def report(self, now):
+        """What controllers are told."""
+        tallies = tuple(
+            Tally(*key, counts.failed, counts.ended, tuple(counts.bins))
+            for key, counts in self.counts.items()
+        )
+        ballots = {rollout.service: self._ballot(now, rollout, tallies) for rollout in self.rollouts.values()}
+        return Report(tallies, ballots)
+
+    def _ballot(self, now, rollout, tallies):
+        if not rollout.active:
+            return Ballot(rollout.revision, self._pending(rollout))
+        voter = self.voters.get(rollout.service)
+        if voter is None or voter.revision != rollout.revision:
+            voter = self.voters[rollout.service] = Voter(rollout.revision, now, self.proxies())
+        vote = voter.vote(now, rollout, tallies)
+        return Ballot(rollout.revision, self._pending(rollout), vote, round(now - voter.began, 2))
+
+    def _pending(self, rollout):
+        """Requests still out at machines whose version gets nothing any more; 1 more while this proxy does
+        not leave the earlier machines."""
+        machines = self.endpoints.services.get(rollout.service, ())
+        out = sum(m.open for m in machines if self.standing(rollout.service, m.ver) == CLOSED)
+        stays = rollout.active and rollout.stage != FULL
+        return out + (stays or self.doubted(rollout))
 
     @property
     def active(self):
         """Whether any rollout is under way."""
-        return any(record["state"] == ACTIVE for record in self.records.values())
+        return any(rollout.active for rollout in self.rollouts.values())
--- a/honeywood/gateway/rollout/verdict.py
+++ b/honeywood/gateway/rollout/verdict.py
@@ -1,5 +1,7 @@
-"""What counts say of a version on trial: at a front of its own ones, at a controller of all fronts' pooled
-ones; and the next step of the rollout, from the pooled counts and the fronts' votes."""
+"""What counts say of a version on trial: at a proxy of its own ones, at a controller of all proxies' pooled
+ones; and the next step of the rollout, from the pooled counts and the proxies' votes."""
+
+from dataclasses import dataclass
 
 from honeywood.gateway.rollout.record import DONE, FULL, REVERTED, TRIAL, WIDE
 from honeywood.judge.counts import Counts, summed
@@ -15,52 +17,58 @@
 SETTLED = 0.6  # seconds of the wide stage before that: slow answers end last, so the first outcomes flatter
 WIDEST = 0.85  # part of it after which few outcomes are taken for few requests, not for a want of allowance
 LAST = 0.9  # part of it after which a version that few have met is done all the same
-LEFT = 0.4  # seconds that all fronts must have left the earlier machines before they are stopped
+LEFT = 0.4  # seconds that all proxies must have left the earlier machines before they are stopped
 GAP = 1.5  # seconds between two looks above which nothing is known of the time between them
 ON, BACK = "on", "back"
 
 
-def pooled(rows, svc, to_ver):
-    """Counts by class of the version on trial and of the others, out of rows of any number of fronts."""
-    new, old = {}, {}
-    for service, name, ver, failed, ended, bins in rows:
-        if service == svc:
-            counts = (new if ver == to_ver else old).setdefault(name, Counts())
-            counts.add(ended, failed, 0, 0)
-            counts.bins = summed((counts.bins, bins))
-    return new, old
+@dataclass(frozen=True, slots=True)
+class Change:
+    """What is to change of a rollout: its state or its stage; `why` is for the log."""
+
+    state: str | None = None
+    stage: str | None = None
+    why: str = ""
+
+
+def pooled(tallies, service, version):
+    """Counts by class of the version on trial and of the others, out of any number of proxies' tallies."""
+    trial, established = {}, {}
+    for tally in tallies:
+        if tally.service == service:
+            counts = (trial if tally.version == version else established).setdefault(tally.route, Counts())
+            counts.add(tally.ended, tally.failed, 0, 0)
+            counts.bins = summed((counts.bins, tally.bins))
+    return trial, established
 
 
-def ended(rows, svc, ver):
+def ended(tallies, service, version):
     """How many requests at a version have ended."""
-    return sum(row[4] for row in rows if row[0] == svc and row[2] == ver)
+    return sum(one.ended for one in tallies if one.service == service and one.version == version)
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Test:
+    """One test of a class: the p-value of 'the version on trial does not trail the established ones'."""
+
+    p: float
+    kind: str
+    route: str
 
 
-def tests(new, old):
-    """[(p, kind, class)]: one of failures and one of slow answers a class."""
+def tests(trial, established):
+    """A Test of failures and one of slow answers for each class that has enough outcomes."""
     found = []
-    for name, counts in new.items():
-        earlier = old.get(name)
+    for route, counts in trial.items():
+        earlier = established.get(route)
         if counts.ended < LEAST_TRIAL or earlier is None or earlier.ended < LEAST:
             continue
-        found.append(
-            (
-                trails(counts.failed, counts.ended, earlier.failed, earlier.ended, FAIL_MARGIN),
-                "failures",
-                name,
-            )
-        )
+        failures = trails(counts.failed, counts.ended, earlier.failed, earlier.ended, FAIL_MARGIN)
+        found.append(Test(failures, "failures", route))
         edge, share = earlier.slow_from()
-        timed = sum(counts.bins)
-        found.append(
-            (
-                trails(
-                    sum(counts.bins[edge:]), timed, share * sum(earlier.bins), sum(earlier.bins), SLOW_MARGIN
-                ),
-                "slow answers",
-                name,
-            )
-        )
+        slow, timed, earlier_timed = sum(counts.bins[edge:]), sum(counts.bins), sum(earlier.bins)
+        slowness = trails(slow, timed, share * earlier_timed, earlier_timed, SLOW_MARGIN)
+        found.append(Test(slowness, "slow answers", route))
     return found
 
 
@@ -92,59 +100,72 @@
         """Whether the last look rejected."""
         return self.standing.since is not None
 
-    def confirmed(self, now, rows, svc, to_ver):
-        found = tests(*pooled(rows, svc, to_ver))
-        rejected = sorted_cut([p for p, *_ in found], self.level)
+    def confirmed(self, now, rollout, tallies):
+        """Whether the version is rejected and has been for CONFIRM seconds."""
+        found = tests(*pooled(tallies, rollout.service, rollout.version))
+        rejected = sorted_cut([test.p for test in found], self.level)
         if rejected:
-            self.why = "{1} of {2}, p {0:.2g}".format(*min(found))
+            first = min(found)
+            self.why = f"{first.kind} of {first.route}, p {first.p:.2g}"
         return self.standing.look(now, bool(rejected)) >= CONFIRM
 
 
 class Voter:
-    """One front's vote on one stage (`n` of the record), by its own counts. Fronts are many, so each tests at
+    """One proxy's vote on one revision of a rollout, by its own counts. Proxies are many, so each tests at
     its part of the level: all together err no more often than one would."""
 
-    def __init__(self, n, now, fronts):
-        self.n, self.began, self.suspicion, self.back = n, now, Suspicion(Q / max(1, fronts)), False
+    def __init__(self, revision, now, proxies):
+        """`proxies` share in the traffic."""
+        self.revision, self.began, self.back = revision, now, False
+        self.suspicion = Suspicion(Q / max(1, proxies))
 
     @property
     def doubts(self):
         """Whether a rejection stands or has stood for long enough."""
         return self.back or self.suspicion.stands
 
-    def vote(self, now, record, rows):
-        self.back = self.back or self.suspicion.confirmed(now, rows, record["svc"], record["to_ver"])
+    def vote(self, now, rollout, tallies):
+        """ON, BACK, or None while there is too little to say."""
+        self.back = self.back or self.suspicion.confirmed(now, rollout, tallies)
         if self.back:
             return BACK
-        tried = ended(rows, record["svc"], record["to_ver"])
-        return ON if not self.suspicion.stands and (tried >= LEAST or now - self.began >= SHORT) else None
+        enough = ended(tallies, rollout.service, rollout.version) >= LEAST or now - self.began >= SHORT
+        return ON if enough and not self.suspicion.stands else None
 
 
 class Verdict:
-    """One controller's look at one stage of a rollout."""
-
-    def __init__(self, n):
-        self.n, self.suspicion, self.all_left, self.why = n, Suspicion(), Standing(), ""
-        self.watched = Standing()
-
-    def look(self, now, elapsed, record, rows, votes, left):
-        """The changes to make to an active record, or None. `elapsed` seconds since the order, `votes` of the
-        fronts that share in the traffic, `left` whether all have left the earlier machines at this stage."""
-        if self.suspicion.confirmed(now, rows, record["svc"], record["to_ver"]) or BACK in votes:
-            self.why = self.suspicion.why if self.suspicion.stands else "a front's vote"
-            return {"state": REVERTED}
+    """One controller's look at one revision of a rollout."""
+
+    def __init__(self, revision):
+        self.revision, self.suspicion = revision, Suspicion()
+        self.all_left, self.watched = Standing(), Standing()
+
+    def look(self, now, elapsed_s, rollout, tallies, votes, left):
+        """The Change to make to an active rollout, or None. `elapsed_s` since the order, `votes` of the
+        proxies that share in the traffic, `left` whether all have left the earlier machines."""
+        confirmed = self.suspicion.confirmed(now, rollout, tallies)
+        if confirmed or BACK in votes:
+            why = self.suspicion.why if self.suspicion.stands else "a proxy's vote"
+            return Change(state=REVERTED, why=why)
         if self.suspicion.stands:  # until it is confirmed or gone, no more than the trial's part
-            return {"stage": TRIAL} if record["stage"] == FULL else None
-        part, met = elapsed / record["over_s"], ended(rows, record["svc"], record["to_ver"])
-        if record["stage"] == TRIAL:
-            if part < WATCHED:
-                return None
-            if met < CLEAR:
-                return {"stage": WIDE}
-            on = votes and all(vote == ON for vote in votes)
-            return {"stage": FULL} if on or part >= LATEST else None
-        if record["stage"] == WIDE:
-            settled = self.watched.look(now, True) >= SETTLED
-            return {"stage": FULL} if settled and met >= CLEAR or part >= WIDEST else None
+            return Change(stage=TRIAL, why=self.suspicion.why) if rollout.stage == FULL else None
+        part, met = elapsed_s / rollout.over_s, ended(tallies, rollout.service, rollout.version)
+        if rollout.stage == TRIAL:
+            return self._on_trial(part, met, votes)
+        if rollout.stage == WIDE:
+            return self._wide(now, part, met)
         left = left and (part >= LAST or met >= LEAST)
-        return {"state": DONE} if self.all_left.look(now, left) >= LEFT else None
+        return Change(state=DONE) if self.all_left.look(now, left) >= LEFT else None
+
+    @staticmethod
+    def _on_trial(part, met, votes):
+        if part < WATCHED:
+            return None
+        if met < CLEAR:
+            return Change(stage=WIDE)
+        agreed = votes and all(vote == ON for vote in votes)
+        return Change(stage=FULL) if agreed or part >= LATEST else None
+
+    def _wide(self, now, part, met):
+        settled = self.watched.look(now, True) >= SETTLED
+        return Change(stage=FULL) if settled and met >= CLEAR or part >= WIDEST else None
--- a/honeywood/lab/model/register.py
+++ b/honeywood/lab/model/register.py
@@ -125,7 +125,7 @@
 
     def change(state):
         def taken(held):
-            return tuple(sorted(record.advance(dict(held), "v2", first["n"], state=state).items()))
+            return record.advance(held, first.version, first.revision, state=state)
 
         return taken
 
@@ -133,6 +133,6 @@
         [change(record.DONE), change(record.REVERTED)],
         lambda value, told: value != told,
         lambda told: len(set(told)) > 1,
-        first=tuple(sorted(first.items())),
+        first=first,
         **more,
     )
--- a/tests/gateway/test_emulator.py
+++ b/tests/gateway/test_emulator.py
@@ -174,7 +174,7 @@
 
 def forgetful(held, *order, start=record.start):
     """Orders before the one that is held are forgotten."""
-    return start({**held, "past": ()} if held else held, *order)
+    return start(replace(held, earlier=()) if held else held, *order)
 
 
 async def unlooked(self, of, body, peer):
--- a/tests/gateway/test_orders.py
+++ b/tests/gateway/test_orders.py
@@ -286,7 +286,12 @@
 def sent_back(world, name, to_ver):
     """Sends the rollout that is under way back."""
     key, held = "rollout/s", world.nodes[name].store.get("rollout/s")
-    step = lambda now: rollouts.advance(now, to_ver, held["n"], state=rollouts.REVERTED)  # noqa: E731
+
+    def step(value):
+        return rollouts.rewritten(
+            value, lambda now: rollouts.advance(now, to_ver, held["n"], state=rollouts.REVERTED)
+        )
+
     world.loop.create_task(world.nodes[name].register.change(key, step))
 
 
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -1,14 +1,16 @@
 """Rollouts over twelve fronts, by seeded counts: bad versions are stopped in time, good ones are done."""
 
 import random
+from dataclasses import replace
 
 from timeline import World, machine
 from ward import each, test
 
 from honeywood.gateway.configuration.config import Route
-from honeywood.gateway.rollout import record
+from honeywood.gateway.rollout import record, report
 from honeywood.gateway.rollout.stage import Stage
-from honeywood.gateway.rollout.verdict import Verdict, Voter
+from honeywood.gateway.rollout.report import Ballot, Tally
+from honeywood.gateway.rollout.verdict import Change, Verdict, Voter
 from honeywood.gateway.routing.attempts import Ask
 
 
@@ -72,23 +74,25 @@
 
     def run(self):
         until, verdict, now, told, heard = self.over_s, Verdict(1), 0.0, [], []
-        while now < until and self.record["state"] == record.ACTIVE:
+        while now < until and self.record.active:
             for _ in range(int(self.rate / 10)):
                 self.one(now + self.draw.random() / 10)
             now += 0.1
             for _, stage in self.fronts:
                 stage.heard_at = now
-            told.append([stage.told(now) for _, stage in self.fronts])
+            told.append([stage.report(now) for _, stage in self.fronts])
             seen = told[max(0, len(told) - 1 - int(self.lag * 10))]
-            if verdict.n != self.record["n"]:
-                verdict = Verdict(self.record["n"])
-            rows = [row for note in seen for row in note["rows"]]
-            votes = [note["votes"].get("s") for note in seen]
-            votes = [vote[1] if vote and vote[0] == self.record["n"] else None for vote in votes]
-            left = all(note["left"].get("s") == [self.record["n"], 0] for note in seen)
-            changes = verdict.look(now, now, self.record, rows, votes, left)
-            if changes:
-                self.record = record.advance(self.record, "v2", self.record["n"], **changes)
+            if verdict.revision != self.record.revision:
+                verdict = Verdict(self.record.revision)
+            tallies = [tally for one in seen for tally in one.tallies]
+            ballots = [one.ballot("s") for one in seen]
+            current = [one if one and one.revision == self.record.revision else None for one in ballots]
+            votes = [one.vote if one else None for one in current]
+            left = all(one and not one.pending for one in current)
+            change = verdict.look(now, now, self.record, tallies, votes, left)
+            if change:
+                step = (self.record.version, self.record.revision, 0.0, change.state, change.stage)
+                self.record = record.advance(self.record, *step)
             heard.append(self.record)
             for _, stage in self.fronts:
                 stage.hear(0.0, heard[max(0, len(heard) - 1 - int(self.lag * 10))])
@@ -131,7 +135,7 @@
 def _(bad=each(errors, slow, late, one_class, under_load)):
     for seed in range(6):
         fleet = Fleet(bad, seed, classes=3).run()
-        assert fleet.record["state"] == record.REVERTED, f"seed {seed}: {fleet.record}"
+        assert fleet.record.state == record.REVERTED, f"seed {seed}: {fleet.record}"
         assert fleet.trial <= 0.1 * fleet.total + 50, f"seed {seed}: {fleet.trial} of {fleet.total}"
         assert fleet.fiftieth is None or fleet.last_trial - fleet.fiftieth < 4.0, f"seed {seed}"
 
@@ -140,7 +144,7 @@
 def _():
     for seed in range(6):
         fleet = Fleet(when_full, seed, classes=3).run()
-        assert fleet.record["state"] == record.REVERTED, f"seed {seed}: {fleet.record}"
+        assert fleet.record.state == record.REVERTED, f"seed {seed}: {fleet.record}"
         assert fleet.trial <= 0.1 * 14.0 * fleet.rate + 50, f"seed {seed}: {fleet.trial}"
 
 
@@ -148,13 +152,13 @@
 def _(per_s=each(20.0, 400.0)):
     for seed in range(8):
         fleet = Fleet(good, seed, per_s=per_s, classes=3).run()
-        assert fleet.record["state"] == record.DONE, f"seed {seed}: {fleet.record}"
+        assert fleet.record.state == record.DONE, f"seed {seed}: {fleet.record}"
         assert fleet.end < 13.0
 
 
 def row(ver, count):
     """Good outcomes of a version, as fronts tell them."""
-    return ["s", "r", ver, 0, count, [float(count), *[0.0] * 8]]
+    return Tally("s", "r", ver, 0, count, (float(count), *[0.0] * 8))
 
 
 @test("{met} outcomes on trial, {part} of the time over: the stage is {stage_now}")
@@ -167,7 +171,7 @@
     # Found by the emulator (30230, 10342, 14648): six outcomes, of which few failed, and then all traffic.
     held = record.start(None, "s", "v2", 10.0, 0.0)
     found = Verdict(1).look(10 * part, 10 * part, held, [row("v1", 900), row("v2", met)], votes, False)
-    assert found == (stage_now and {"stage": stage_now})
+    assert found == (stage_now and Change(stage=stage_now))
 
 
 @test("the wide stage, {met} outcomes after {seconds} s and {part} of the time: {stage_now}")
@@ -178,11 +182,11 @@
     stage_now=each(None, record.FULL, None, record.FULL),
 ):
     # The first outcomes are those of quick answers.
-    held = {**record.start(None, "s", "v2", 10.0, 0.0), "stage": record.WIDE}
+    held = replace(record.start(None, "s", "v2", 10.0, 0.0), stage=record.WIDE)
     verdict, rows = Verdict(1), [row("v1", 900), row("v2", met)]
     verdict.look(0.0, 10 * part, held, rows, [], False)
     found = verdict.look(seconds, 10 * part, held, rows, [], False)
-    assert found == (stage_now and {"stage": stage_now})
+    assert found == (stage_now and Change(stage=stage_now))
 
 
 @test(
@@ -191,12 +195,12 @@
 def _():
     fleet = Fleet(good, 0, fronts=4)
     endpoints, stage = fleet.fronts[0]
-    stage.hear(0.0, {**fleet.record, "stage": record.WIDE, "n": 2})
+    stage.hear(0.0, replace(fleet.record, stage=record.WIDE, revision=2))
     write = Route("w", "h", "/w/", "unsafe", 0.6, 0.25, 0, 2, (("s", 1.0),))
     sends = [fleet.passed_on(0.0, endpoints, stage, route) for route in [write, *fleet.routes] * 100]
     vers = [taken.ver for _, taken in sends]
     assert vers[:10] == ["v2"] * 10 and "v1" in vers[10:14] and 0 < vers[100:].count("v2") <= 10
-    assert stage.told(0.0)["left"]["s"] == [2, 1]  # the earlier machines are still needed
+    assert stage.report(0.0).ballot("s").pending == 1  # the earlier machines are still needed
     assert not stage.allows(9.0, sends[0][0], endpoints.machines["n1"])  # a lease, as on trial
 
 
@@ -204,7 +208,7 @@
 def _(per_s=each(10.0, 30.0, 30.0, 100.0, 400.0), over_s=each(12.0, 6.0, 12.0, 6.0, 12.0)):
     for seed in range(8):
         fleet = Fleet(good, seed, fronts=4, per_s=per_s, over_s=over_s, warm_s=0.0, lag=0.2).run()
-        assert fleet.record["state"] == record.DONE, f"seed {seed}: {fleet.record}"
+        assert fleet.record.state == record.DONE, f"seed {seed}: {fleet.record}"
         assert fleet.end <= over_s, f"seed {seed}: {fleet.end}"
 
 
@@ -224,7 +228,7 @@
         ordered = record.start(
             record.advance(fleet.record, "v2", 1, state=record.REVERTED), "s", "v2", 9.0, 9.0
         )
-        held = {**ordered, "stage": stage_now}
+        held = replace(ordered, stage=stage_now)
         for _, stage in fleet.fronts:
             stage.hear(0.0, held)
         for turn in range(per_front * fronts):
@@ -252,7 +256,7 @@
     # machines differ in speed, a good version went back for its slow answers.
     for seed in range(6):
         fleet = Fleet(good, seed, classes=2, paces=PACES[shift:] + PACES[:shift]).run()
-        assert fleet.record["state"] == record.DONE, f"seed {seed}: {fleet.record}"
+        assert fleet.record.state == record.DONE, f"seed {seed}: {fleet.record}"
 
 
 @test("a version with {bad.__name__} on machines of differing speed is reverted, whichever are tried")
@@ -260,7 +264,7 @@
     for seed in range(12):
         shift = seed % 4
         fleet = Fleet(bad, seed, classes=3, paces=PACES[shift:] + PACES[:shift]).run()
-        assert fleet.record["state"] == record.REVERTED, f"seed {seed}: {fleet.record}"
+        assert fleet.record.state == record.REVERTED, f"seed {seed}: {fleet.record}"
         assert fleet.trial <= 0.1 * fleet.total + 50, f"seed {seed}: {fleet.trial} of {fleet.total}"
 
 
@@ -271,7 +275,7 @@
     def bins(stage_now):
         fleet = Fleet(good, 0)
         endpoints, stage = fleet.fronts[0]
-        stage.hear(0.0, {**fleet.record, "stage": stage_now, "n": 2})
+        stage.hear(0.0, replace(fleet.record, stage=stage_now, revision=2))
         ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
         for id in ("m", "n0"):
             stage.ended(0.0, ask, endpoints.machines[id], "good", 0.3)
@@ -290,7 +294,7 @@
         verdict = Verdict(2)
         rows = [row("v1", 90), row("v2", count)]
         told = [verdict.look(elapsed + n / 10, elapsed + n / 10, held, rows, [], True) for n in range(6)]
-        assert [step["state"] for step in told if step][:1] == ([state] if state else []), (count, told)
+        assert [step.state for step in told if step][:1] == ([state] if state else []), (count, told)
 
 
 @test("what must stand for a while begins anew after a gap: {what}")
@@ -298,12 +302,12 @@
     what=each("all have left", "the pool rejects", "a front rejects", "looked at all the while"),
     failed=each(0, 12, 12, 0),
     times=each((10.0, 30.0), (10.0, 30.0), (10.0, 30.0), (10.0, 10.3, 10.6)),
-    wanted=each(None, None, None, {"state": record.DONE}),
+    wanted=each(None, None, None, Change(state=record.DONE)),
 ):
     # Found by review: a controller frozen for 20 s took its look before and its look after for one long
     # look, and told a version done, or sent one back, on counts as old as its standstill.
-    held = {**record.start(None, "s", "v2", 14.0), "stage": record.FULL if not failed else record.TRIAL}
-    rows = [["s", "r", "v2", failed, 60, [60.0, *[0.0] * 8]], ["s", "r", "v1", 0, 4000, [4000.0, *[0.0] * 8]]]
+    held = replace(record.start(None, "s", "v2", 14.0), stage=record.FULL if not failed else record.TRIAL)
+    rows = [replace(row("v2", 60), failed=failed), row("v1", 4000)]
     verdict, voter = Verdict(1), Voter(1, 0.0, 1)
     for now in times:
         if what == "a front rejects":
@@ -314,9 +318,9 @@
     if failed:  # and it does stand when it is looked at again
         assert voter.vote(now, held, rows) is None and verdict.look(now, 5.0, held, rows, [], False) is None
         assert voter.vote(now + 1.1, held, rows) == "back"
-        assert verdict.look(now + 1.1, 5.0, held, rows, [], False) == {"state": record.REVERTED}
+        assert verdict.look(now + 1.1, 5.0, held, rows, [], False).state == record.REVERTED
     elif wanted is None:
-        assert verdict.look(now + 0.5, now + 0.5, held, rows, [], True) == {"state": record.DONE}
+        assert verdict.look(now + 0.5, now + 0.5, held, rows, [], True) == Change(state=record.DONE)
 
 
 @test("a front that doubts a version in full stage says that it has not left the earlier machines")
@@ -330,8 +334,8 @@
         ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
         machine = stage.endpoints.machines["m" if n < 30 else "n1"]
         stage.ended(1.0, ask, machine, "good" if n < 30 else "failed", 0.05)
-    told = stage.told(2.0)
-    assert told["left"]["s"] == [2, 1] and told["votes"]["s"] == [2, None]
+    ballot = stage.report(2.0).ballot("s")
+    assert (ballot.revision, ballot.pending, ballot.vote) == (2, 1, None)
     assert stage.standing("s", "v1") == "established" and stage.standing("s", "v2") == "trial"
 
 
@@ -388,7 +392,7 @@
     assert record.advance(full, "v2", 1, state=record.REVERTED) is full
     done = record.advance(full, "v2", 2, state=record.DONE)
     assert record.advance(done, "v2", 3, state=record.REVERTED) is done
-    assert record.start(done, "s", "v3", 14.0, 20.0)["n"] == 4
+    assert record.start(done, "s", "v3", 14.0, 20.0).revision == 4
 
 
 @test("a front that starts again with its clock set back still counts in a rollout")
@@ -430,7 +434,9 @@
                 world.loop.create_task(
                     world.nodes[name].register.change(
                         "rollout/s",
-                        lambda now, n=held["n"], state=state: record.advance(now, "v2", n, state=state),
+                        lambda value, n=held["n"], state=state: record.rewritten(
+                            value, lambda now: record.advance(now, "v2", n, state=state)
+                        ),
                     )
                 )
             world.run(2.0 + seed / 500)
@@ -449,7 +455,7 @@
         if isinstance(step, tuple):
             held = record.start(held, "s", *step, since, again_s)
         else:
-            held = record.advance(held, held["to_ver"], held["n"], since, state=step)
+            held = record.advance(held, held.version, held.revision, since, state=step)
     return held
 
 
@@ -487,7 +493,7 @@
     # Only the record held was known: an order for the version that was reverted was acknowledged and nothing
     # came of it, and a late second copy of v2 led back to it after v3 was ordered.
     held = played(*steps)
-    assert (held["to_ver"], held["state"], held["n"]) == (to_ver, state, n)
+    assert (held.version, held.state, held.revision) == (to_ver, state, n)
 
 
 @test("a hundred orders in a row leave a bounded record, and each copy within the time is known")
@@ -495,7 +501,7 @@
     held = None
     for n in range(100):
         held = record.start(held, "s", f"v{n}", 14.0, 0.1)
-        assert len(held["past"]) <= record.MOST
+        assert len(held.earlier) <= record.REMEMBERED
         if n:
             assert record.start(held, "s", f"v{n - 1}", 14.0, 0.1) is held
 
@@ -558,12 +564,12 @@
     for n in range(60):
         ask, id = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0), "m" if n < 30 else "n1"
         stage.ended(1.0, ask, stage.endpoints.machines[id], "good" if n < 30 else "failed", 0.05)
-    assert stage.told(2.0)["rows"]
+    assert stage.report(2.0).tallies
     sent_back = record.advance(fleet.record, "v2", 1, 3.0, state=record.REVERTED)
     again = record.start(sent_back, "s", "v2", 14.0, 20.0)
     stage.hear(0.0, again)  # of the return it may never have heard
-    told = stage.told(30.0)
-    assert told["rows"] == [] and told["votes"]["s"] == [3, None] and told["known"]["s"][0] == 3
+    told = stage.report(30.0)
+    assert not told.tallies and told.ballot("s") == Ballot(3, 1, None, 0.0)
 
 
 @test("a controller counts no rows that a front told before it had heard of the order")
@@ -575,11 +581,11 @@
         world.run(0.5)
         controller = world.nodes["a"]
         held = record.start(played((0, V2), (3, "reverted")), "s", "v2", 14.0, 20.0)
-        row = ["s", "r", "v2", 9, 9, []]
         for front, n in (("before", 1), ("after", 3)):
-            told = {"rows": [[*row, front]], "votes": {}, "left": {}, "known": {"s": [n, 1.0]}}
+            tally = Tally("s", front, "v2", 9, 9, ())
+            told = report.encode(report.Report((tally,), {"s": Ballot(n, 0, None, 1.0)}))
             controller.store.put(f"count/{front}/1", [1], told)
-        assert controller.counted(held)[0] == [[*row, "after"]]
+        assert [tally.route for tally in controller.rollouts.counted(held)[0]] == ["after"]
     finally:
         world.close()
 
