--- a/honeywood/gateway/rollout/stage.py
+++ b/honeywood/gateway/rollout/stage.py
@@ -32,8 +32,8 @@
         self.fronts, self.fixed, self.requests, self.attempts = 1, False, 0, 0
 
     def taking(self, now, fronts):
-        """A request is taken, while `fronts` proxies are known. Their number at the order counts, and is known
-        KNOWN seconds later: one that dies afterwards has had its part."""
+        """A request is taken, while `fronts` proxies are known. Their number at the order counts, and is
+        known KNOWN seconds later: one that dies afterwards has had its part."""
         self.requests += 1
         if not self.fixed:
             self.fronts, self.fixed = fronts, now - self.ordered_at >= KNOWN
