Emulator: requests on routes that were added later, and a rule that proxies know them

Each version adds a route, up to twenty; a fifth of the repeatable requests use those of the newest version acknowledged apply_s ago.

--- a/honeywood/lab/emulator/clients.py
+++ b/honeywood/lab/emulator/clients.py
@@ -6,12 +6,15 @@
 
 from honeywood.lab.emulator.boot import AIM_S, DEADLINE_S
 from honeywood.lab.emulator.network import OUTSIDE
+from honeywood.lab.emulator.operators import LATER_ROUTES
 from honeywood.lab.emulator.rules import PROMISES
 
 LATE_WORTH = 0.3  # of a request that is served after its aim
 TRIES, DEAF_TRIES = 3, 9  # of a client, and of one that doesn't heed what it is told
 SHORTEST_TRY_S = 0.01  # with less time left a client gives up
 SAFE_SHARE = 0.7  # of requests may be repeated
+LATER_SHARE = 0.2  # of these are on routes that were added later
+NO_ROUTE = 404
 READINESS_S, MISSES = 1.0, 2  # seconds between the platform's looks; after so many bad ones nothing new comes
 SILENCE, REFUSED, CUT = "silence", "refused", "cut"  # how a try ends without an answer
 
@@ -24,6 +27,7 @@
     zone: str
     service: str
     safe: bool
+    path: bytes
 
 
 class Clients:
@@ -42,7 +46,8 @@
 
     async def _request(self, safe):
         begun, deaf = self.now(), self.chance.random() < self.deaf
-        request = Request(begun, self.chance.choice(self.world.zone_names), "s" if safe else "u", safe)
+        zone, path = self.chance.choice(self.world.zone_names), self._path(safe)
+        request = Request(begun, zone, "s" if safe else "u", safe, path)
         end, outcome = SILENCE, self.world.outcome
         outcome.owed += 1
         for _ in range(DEAF_TRIES if deaf else TRIES):
@@ -58,6 +63,15 @@
             worth = 1.0 if self.now() - begun <= AIM_S else LATE_WORTH
         outcome.earned(int(begun), worth, end)
 
+    def _path(self, safe):
+        """A path on a route that all proxies in touch must know by now."""
+        if not safe:
+            return b"/w/x"
+        due = self.world.monitor.orders.newest_acknowledged(self.now() - self.world.bounds["apply_s"])
+        if due is None or self.chance.random() >= LATER_SHARE:
+            return b"/r/x"
+        return b"/t%d/x" % self.chance.randrange(min(due, LATER_ROUTES))
+
     def _proxy(self, zone):
         """A proxy that seems ready, in the client's zone where there is one."""
         fit = [name for name in self.world.fronts if name in self.ready]
@@ -77,7 +91,7 @@
             await asyncio.sleep(left_s)
             return SILENCE, 0.0
         self.world.monitor.requests.asked(self.now(), id, request.service, request.safe)
-        work = process.run(program.app.client(_scope(id, left_s, request.safe), _no_body))
+        work = process.run(program.app.client(_scope(id, left_s, request.path), _no_body))
         await asyncio.wait((work,), timeout=left_s)
         if work.cancelled():
             return CUT, 0.0
@@ -85,6 +99,8 @@
             work.cancel()  # the connection is closed by its client
             return SILENCE, 0.0
         answer = work.result()
+        if answer.status == NO_ROUTE:
+            self.world.monitor.proxies.knows_no_route(self.now(), proxy, request.path)
         self.world.monitor.requests.answered(self.now(), id, answer.status, answer.body)
         return str(answer.status), float(dict(answer.headers).get(b"retry-after", b"0.02"))
 
@@ -109,11 +125,10 @@
     return end != "404" and (safe or promise)
 
 
-def _scope(id, left_s, safe):
+def _scope(id, left_s, path):
     """A request as the proxy's server hands it on."""
     headers = [(b"host", b"h"), (b"x-try-id", id), (b"x-deadline-ms", b"%d" % (left_s * 1000))]
-    target = b"/r/x" if safe else b"/w/x"
-    return {"headers": headers, "raw_path": target, "target": target, "method": "GET"}
+    return {"headers": headers, "raw_path": path, "target": path, "method": "GET"}
 
 
 async def _no_body():
--- a/honeywood/lab/emulator/operators.py
+++ b/honeywood/lab/emulator/operators.py
@@ -3,10 +3,11 @@
 import asyncio
 import json
 
+from honeywood.lab.emulator.boot import AIM_S, DEADLINE_S
 from honeywood.lab.emulator.machines import LEFT
 from honeywood.lab.emulator.rules import ConfigurationOrder, RolloutOrder
-from honeywood.lab.emulator.boot import AIM_S, DEADLINE_S
 
+LATER_ROUTES = 20  # that versions add one by one; a higher version has all routes of the lower ones
 READ_S = 0.3  # seconds between an operator's reads, about
 ORDER_S = 60.0  # that a configuration is sent for, until it is answered
 LONGEST_PAUSE_S, PAUSE_S = 0.5, 0.05  # between two tries of an order; the pause grows by one PAUSE_S each
@@ -29,9 +30,10 @@
         return self.chance.choice(self.world.controllers)
 
     def configuration(self, version, mark=""):
-        """Routes of both kinds, and the services that this version and earlier ones brought; `mark` makes
-        another content."""
+        """Routes of both kinds, one more with each version up to LATER_ROUTES, and the services that this
+        version and earlier ones brought; `mark` makes another content."""
         routes = [("r", "s", "safe"), ("w", "u", "unsafe")]
+        routes += [(f"t{number}", "s", "safe") for number in range(min(version, LATER_ROUTES))]
         routes += [(f"n{number}{mark}", f"n{number}", "safe") for number in self.brought if number <= version]
         routes += [(f"m{mark}", "s", "safe")] if mark else []
         resources = [_route(name, service, kind) for name, service, kind in routes]
--- a/honeywood/lab/emulator/rules/__init__.py
+++ b/honeywood/lab/emulator/rules/__init__.py
@@ -6,6 +6,7 @@
 drain     nothing is passed to a machine drain_s after its leaving was acknowledged
 left      apply_s after a machine's end is acknowledged no proxy in touch takes it for ready
 apply     apply_s after a version is acknowledged no proxy in touch goes by an older one
+routes    nor has it no route for a request on a route of that version
 back      within one incarnation no proxy goes back to an older version
 ready     a proxy in touch is ready for seven eighths of that time
 budget    further arrivals at a service stay within the ratio and the slack
--- a/honeywood/lab/emulator/rules/proxies.py
+++ b/honeywood/lab/emulator/rules/proxies.py
@@ -1,4 +1,4 @@
-"""Rules of what each proxy goes by, and whether it is ready: `apply`, `back`, `ready` and `left`."""
+"""Rules of what each proxy goes by and whether it is ready: `apply`, `back`, `ready`, `left`, `routes`."""
 
 from collections import Counter
 
@@ -28,6 +28,11 @@
         if version != NO_VERSION and due is not None and version < due and self.core.in_touch(now, proxy):
             self.core.breach("apply", now, f"{proxy} goes by {version}, not {due}")
 
+    def knows_no_route(self, now, proxy, path):
+        """A proxy answers that it has no route for a path of a version acknowledged apply_s ago."""
+        if self.core.in_touch(now, proxy):
+            self.core.breach("routes", now, f"{proxy} has no route for {path.decode()}")
+
     def answers_ready(self, now, proxy, ready):
         """A look at whether a proxy says that it is ready; one that is down is not."""
         if self.core.in_touch(now, proxy):
--- a/tests/gateway/test_emulator.py
+++ b/tests/gateway/test_emulator.py
@@ -26,6 +26,7 @@
 from honeywood.gateway.routing import answers
 from honeywood.gateway.routing.attempts import AttemptGate
 from honeywood.gateway.routing.budget import Budget
+from honeywood.gateway.routing.routes import Table
 from honeywood.lab.emulator import hunt
 from honeywood.lab.emulator.day import Day, draw, play
 from honeywood.lab.emulator.faults import Fault
@@ -200,6 +201,12 @@
     return beat(id, {**body, "state": "ready"}, peer)
 
 
+def three_routes(self, config, init=Table.__init__):
+    """Routes beyond the first three of a configuration are forgotten."""
+    init(self, config)
+    self.hosts = {host: dict([*routes.items()][:3]) for host, routes in self.hosts.items()}
+
+
 def promise(self, ask, best):
     return carry.ours(503, "no machine free", 0.1)
 
@@ -212,7 +219,7 @@
     rule=each(
         *("once", "promise", "own", "drain", "apply", "back", "budget", "exposure", "kept"),
         *("number", "refused", "reads", "reads", "acks", "raised", "reads"),
-        *("kept", "kept", "reads", "drain", "acks", "ready", "left"),
+        *("kept", "kept", "reads", "drain", "acks", "ready", "left", "routes"),
     ),
     patch=each(
         lambda: barless("may have run"),
@@ -238,6 +245,7 @@
         lambda: [(members, "majority", lambda here: len(here["members"]))],
         lambda: [(Proxy, "listen", gives_up), (Proxy, "make_sure", idle)],
         lambda: [(App, "leave", unheeded), (machines, "beat", always_ready)],
+        lambda: [(Table, "__init__", three_routes)],
     ),
     faults=each(
         (fault("answers_lost", variant=1.0),),
@@ -263,8 +271,9 @@
         (fault("disk_refuses", 1.0), fault("configure", 1.5)),
         (),
         (fault("drain", 1.0, target=0.1), fault("drain", 1.5, target=0.9), fault("drain", 2.0)),
+        (fault("configure", 1.0),),
     ),
-    shape=each(*[{}] * 6, POOR, {"per_s": 150.0}, *[{}] * 15),
+    shape=each(*[{}] * 6, POOR, {"per_s": 150.0}, *[{}] * 16),
 ):
     patches = [(place, name, place.__dict__[name], without) for place, name, without in patch()]
     for place, name, _, without in patches:
