--- a/benchmarks/days.py
+++ b/benchmarks/days.py
@@ -13,6 +13,7 @@
 WHO = ("leader", "reader", "seed", "")  # which core machine; without a word the bench's seed picks
 MORE = ("meet", "race", "hard", "drain")  # what comes with it
 CUT = ("", "one_way", "both", "seeds", "reset", "refuse")
+REPLACED = "replace_core"  # a core machine leaves for good, and a successor starts with an empty disk
 CHANGE = ("route", "weights", "timeout", "quota", "idle")
 CLOSING = (
     {"kind": "power_off_all"},
@@ -48,7 +49,10 @@
         return entry(at, "disk_slow", x=random.choice((10.0, 30.0, 100.0)), **count)
     if draw == 8:
         return entry(at, "herd_kill", random.choice(("", "power", "taken")), on="core", for_s=1.0)
-    return entry(at, "roll_term", random.choice(("", "remove", "busy")), on="core", count=1)
+    how = random.choice(("", REPLACED, "busy"))  # `remove` takes no core machine; replace_core does
+    if how == REPLACED:
+        return entry(at, REPLACED, count=1)
+    return entry(at, "roll_term", how, on="core", count=1)
 
 
 def side_trouble(random, at):
