--- a/tests/gateway/test_sockets.py
+++ b/tests/gateway/test_sockets.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import json
-import socket
 
+from ports import free_port
 from timeline import config
 from ward import each, test
 
@@ -16,12 +16,6 @@
 GET = b"GET /p0/a%%2Fb?c HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: %s\r\nX-Deadline-Ms: 600\r\n\r\n"
 
 
-def free():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 class Machine:
     """Answers by a script: one function of (try id, writer) a request, the last for all that follow."""
 
@@ -134,7 +128,7 @@
         self.scripts, self.kind, self.timeout = scripts, kind, timeout
 
     async def __aenter__(self):
-        text = boot("127.0.0.1", bear=0, ports=(free(), free(), free(), 7000, 7010))
+        text = boot("127.0.0.1", bear=0, ports=(free_port(), free_port(), free_port(), 7000, 7010))
         quiet = type("Quiet", (Proxy,), {"say": lambda *said, **more: None})
         self.proxy = quiet(read(text))
         sent = config(5, kind=self.kind)
--- a/tests/gateway/test_startup.py
+++ b/tests/gateway/test_startup.py
@@ -7,7 +7,7 @@
 import sys
 import tempfile
 
-from test_sockets import free
+from ports import free_port
 from ward import each, test
 
 from honeywood.lab.emulator.boot import boot
@@ -18,7 +18,7 @@
 @test("a {role} starts without OpenSSL, click and multiprocessing, and listens")
 def _(role=each("proxy", "controller"), listener=each("ready", "ctl"), told=each(b"503", b"404")):
     with tempfile.TemporaryDirectory() as folder:
-        ports = [free() for _ in range(4)]
+        ports = [free_port() for _ in range(4)]
         text = boot("127.0.0.1", bear=0, data=f"{folder}/data", ports=(*ports, 65535))
         path = os.path.join(folder, "boot.toml")
         with open(path, "w") as file:
