--- a/honeywood/gateway/controller/app.py
+++ b/honeywood/gateway/controller/app.py
@@ -61,12 +61,12 @@
     # machines
     async def heartbeat(self, of, body, peer):
         stamp, value = machines.beat(of, read_json(body, machines.STEP, peer), peer)
-        await self.controller.beat(of, stamp, value)
+        await self.controller.machine_loop.heartbeat(of, stamp, value)
         return {}
 
     async def leave(self, of, body, peer):
         machines.named("instances.leave", of, peer)
-        await self.controller.leave(of)
+        await self.controller.machine_loop.leave(of)
         return {}
 
     # operators
@@ -97,4 +97,4 @@
         return replace(answer, **self.controller.beside(ask.who)).encode()
 
     async def register(self, of, body, peer):
-        return await self.controller.telling(read_json(body, register.PATH, peer), peer)
+        return await self.controller.register_responder(read_json(body, register.PATH, peer), peer)
--- /dev/null
+++ b/honeywood/gateway/controller/peers.py
@@ -0,0 +1,59 @@
+"""Polling the other controllers for what they know: a loop for each. Their answers show contact."""
+
+import asyncio
+
+from honeywood.gateway.controller.contact import disk_state
+from honeywood.gateway.dissemination.backoff import Backoff
+from honeywood.gateway.dissemination.messages import Asker
+from honeywood.gateway.dissemination.subscriber import Subscriber
+
+HOLD_S = 0.5  # seconds that another controller holds a poll while there is nothing new
+BACKOFF_S = 0.5  # seconds at most for which a controller that doesn't answer isn't polled
+PAUSE_S = 0.05  # seconds between an answer and the next poll
+
+
+class PeerPolling:
+    """`addresses` are those of all controllers that are known, this one's too; `local_disk()` gives the state
+    of this one's disk, `start_loop(step, every)` runs a step again and again."""
+
+    def __init__(self, settings, publisher, caller, random, contacts, local_disk, clock, start_loop):
+        """The seeds are known."""
+        self.settings, self.contacts, self.local_disk = settings, contacts, local_disk
+        self.clock, self.start_loop = clock, start_loop
+        self.subscriber = Subscriber(publisher, caller, self._asker, Backoff(random, BACKOFF_S))
+        self.addresses, self._polled = [ip for ip, _ in settings.seeds], set()
+
+    def discover(self, addresses):
+        """Controllers that are told of: of more than three not all are among the seeds of each."""
+        self.addresses += [ip for ip in addresses if ip not in self.addresses]
+
+    def _asker(self):
+        s = self.settings
+        stamps, disk = self.contacts.stamps(), self.local_disk().value
+        return Asker(s.node, s.ip, controller=True, stamps=stamps, disk=disk)
+
+    def start(self):
+        """Begins to poll each controller that is known and isn't polled yet."""
+        for ip in self.addresses:
+            if ip != self.settings.ip and ip not in self._polled:
+                self._polled.add(ip)
+                self.start_loop(lambda ip=ip: self.poll(ip), PAUSE_S)
+
+    async def poll(self, ip):
+        """One poll, and the pause that follows where nobody answers."""
+        asked_at = self.clock()  # an answer may lie here unread while this process is frozen
+        reply = await self.subscriber.ask(ip, self.settings.controller_port, HOLD_S)
+        if reply.ok:
+            told = reply.value
+            self.contacts.answered(ip, asked_at, told.whole, told.stamp, disk_state(told.disk))
+        await asyncio.sleep(min(BACKOFF_S, self.subscriber.backoff.rest(ip, self.clock())))
+
+    async def poll_all(self):
+        """Polls all other controllers for what they know now; whether enough told all of it."""
+        others = [ip for ip in self.addresses if ip != self.settings.ip]
+        complete = await asyncio.gather(*[self._tells_all(ip) for ip in others])
+        return self.contacts.is_enough(ip for ip, told in zip(others, complete) if told)
+
+    async def _tells_all(self, ip):
+        reply = await self.subscriber.ask(ip, self.settings.controller_port, 0.0)
+        return reply.ok and reply.value.whole
--- a/honeywood/gateway/controller/program.py
+++ b/honeywood/gateway/controller/program.py
@@ -1,106 +1,117 @@
-"""The controller's program: what it tells and keeps, and the loops that bring it there."""
+"""The controller's program: its parts, which of them hears what, and the loops."""
 
-import asyncio
 from collections import Counter
 from random import Random
 
-from honeywood.gateway.configuration.outcome import Wrong
 from honeywood.gateway.controller.app import App
 from honeywood.gateway.controller.contact import Contacts, disk_state
-from honeywood.gateway.controller.disk_health import CHECK_S, DiskHealth
-from honeywood.gateway.controller.machine_records import MachineRecords
-from honeywood.gateway.controller.machines import Machines
-from honeywood.gateway.controller.orders import CONFIG, ROLLOUT, TICK, Orders
+from honeywood.gateway.controller.disk_health import CHECK_S
+from honeywood.gateway.controller.fleet import FLEET, Fleet
+from honeywood.gateway.controller.machine_loop import MachineLoop
+from honeywood.gateway.controller.membership_loop import MembershipLoop
+from honeywood.gateway.controller.orders import CONFIG, TICK, Orders
+from honeywood.gateway.controller.peers import PeerPolling
+from honeywood.gateway.controller.replication import Replication
 from honeywood.gateway.controller.retention import still_counted
-from honeywood.gateway.dissemination.backoff import Backoff
+from honeywood.gateway.controller.rollout_loop import RolloutLoop
 from honeywood.gateway.dissemination.epochs import EpochClock
 from honeywood.gateway.dissemination.local import LocalRecords
-from honeywood.gateway.dissemination.messages import Asker
 from honeywood.gateway.dissemination.publisher import Publisher
-from honeywood.gateway.dissemination.rendezvous import order, parents
-from honeywood.gateway.dissemination.subscriber import Subscriber
 from honeywood.gateway.program import COUNTS, Program
 from honeywood.gateway.register.disk import Disk
-from honeywood.gateway.register.membership import DiskState, replacement
-from honeywood.gateway.register.paging import PagedResponder, PagedCaller
+from honeywood.gateway.register.paging import PagedCaller, PagedResponder
 from honeywood.gateway.register.replica import Register
-from honeywood.gateway.rollout import record as rollouts
-from honeywood.gateway.rollout.verdict import Verdict
 from honeywood.gateway.rpc.server import HttpServer
 
-LOOK = 0.1  # seconds between looks at rollouts, and at whether this disk is where it counts
-MISSED = 3.0  # times contact_s and sync_s together that a member is silent, or its disk refuses all writes,
-# before a spare that was there takes its place
-SURVEY = 1.0  # seconds between looks at the register
-NEAR = 0.5  # seconds that another controller holds an ask while there is nothing new
-REST = 0.5  # seconds at most for which a controller that doesn't answer isn't asked
-FRONT_LOST = 3.0  # seconds after which a front that asks no more shares nothing
-LATE = 0.5  # seconds beyond a controller's turn after which what it decided before is looked at again
-SPREAD = 0.15  # seconds by which controllers act after each other
-TELL = 0.8  # seconds in which enough others must know of a leaving before it is acknowledged
-KEPT = 0.2  # seconds that an acknowledgement waits for this disk besides
-NOTING = 0.5  # seconds between looks at whether notes of machines have changed
+CONTROLLER = "bourse/"  # before a controller's address: that there is one
+SETTLE_S = 0.1  # seconds between looks at whether this disk is where it counts
+STEER_S = 0.1  # seconds between looks at rollouts
+SURVEY_S = 1.0  # seconds between surveys of the register
+FLEET_S = 0.5  # seconds between looks at machines and proxies
+RECORDS_S = 0.5  # seconds between looks at whether records of machines have changed
 
 
 class Controller(Program):
+    """One controller: the parts are made in the order in which they rest on each other."""
+
     def __init__(self, *given, random=None, disk=Disk):
+        """`disk` makes the disk out of its folder; chance may be handed in."""
         super().__init__(*given)
-        s, self.random = self.settings, random or Random()
-        self.app = App(self)
-        life = self.store_incarnation()
-        self.publisher = Publisher(life, self.hear, self.met, s.link, needed=still_counted)
+        s, self.random, clock = self.settings, random or Random(), self.clock
+        self.app, incarnation = App(self), self.store_incarnation()
+        self.publisher = Publisher(incarnation, self.on_record, self.on_ask, s.link, needed=still_counted)
         self.store, self.epochs = self.publisher.store, EpochClock()
-        self.own = LocalRecords(self.store, int(self.life, 16), self.mine)
+        self.local = LocalRecords(self.store, int(self.life, 16), self.is_local)
         self.register = Register(s, PagedCaller(self.caller), self.random, self.say, disk)
-        self.telling = PagedResponder(self.register.serve, self.clock)
+        self.register_responder = PagedResponder(self.register.serve, clock)
         self.orders = Orders(self)
-        self.machines, self.notes = Machines(self.store, s.beat_s), MachineRecords(self.register.keep_notes)
-        self.machines.changed = self.notes.change
-        self.subscriber = Subscriber(self.publisher, self.caller, self.who, Backoff(self.random, REST))
-        self.fronts, self.verdicts = {}, {}
-        self.contacts = Contacts(s.ip, self.store.life, self.clock(), s.bear, lambda: self.register.members)
-        self.disk_health = DiskHealth(lambda: self.register.keep_notes({}), self.clock, self.say)
-        self.fleet, self.chains = {}, {}
-        self.controllers, self.waits = [ip for ip, _ in s.seeds], []
-        self.asking, self.known_at = set(), {}
+        self.contacts = Contacts(s.ip, self.store.life, clock(), s.bear, lambda: self.register.members)
+        self.peers = PeerPolling(
+            s, self.publisher, self.caller, self.random, self.contacts, self.disk_state, clock, self.loop
+        )
+        self.membership = MembershipLoop(
+            s, self.register, self.contacts, self.peers, self.publish, clock, self.say
+        )
+        self.replication = Replication(self.store, self.contacts, clock)
+        self.machine_loop = MachineLoop(
+            self.store, s.beat_s, self.register, self.contacts, self.replication, clock, self.say
+        )
+        self.machines = self.machine_loop.machines
+        self.fleet = Fleet(s.ip, self.store, self.contacts, self.local.tell)
+        self.rollouts = RolloutLoop(
+            s.ip, self.store, self.register, self.contacts, self.fleet, self.publish, clock, self.say
+        )
 
     def config_held(self):
+        """The version of the configuration that the store holds, for the log."""
         stamp = self.store.stamp(CONFIG)
         return f"{stamp[0]:08x}" if stamp else None
 
     def found(self, controllers):
-        self.controllers += [ip for ip in controllers if ip not in self.controllers]
-
-    def who(self):
-        """Who asks for news, with the stamps of others' answers and what becomes of writes to this disk."""
-        s, state = self.settings, self.disk_state.value
-        return Asker(s.node, s.ip, controller=True, stamps=self.contacts.stamps(), disk=state)
+        """Controllers that a settings file or others tell of."""
+        self.peers.discover(controllers)
 
     @property
+    def in_quorum(self):
+        """Whether enough other controllers are in contact."""
+        return self.contacts.in_quorum(self.clock())
+
     def disk_state(self):
         """What others are told of this disk."""
-        if not self.register.sound:
-            return DiskState.LOST
-        return DiskState.REFUSES if self.disk_health.refuses_writes else DiskState.WORKS
+        return self.membership.disk
 
-    def met(self, who, rev):
-        """Somebody asked for news who has all up to `rev`."""
+    # what is heard
+    def on_ask(self, asker, revision):
+        """Another program asked for news that has all up to `revision`."""
         now = self.clock()
-        if who.proxy:
-            self.fronts[who.node] = now, [who.zone, who.ip]
-        elif who.controller:
-            self.found([who.ip])  # of more than three controllers not all are among the seeds of each
-            stamp = who.stamps.get(self.settings.ip)
-            self.contacts.asked(who.ip, now, stamp, rev, disk_state(who.disk))
-            for wait in self.waits:
-                wait.set()
+        if asker.proxy:
+            self.fleet.asked(now, asker)
+        elif asker.controller:
+            self.found([asker.ip])
+            stamp = asker.stamps.get(self.settings.ip)
+            self.contacts.asked(asker.ip, now, stamp, revision, disk_state(asker.disk))
+            self.replication.notify()
+
+    def beside(self, asker):
+        """What goes with an answer to news: whether enough others are in contact; for a proxy how many
+        proxies there are, the relays that it hears from, and which of its counts are known here."""
+        found = {"in_quorum": self.in_quorum}
+        if asker.controller:
+            found |= {"stamp": self.contacts.stamp(self.clock()), "disk": self.disk_state().value}
+        if asker.proxy:
+            counted = self.store.stamp(f"count/{asker.node}/{asker.life}")
+            found["fleet"] = len(self.fleet.proxies), self.fleet.relays(asker.node, asker.zone)
+            found["counted"] = counted[0] if counted else 0
+        return found
 
-    def mine(self, key):
-        """Whether a note is this controller's own, of this life or an earlier one."""
-        return key == f"bourse/{self.settings.ip}" or key.startswith(f"fleet/{self.settings.ip}/")
+    def is_local(self, key):
+        """Whether a record is this controller's own, of this incarnation or an earlier one."""
+        ip = self.settings.ip
+        return key == f"{CONTROLLER}{ip}" or key.startswith(f"{FLEET}{ip}/")
 
-    def hear(self, key, value):
-        self.own.heard(key)
+    def on_record(self, key, value):
+        """A record has come to the store, from here or from others."""
+        self.local.heard(key)
         kind, _, name = key.partition("/")
         if kind == "bourse":
             self.found([name])
@@ -111,53 +122,8 @@
         elif kind == "left":
             self.machines.hear_departed(key, value)
         elif kind == "rollout":
-            self.known_at[name] = value["n"], self.clock()
+            self.rollouts.heard(name, value["n"])
 
-    @property
-    def joined(self):
-        """Whether enough other controllers are in contact."""
-        return self.contacts.in_quorum(self.clock())
-
-    # machines
-    async def beat(self, id, stamp, value):
-        if not self.joined:
-            raise Wrong("instances.heartbeat", "cut off from the other controllers", "", 503)
-        if self.machines.beat(self.clock(), id, stamp, value):
-            await asyncio.gather(self._known(), self._kept())
-
-    async def leave(self, id):
-        if not self.joined:
-            raise Wrong("instances.leave", "cut off from the other controllers", "", 503)
-        self.machines.leave(id)
-        await asyncio.gather(self._known(), self._kept())
-
-    async def _kept(self):
-        """Puts the notes of machines on this disk; one that is slow or refuses holds up no answer long."""
-        saving = asyncio.ensure_future(self.keep_notes())
-        await asyncio.wait((saving,), timeout=KEPT)
-
-    async def keep_notes(self):
-        try:
-            if self.register.sound:
-                await self.notes.keep()
-        except Wrong as wrong:
-            self.say("notes not kept", 5.0, why=str(wrong))
-
-    async def _known(self):
-        """Waits until enough other controllers have what the store says now."""
-        rev, until, wait = self.store.rev, self.clock() + TELL, asyncio.Event()
-        self.waits.append(wait)
-        try:
-            while not self.contacts.have_heard(rev):
-                wait.clear()
-                async with asyncio.timeout(until - self.clock()):
-                    await wait.wait()
-        except TimeoutError:
-            raise Wrong("instances", "too few other controllers heard it in time", "", 503) from None
-        finally:
-            self.waits.remove(wait)
-
-    # the register's values
     def publish(self, key, value):
         """Tells of what a majority's disks hold."""
         if key == CONFIG and value is not None:
@@ -165,187 +131,24 @@
         elif value is not None:
             self.store.put(key, [value["n"]], value)
 
-    # loops
-    async def listen(self, ip):
-        """Asks another controller for what it has heard, for as long as that one is known."""
-        if ip not in self.controllers:
-            self.asking.discard(ip)
-            raise asyncio.CancelledError  # ends the loop that this is a turn of
-        asked = self.clock()  # an answer may have lain here unread while this process was frozen
-        reply = await self.subscriber.ask(ip, self.settings.controller_port, NEAR)
-        if reply.ok:
-            told = reply.value
-            self.contacts.answered(ip, asked, told.whole, told.stamp, disk_state(told.disk))
-        await asyncio.sleep(min(REST, self.subscriber.backoff.rest(ip, self.clock())))
+    # what orders rest on
+    def since(self, record):
+        """For how many seconds a rollout's record has been known at least."""
+        return self.rollouts.known_s(record)
 
     async def hear_others(self):
-        """Asks all other controllers for what they know now; whether enough told all of it."""
-
-        async def told(ip):
-            reply = await self.subscriber.ask(ip, self.settings.controller_port, 0.0)
-            return reply.ok and reply.value.whole
-
-        others = [ip for ip in self.controllers if ip != self.settings.ip]
-        answers = await asyncio.gather(*[told(ip) for ip in others])
-        return self.contacts.is_enough(ip for ip, answered in zip(others, answers) if answered)
-
-    def meet(self):
-        """A loop for each other controller that is known."""
-        for ip in self.controllers:
-            if ip != self.settings.ip and ip not in self.asking:
-                self.asking.add(ip)
-                self.loop(lambda ip=ip: self.listen(ip), 0.05)
-
-    async def settle(self):
-        """Brings this disk to where it counts, and a spare controller into a lost member's place."""
-        if not self.register.settled:
-            return await self.register.settle(self.controllers)
-        if self.disk_state is not DiskState.WORKS:
-            return  # the others see to it
-        s = self.settings
-        soon, late = s.bounds["contact_s"], MISSED * (s.bounds["contact_s"] + s.bounds["sync_s"])
-        states = self.contacts.states()
-        found = replacement(self.register.here, s.ip, states, self.clock(), soon, late)
-        if found:
-            self.say("member unusable", 1.0, member=found.lost, spare=found.spare, why=found.why)
-            await self.register.replace(found.lost, found.spare)
-
-    async def check_disk(self):
-        """Learns whether this disk takes writes."""
-        if self.register.sound:
-            await self.disk_health.check()
-
-    async def keep(self):
-        """Takes part in the register, and tells what it has come to hold."""
-        self.meet()
-        found = await self.register.survey()
-        if found.ok:
-            for key, value in found.value.items():
-                self.publish(key, value)
+        """Polls all other controllers for what they know now; whether enough told all of it."""
+        return await self.peers.poll_all()
 
-    async def watch(self):
-        """Looks at machines and fronts."""
+    # loops
+    async def poll(self):
+        """Looks at machines, proxies and the epoch of records."""
         now = self.clock()
-        if self.joined and self.contacts.knows_all(now):
-            self.machines.look(now)  # parts of what others know are no silence of the machines they hear
-        for node, (at, place) in list(self.fronts.items()):
-            key, place = f"fleet/{self.settings.ip}/{node}", place if now - at < FRONT_LOST else None
-            if self.store.get(key) != place:
-                self.own.tell(key, place)
-            if place is None:
-                del self.fronts[node]
-        self.look_at_fleet()
-        self.look_at_epoch()
-
-    def look_at_epoch(self):
-        """Brings the epoch on once it has stood long enough, tells this controller's records again in a new
-        one, and drops records whose owners have ended."""
-        self.store.learn(self.epochs.next(self.clock(), self.store.epoch, self.joined))
-        self.own.refresh()
-        if self.store.prune():
-            self.lose_controllers()
-
-    def lose_controllers(self):
-        """Some records have lapsed: asks those controllers no more that have none, but seeds and members."""
-        now, s = self.clock(), self.settings
-        known = {s.ip, *(ip for ip, _ in s.seeds), *self.register.members}
-        known |= {key.partition("/")[2] for key, _ in self.store.under("bourse/")}
-        known |= {ip for ip, (at, _) in self.others.items() if now - at < CONTROLLER_LOST}
-        for ip in set(self.controllers) - known:
-            self.controllers = [one for one in self.controllers if one != ip]
-            self.subscriber.forget(ip)
-            for heard in (self.others, self.reached, self.heard_all, self.contact):
-                heard.pop(ip, None)
-
-    def look_at_fleet(self):
-        """The fronts that share in the traffic, {node: (zone, ip)}: all that ask a controller which is
-        heard."""
-        heard, fleet = self.contacts.vouching(self.clock()), {}
-        for key, place in self.store.under("fleet/"):
-            _, told_by, node = key.split("/", 2)
-            if place is not None and told_by in heard:
-                fleet[node] = tuple(place)
-        if fleet != self.fleet:
-            self.fleet, self.chains = fleet, {}
-        return fleet
-
-    def beside(self, who):
-        """What goes with an answer to news: whether enough others are heard; for a front how many fronts
-        there are, the relays that it hears from, and which of its counts are known here."""
-        found = {"in_quorum": self.joined}
-        if who.controller:
-            found |= {"stamp": self.contacts.stamp(self.clock()), "disk": self.disk_state.value}
-        if who.proxy:
-            if who.node not in self.chains:
-                self.chains[who.node] = parents(who.node, who.zone, self.fleet)
-            counted = self.store.stamp(f"count/{who.node}/{who.life}")
-            found["fleet"] = len(self.fleet), self.chains[who.node]
-            found["counted"] = counted[0] if counted else 0
-        return found
-
-    async def steer(self):
-        """Brings rollouts on or back. Whoever has not heard enough others lately decides nothing: what it
-        knows of fronts' counts may be as old as its cut or its standstill."""
-        if not self.joined:
-            return
-        for key, record in self.store.under(ROLLOUT):
-            if record["state"] != rollouts.ACTIVE:
-                self.verdicts.pop(record["svc"], None)
-                continue
-            verdict = self.verdicts.get(record["svc"])
-            if verdict is None or verdict.n != record["n"]:
-                verdict = self.verdicts[record["svc"]] = Verdict(record["n"])
-            rows, votes, left = self.counted(record)
-            lasted = record["lasted"] + self.since(record)
-            changes = verdict.look(self.clock(), lasted, record, rows, votes, left)
-            if changes is None:
-                continue
-            ring = order({*self.register.members, self.settings.ip}, record["svc"])
-            wait = ring.index(self.settings.ip) * SPREAD
-            decided = self.clock()
-            await asyncio.sleep(wait)
-            late = self.clock() - decided - wait > LATE or not self.joined
-            if late or self.store.get(key) != record:
-                continue
-            found = await self.register.change(
-                key,
-                lambda held, record=record, changes=changes: rollouts.advance(
-                    held, record["to_ver"], record["n"], self.since(record), **changes
-                ),
-            )
-            if found.ok:
-                self.publish(key, found.value)
-                self.say("rollout", svc=record["svc"], to_ver=record["to_ver"], why=verdict.why, **changes)
-
-    def since(self, record):
-        """For how many seconds the record's `n` has been known at least: here, or at a front, whose steady
-        clocks go on where all controllers begin anew."""
-        n, at = self.known_at.get(record["svc"], (0, 0.0))
-        known = [self.clock() - at] if n == record["n"] else []
-        told = [note["known"].get(record["svc"], (0, 0.0)) for _, note in self.store.under("count/")]
-        return max([*known, *(seconds for n, seconds in told if n == record["n"])], default=0.0)
-
-    def counted(self, record):
-        """All fronts' counts since the order, those of fronts that have died too; of the fronts that share
-        in the traffic their votes on this stage, and whether all follow it and have nothing out where it
-        leaves."""
-        told = sorted(self.store.heard("count/"), key=lambda one: one[2])
-        notes, last = [note for _, note, _ in told], {}
-        for key, note, _ in told:  # the life last heard of is the one that lives, whatever its clock said
-            last[key.split("/")[1]] = note
-        alive = self.look_at_fleet()
-        votes = [last[node]["votes"].get(record["svc"]) if node in last else None for node in alive]
-        left = [last[node]["left"].get(record["svc"]) if node in last else None for node in alive]
-        return (
-            [
-                row
-                for note in notes
-                if note["known"].get(record["svc"], (0, 0.0))[0] >= record["order"]
-                for row in note["rows"]
-            ],
-            [vote[1] if vote and vote[0] == record["n"] else None for vote in votes],
-            bool(left) and all(one == [record["n"], 0] for one in left),
-        )
+        self.machine_loop.poll(now)
+        self.fleet.poll(now)
+        self.store.learn(self.epochs.next(now, self.store.epoch, self.in_quorum))
+        self.local.refresh()
+        self.store.prune()
 
     async def count(self):
         """A line of what stands now."""
@@ -353,17 +156,19 @@
         self.say(
             "counts",
             machines=dict(states),
-            fronts=len(self.fleet),
+            fronts=len(self.fleet.proxies),
             told=dict(self.publisher.told),
             called=dict(self.caller.carried),
-            joined=self.joined,
+            joined=self.in_quorum,
             sound=self.register.sound,
+            disk=self.disk_state().value,
             epoch=self.register.epoch,
             counts=self.register.counts,
             refused=self.app.refused,
         )
 
     async def run(self):
+        """Runs until it is stopped."""
         s = self.settings
         await self.register.open()
         server = HttpServer(self.app)
@@ -377,14 +182,14 @@
     def begin(self):
         """Starts the loops."""
         s = self.settings
-        self.own.tell(f"bourse/{s.ip}", s.node)
+        self.local.tell(f"{CONTROLLER}{s.ip}", s.node)
         self.machines.recall(self.register.notes)
-        self.meet()
-        self.loop(self.settle, LOOK)
-        self.loop(self.keep, SURVEY)
-        self.loop(self.watch, 0.5)
-        self.loop(self.steer, LOOK)
+        self.peers.start()
+        self.loop(self.membership.settle, SETTLE_S)
+        self.loop(self.membership.survey, SURVEY_S)
+        self.loop(self.poll, FLEET_S)
+        self.loop(self.rollouts.steer, STEER_S)
         self.loop(self.orders.tick, TICK)
-        self.loop(self.keep_notes, NOTING)
-        self.loop(self.check_disk, CHECK_S)
+        self.loop(self.machine_loop.keep_records, RECORDS_S)
+        self.loop(self.membership.check_disk, CHECK_S)
         self.loop(self.count, COUNTS)
--- a/tests/gateway/test_dissemination_links.py
+++ b/tests/gateway/test_dissemination_links.py
@@ -264,13 +264,13 @@
     # since were counted for ever, so that no rollout left them.
     world = met("fg")
     try:
-        assert all(set(world.nodes[name].fleet) == {"f", "g"} for name in "abc")
+        assert all(set(world.nodes[name].fleet.proxies) == {"f", "g"} for name in "abc")
         world.kill("a")
         world.kill("g")
         world.skew["a"], world.fresh = -1000.0, False
         world.start("a")
         world.run(9.0)
-        assert all(set(world.nodes[name].fleet) == {"f"} for name in "abc")
+        assert all(set(world.nodes[name].fleet.proxies) == {"f"} for name in "abc")
         stamps = {name: world.nodes[name].store.stamp("fleet/a/f") for name in "abc"}
         assert len({str(stamp) for stamp in stamps.values()}) == 1, stamps
     finally:
@@ -299,7 +299,7 @@
         world.kill("a")
         world.kill("g")
         world.run(12.0)
-        assert [set(world.nodes[name].fleet) for name in "bc"] == [{"f"}, {"f"}]
+        assert [set(world.nodes[name].fleet.proxies) for name in "bc"] == [{"f"}, {"f"}]
         assert world.nodes["f"].fronts() == 1
     finally:
         world.close()
@@ -446,6 +446,6 @@
 
         controller.caller.call = partly
         world.run(14.0)
-        assert controller.joined and (world.state("a", "m") == "silent") == lost
+        assert controller.in_quorum and (world.state("a", "m") == "silent") == lost
     finally:
         world.close()
--- a/tests/gateway/test_dissemination_mutations.py
+++ b/tests/gateway/test_dissemination_mutations.py
@@ -8,10 +8,9 @@
 from mutation import fails, scenarios
 from ward import each, test
 
-from honeywood.gateway.controller import program as controller
-from honeywood.gateway.controller import retention
+from honeywood.gateway.controller import contact, retention
 from honeywood.gateway.controller.machine_records import MachineRecords
-from honeywood.gateway.controller.machines import DEPARTED_ROW
+from honeywood.gateway.controller.machines import DEPARTED_ROW, Machines
 from honeywood.gateway.dissemination import chunk, departed, epochs, store
 from honeywood.gateway.dissemination.backoff import Backoff
 from honeywood.gateway.dissemination.link_pacer import LinkPacer
@@ -115,7 +114,7 @@
     Mutation("counts at each ask", proxy.Proxy, "own", counts_always, LINKS, "all controllers share in what"),
     Mutation("no backoff", Backoff, "rest", lambda *given: 0.0, LINKS, "whoever gets no answers"),
     Mutation("own records of before", LocalRecords, "heard", unlike, LINKS, "a program that hears its own"),
-    Mutation("dead controllers", controller, "CONTROLLER_LOST", FOREVER, LINKS, "a controller that is heard"),
+    Mutation("dead controllers", contact, "VOUCHES_S", FOREVER, LINKS, "a controller that is heard"),
     Mutation("no order of waking", Publisher, "__init__", unordered, LINKS, "who waits is woken"),
     Mutation("all records wake all", Publisher, "_told", told_to_all, LINKS, "who waits is woken"),
     Mutation("no last look", Publisher, "_found", looked_up_before, LINKS, "a note that wakes nobody"),
@@ -126,7 +125,7 @@
     Mutation("no quorum", epochs.EpochClock, "next", without_quorum, EPOCHS, "the epoch needs a quorum"),
     Mutation("no disk", MachineRecords, "change", machines_alone, EPOCHS, "a machine that left stays"),
     Mutation("names not told", Store, "since", without_names, EPOCHS, "a machine that left stays"),
-    Mutation("copies stay", controller.Machines, "hear_departed", heard_alone, EPOCHS, "a copy taken before"),
+    Mutation("copies stay", Machines, "hear_departed", heard_alone, EPOCHS, "a copy taken before"),
 )
 
 
--- a/tests/gateway/test_epochs.py
+++ b/tests/gateway/test_epochs.py
@@ -270,7 +270,7 @@
         assert held["f"] == shared, held["f"]
         fleet = {f"fleet/{ip}/f" for ip in "abc"}
         assert all(held[name] == shared | fleet | {f"count/f/{life}"} for name in "abc"), held
-        assert not set(world.nodes["a"].fronts) - {"f"}
+        assert not set(world.nodes["a"].fleet.asking) - {"f"}
         assert max(sizes[80:]) <= max(sizes[40:80]) * 1.1 and max(sizes) < 6000, sizes[::10]
         assert len({world.nodes[name].publisher.store.digest for name in "abcf"}) == 1
     finally:
--- a/tests/gateway/test_orders.py
+++ b/tests/gateway/test_orders.py
@@ -469,9 +469,9 @@
             world.loop.now += 20.0  # all stand still while the answer lies there
             return Done(Answer("", 0, in_quorum=True))
 
-        controller.subscriber.ask = front.sure.ask = old
-        world.loop.run_until_complete(controller.listen("b"))
-        assert not controller.joined
+        controller.peers.subscriber.ask = front.sure.ask = old
+        world.loop.run_until_complete(controller.peers.poll("b"))
+        assert not controller.in_quorum
         now = world.loop.now
         world.loop.run_until_complete(front.make_sure())
         assert front.stage.heard_at == now
--- a/tests/gateway/test_review.py
+++ b/tests/gateway/test_review.py
@@ -30,7 +30,7 @@
     assert agreed([acceptor.shown(rows["b"]), acceptor.shown(rows["c"])], 2).value == "5y"
 
 
-@test("of two sides of a cut one at most is joined, however many controllers there are besides the members")
+@test("of two sides of a cut one at most is in quorum, however many controllers there are besides the members")
 def _():
     # Any one other controller was enough: each side took the machines that beat at the other one for lost.
     world = World("abcd", fronts="f")
@@ -51,7 +51,7 @@
         for name in "ad":
             world.cut(name, "bc")
         world.run(12.0)
-        assert [world.nodes[name].joined for name in "abcd"] == [False, True, True, False]
+        assert [world.nodes[name].in_quorum for name in "abcd"] == [False, True, True, False]
         assert [world.state("f", f"m{name}") for name in "bc"] == ["ready", "ready"]
     finally:
         world.close()
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -488,7 +488,7 @@
         for front, n in (("before", 1), ("after", 3)):
             told = {"rows": [[*row, front]], "votes": {}, "left": {}, "known": {"s": [n, 1.0]}}
             controller.store.put(f"count/{front}/1", [1], told)
-        assert controller.counted(held)[0] == [[*row, "after"]]
+        assert controller.rollouts.counts(held).rows == [[*row, "after"]]
     finally:
         world.close()
 
