--- a/honeywood/gateway/controller/program.py
+++ b/honeywood/gateway/controller/program.py
@@ -148,7 +148,9 @@
         self.fleet.poll(now)
         self.store.learn(self.epochs.next(now, self.store.epoch, self.in_quorum))
         self.local.refresh()
-        self.store.prune()
+        if self.store.prune():
+            told = {key.removeprefix(CONTROLLER) for key, _ in self.store.under(CONTROLLER)}
+            self.peers.forget_others(told | {*self.register.members} | self.contacts.vouching(now))
 
     async def count(self):
         """A line of what stands now."""
