No test file of the gateway imports another

Cause: test_startup imported test_sockets, whose 45 tests were then collected, and run, twice; the runner's count showed it (674 collected, 629 run).

--- a/tests/gateway/test_architecture.py
+++ b/tests/gateway/test_architecture.py
@@ -159,3 +159,10 @@
 def _():
     pages = "".join((ROOT / page).read_text() for page in PAGES if page.startswith("docs/operate/"))
     assert not sorted(event for event in events() if f"`{event}`" not in pages)
+
+
+@test("no test file imports another: its tests would be collected twice")
+def _():
+    files = sorted((ROOT / "tests" / "gateway").glob("test_*.py"))
+    names = {path.stem for path in files}
+    assert not [path.name for path in files if names & {name.partition(".")[0] for name in imported(path)}]
