--- a/tests/gateway/test_dissemination_links.py
+++ b/tests/gateway/test_dissemination_links.py
@@ -16,8 +16,8 @@
 from honeywood.gateway.dissemination.messages import Ask, Asker
 from honeywood.gateway.dissemination.publisher import Publisher
 from honeywood.gateway.dissemination.store import Store
-from honeywood.gateway.rollout.report import Ballot, Report, Tally
 from honeywood.gateway.dissemination.subscriber import Subscriber
+from honeywood.gateway.rollout.report import Ballot, Report, Tally
 from honeywood.lab.emulator.world import Loop
 
 
