A controller's request leaves out the stamps and the disk's state that it has none of

Cause: the stamps of contact joined a request whose bytes a test compares with those of before. Change: empty ones are left out, as before them.

--- a/honeywood/gateway/dissemination/messages.py
+++ b/honeywood/gateway/dissemination/messages.py
@@ -34,13 +34,9 @@
     def encode(self):
         """As it stands in an ask."""
         if self.controller:
-            found = {
-                "ip": self.ip,
-                "node": self.node,
-                "private": True,
-                "stamps": self.stamps,
-                "disk": self.disk,
-            }
+            found = {"ip": self.ip, "node": self.node, "private": True}
+            found |= {"stamps": self.stamps} if self.stamps else {}
+            found |= {"disk": self.disk} if self.disk else {}
         else:
             found = {
                 "node": self.node,
