--- a/tests/gateway/test_dissemination_mutations.py
+++ b/tests/gateway/test_dissemination_mutations.py
@@ -8,11 +8,9 @@
 from mutation import fails, scenarios
 from ward import each, test
 
-from honeywood.gateway.controller import contact
-from honeywood.gateway.controller import program as controller
-from honeywood.gateway.controller import retention
+from honeywood.gateway.controller import contact, retention
 from honeywood.gateway.controller.machine_records import MachineRecords
-from honeywood.gateway.controller.machines import DEPARTED_ROW
+from honeywood.gateway.controller.machines import DEPARTED_ROW, Machines
 from honeywood.gateway.dissemination import chunk, departed, epochs, store
 from honeywood.gateway.dissemination.backoff import Backoff
 from honeywood.gateway.dissemination.link_pacer import LinkPacer
@@ -132,7 +130,7 @@
     Mutation("asks without epoch", Asker, "encode", no_epoch, EPOCHS, "programs: controllers that all begin"),
     Mutation("no disk", MachineRecords, "change", machines_alone, EPOCHS, "a machine that left stays"),
     Mutation("names not told", Store, "since", without_names, EPOCHS, "a machine that left stays"),
-    Mutation("copies stay", controller.Machines, "hear_departed", heard_alone, EPOCHS, "a copy taken before"),
+    Mutation("copies stay", Machines, "hear_departed", heard_alone, EPOCHS, "a copy taken before"),
 )
 
 
--- a/tests/gateway/test_epochs.py
+++ b/tests/gateway/test_epochs.py
@@ -271,7 +271,7 @@
         assert held["f"] == shared, held["f"]
         fleet = {f"fleet/{ip}/f" for ip in "abc"}
         assert all(held[name] == shared | fleet | {f"count/f/{life}"} for name in "abc"), held
-        assert not set(world.nodes["a"].fronts) - {"f"}
+        assert not set(world.nodes["a"].fleet.asking) - {"f"}
         assert max(sizes[80:]) <= max(sizes[40:80]) * 1.1 and max(sizes) < 6000, sizes[::10]
         assert len({world.nodes[name].publisher.store.digest for name in "abcf"}) == 1
     finally:
@@ -303,7 +303,7 @@
         assert len({one.digest for one in stores}) == 1
         assert len({str(one.stamp("bourse/a")) for one in stores}) == 1
         assert all(len([key for key, _ in one.under("bourse/")]) == 3 for one in stores)
-        assert {len(world.nodes[name].fleet) for name in "abc"} == {2}
+        assert {len(world.nodes[name].fleet.proxies) for name in "abc"} == {2}
     finally:
         epochs.EPOCH_S = before
         world.close()
@@ -315,9 +315,13 @@
     before, epochs.EPOCH_S = epochs.EPOCH_S, 8.0
     world = World("abcd", fronts="f")
 
+    def known(name):
+        program = world.nodes[name]
+        return program.controllers if name == "f" else program.peers.addresses
+
     def asked():
-        found = {name: "".join(sorted(world.nodes[name].controllers)) for name in "abcf"}
-        tasks = {name: len(world.nodes[name].asking) for name in "abc"}
+        found = {name: "".join(sorted(known(name))) for name in "abcf"}
+        tasks = {name: len(world.nodes[name].peers.polled) for name in "abc"}
         return set(found.values()), set(tasks.values())
 
     try:
@@ -331,7 +335,7 @@
         assert "d" not in world.nodes["a"].contacts.peers and "d" not in world.nodes["f"].sure.backoff.failed
         world.kill("b")  # a seed and a member
         world.run(80.0)
-        assert world.nodes["f"].controllers.count("b") == world.nodes["a"].controllers.count("b") == 1
+        assert known("f").count("b") == known("a").count("b") == 1
         world.fresh = False
         world.start("b")
         world.start("d")
