--- a/benchmarks/proxy.py
+++ b/benchmarks/proxy.py
@@ -15,7 +15,7 @@
 
 sys.path[:0] = [
     os.path.join(os.path.dirname(__file__), ".."),
-    os.path.join(os.path.dirname(__file__), "../tests/system"),
+    os.path.join(os.path.dirname(__file__), "../tests/gateway"),
 ]
 
 from timeline import config  # noqa: E402
@@ -23,7 +23,7 @@
 from honeywood.gateway.configuration.config import Limits  # noqa: E402
 from honeywood.gateway.configuration.settings import read  # noqa: E402
 from honeywood.gateway.proxy.program import Proxy  # noqa: E402
-from honeywood.gateway.rpc.asgi import answer, body_of  # noqa: E402
+from honeywood.gateway.rpc.asgi import CONTEXT, answer, body_of  # noqa: E402
 from honeywood.gateway.rpc.connection import Connection, end_to_end  # noqa: E402
 from honeywood.gateway.rpc.server import HttpServer  # noqa: E402
 from honeywood.lab.emulator.boot import boot  # noqa: E402
@@ -77,14 +77,14 @@
     limits = Limits()
 
     def __init__(self, port):
-        self.port, self.links = port, []
+        self.port, self.idle = port, []
 
     async def __call__(self, scope, receive, send):
         await body_of(receive, 1 << 20)
-        link = self.links.pop() if self.links else await Connection.to("127.0.0.1", self.port, 1.0)
+        connection = self.idle.pop() if self.idle else await Connection.open("127.0.0.1", self.port, 1.0)
         until = asyncio.get_running_loop().time() + 1.0
-        reply = await link.exchange(b"GET", scope["target"], scope["headers"], b"", until)
-        self.links.append(link)
+        reply = await connection.exchange(b"GET", scope[CONTEXT].target, scope["headers"], b"", until)
+        self.idle.append(connection)
         await answer(
             send,
             reply.status,
--- a/honeywood/gateway/proxy/app.py
+++ b/honeywood/gateway/proxy/app.py
@@ -6,74 +6,96 @@
 from honeywood.gateway.configuration.outcome import Wrong
 from honeywood.gateway.dissemination.messages import Ask
 from honeywood.gateway.dissemination.record import PATH
-from honeywood.gateway.proxy.forwarding import AGAIN_S, ours
-from honeywood.gateway.rpc.asgi import answer, body_of
+from honeywood.gateway.proxy.forwarding import ClientRequest
+from honeywood.gateway.proxy.responses import (
+    BAD_REQUEST,
+    BODY_TOO_LONG,
+    NOT_FOUND,
+    RETRY_AFTER_S,
+    UNAVAILABLE,
+    own_response,
+)
+from honeywood.gateway.rpc.asgi import CONTEXT, answer, body_of, stream
 
 NEWS_MOST = 8 << 20  # bytes of one ask or answer of news
+OK = 200
 
 
 class App:
+    """What the proxy's listeners call for each request."""
+
     def __init__(self, proxy):
+        """`proxy` is the program."""
         self.proxy = proxy
         self.ready_port = proxy.settings.listen["ready"][1]
         self.news_port = proxy.settings.proxy_port
 
     @property
     def limits(self):
+        """The bounds on clients that are in force."""
         return self.proxy.limits
 
     async def __call__(self, scope, receive, send):
+        """ASGI: a client's request, the platform's readiness call, or another proxy's ask for news."""
         port = scope["server"][1]
         if port == self.ready_port:
-            return await answer(send, 200 if self.proxy.ready else 503)
+            return await answer(send, OK if self.proxy.ready else UNAVAILABLE)
         if port == self.news_port:
             return await self.news(scope, receive, send)
-        early = scope.get("early")
-        found = await (early if early is not None else self.client(scope, receive))
-        headers = found.headers
-        behind = scope.get("behind", bool)  # what has begun behind this one is answered before the end
-        if self.proxy.stopping.is_set() and not behind():
-            headers = [*headers, (b"connection", b"close")]
-        if found.rest is None:
-            return await answer(send, found.status, headers, found.body)
-        await send({"type": "http.response.start", "status": found.status, "headers": headers})
-        await send({"type": "http.response.body", "body": found.body, "more_body": True})
-        async for chunk in found.rest:
-            await send({"type": "http.response.body", "body": chunk, "more_body": True})
-        await send({"type": "http.response.body", "body": b""})
+        context = scope[CONTEXT]
+        early = context.early_response
+        response = await (early if early is not None else self.client(scope, receive))
+        headers = response.headers
+        if self.proxy.stopping.is_set() and not context.others_begun():
+            headers = [*headers, (b"connection", b"close")]  # what has begun behind is answered first
+        if response.remainder is None:
+            return await answer(send, response.status, headers, response.body)
+        await stream(send, response.status, headers, _chunks(response))
 
     def early(self, scope):
-        """Begins with a request that stands behind another, where it may be repeated and has no body."""
+        """Begins with a request that stands behind another, where it may be repeated and has no body: a task
+        of its ClientResponse, or None."""
         fields = dict(scope["headers"])
-        if (
-            self.proxy.stopping.is_set()  # what stands behind an answer that closes isn't read
-            or scope["server"][1] in (self.ready_port, self.news_port)
-            or fields.get(b"content-length", b"0") != b"0"
-        ):
+        if self.proxy.stopping.is_set():  # what stands behind an answer that closes isn't read
             return None
-        table = self.proxy.table
-        route = table.find(fields.get(b"host", b""), scope["raw_path"]) if table else None
-        if route is None or not route.safe or b"transfer-encoding" in fields:
+        if scope["server"][1] in (self.ready_port, self.news_port):
+            return None
+        if fields.get(b"content-length", b"0") != b"0" or b"transfer-encoding" in fields:
             return None
-        return self.proxy.start(self.carry(scope, route, fields, b""))
+        route = self._route(scope, fields)
+        if route is None or not route.safe:
+            return None
+        return self.proxy.start(self._forward(scope, route, fields, b""))
 
     async def client(self, scope, receive):
-        proxy, fields = self.proxy, dict(scope["headers"])
-        if proxy.table is None:
-            return ours(503, "no configuration yet", AGAIN_S)
-        route = proxy.table.find(fields.get(b"host", b""), scope["raw_path"])
+        """The ClientResponse to a client's request."""
+        fields = dict(scope["headers"])
+        if self.proxy.table is None:
+            return own_response(UNAVAILABLE, "no configuration yet", RETRY_AFTER_S)
+        route = self._route(scope, fields)
         if route is None:
-            return ours(404, "no route")
-        body = await body_of(receive, proxy.limits.body_bytes)
+            return own_response(NOT_FOUND, "no route")
+        body = await body_of(receive, self.proxy.limits.body_bytes)
         if body is None:
-            return ours(413, "the body is too long")
-        return await self.carry(scope, route, fields, body)
+            return own_response(BODY_TOO_LONG, "the body is too long")
+        return await self._forward(scope, route, fields, body)
 
-    async def carry(self, scope, route, fields, body):
-        left, arrived = scope.get("left", lambda: False), scope.get("arrived")
-        return await self.proxy.forwarder.carry(
-            route, scope["method"].encode(), scope["target"], scope["headers"], fields, body, left, arrived
+    def _route(self, scope, fields):
+        table = self.proxy.table
+        return table.find(fields.get(b"host", b""), scope["raw_path"]) if table else None
+
+    async def _forward(self, scope, route, fields, body):
+        context = scope[CONTEXT]
+        request = ClientRequest(
+            scope["method"].encode(),
+            context.target,
+            scope["headers"],
+            fields,
+            body,
+            context.client_gone,
+            context.received_at,
         )
+        return await self.proxy.forwarder.forward(route, request)
 
     async def hear(self, raw, peer):
         """The answer to another front's ask for news."""
@@ -81,19 +103,27 @@
         return (await self.proxy.publisher.serve(ask)).encode()
 
     async def news(self, scope, receive, send):
+        """Another proxy's ask for news."""
         peer = scope["client"][0]
         try:
             if scope["path"] != PATH or scope["method"] != "POST":
-                return await answer(send, 404)
+                return await answer(send, NOT_FOUND)
             raw = await body_of(receive, NEWS_MOST)
             if raw is None:
-                return await answer(send, 413)
+                return await answer(send, BODY_TOO_LONG)
             found = await self.hear(raw, peer)
         except Wrong as wrong:
-            return await answer(send, 400, (), str(wrong).encode())
+            return await answer(send, BAD_REQUEST, (), str(wrong).encode())
         await answer(
             send,
             200,
             [(b"content-type", b"application/json")],
             json.dumps(found, separators=(",", ":")).encode(),
         )
+
+
+async def _chunks(response):
+    """The start of a long body and what follows it."""
+    yield response.body
+    async for chunk in response.remainder:
+        yield chunk
--- a/honeywood/gateway/proxy/connections.py
+++ b/honeywood/gateway/proxy/connections.py
@@ -1,85 +1,106 @@
-"""Connections to machines, kept by life; how many there may be is the gate's."""
+"""Connections to endpoints, kept by life; how many there may be is the attempt policy's."""
 
+from dataclasses import dataclass
 from math import inf
 
 import httpcore
 
-CONNECT = 0.25  # seconds for a connection to come up
-TRUST_S = 8.0  # seconds an idle connection is trusted where the machine doesn't say
-EARLY = 1.0  # seconds before its said end that it isn't used any more
-AT_ONCE = 0.01  # seconds: what breaks so soon after a request was sent had been forgotten by the machine
-RESTED = 0.1  # seconds: what rested less was not
-LEARNT = 0.75  # of the rest after which one was forgotten, a service's connections are trusted
-UNLEARNT_S = 10.0  # seconds after which that is forgotten again
+from honeywood.gateway.routing.endpoints import READY
+
+CONNECT_S = 0.25  # seconds for a connection to come up
+LEAST_S = 0.001  # seconds that a connection is given, however late it is
+TRUST_S = 8.0  # seconds an idle connection is trusted where the endpoint doesn't say
+EARLY_S = 1.0  # seconds before its said end that it isn't used any more
+AT_ONCE_S = 0.01  # what breaks so soon after a request was sent had been forgotten by the endpoint
+RESTED_S = 0.1  # what rested less was not
+LEARNT_PART = 0.75  # of the rest after which one was forgotten, a service's connections are trusted
+LEARNT_S = 10.0  # seconds after which that is forgotten again
+
+
+@dataclass(frozen=True, slots=True)
+class RestBound:
+    """For how long (seconds) a service's connections may rest, and when that was learnt."""
+
+    rest_s: float = inf
+    learnt_at: float = -inf
+
+    def at(self, now):
+        """The bound, unless it has been forgotten."""
+        return self.rest_s if now - self.learnt_at < LEARNT_S else inf
+
+
+NO_BOUND = RestBound()
 
 
 class ConnectionPool:
-    """Gives and takes back links of machines."""
+    """Gives and takes back connections to endpoints."""
 
     def __init__(self, clock, connect):
-        """`connect(ip, port, within, up)` opens one, as Connection.to does."""
-        self.clock, self.connect, self.dialled = clock, connect, 0
-        self.learnt = {}  # {service: (seconds that its connections may rest, since when)}
+        """`connect(ip, port, within_s, on_change)` opens one, as Connection.open does."""
+        self.clock, self.connect, self.opened = clock, connect, 0
+        self.rest_bounds = {}  # {service: RestBound}
 
-    def idle(self, machine):
-        """A kept link that may be used, or None."""
+    def take_idle(self, endpoint):
+        """A kept connection that may be used, or None."""
         now = self.clock()
-        while machine.links:
-            link = machine.links.pop()
-            if self.trusted(now, machine, link):
-                return link
-            link.close()
+        while endpoint.idle_connections:
+            connection = endpoint.idle_connections.pop()
+            if self.is_trusted(now, endpoint, connection):
+                return connection
+            connection.close()
         return None
 
-    def trusted(self, now, machine, link):
-        """Whether a kept link may be used. Machines may forget connections sooner than they say, silently:
-        a request is lost on the first, and if it may not be repeated, that is its end."""
-        rest, since = self.learnt.get(machine.svc, (inf, -inf))
-        most = (link.keep or TRUST_S) - EARLY
-        if now - since < UNLEARNT_S:
-            most = min(most, rest)
-        return link.fit and now - link.idle_at < most
-
-    def broke(self, machine, rested, took):
-        """A link on which a request was sent after `rested` seconds broke within `took` seconds."""
-        if took < AT_ONCE and rested > RESTED:
+    def is_trusted(self, now, endpoint, connection):
+        """Whether a kept connection may be used. Endpoints may forget connections sooner than they say,
+        silently: a request is lost on the first, and if it may not be repeated, that is its end."""
+        if not connection.reusable:
+            return False
+        bound = self.rest_bounds.get(endpoint.service, NO_BOUND).at(now)
+        said_s = (connection.keep_alive_s or TRUST_S) - EARLY_S
+        return now - connection.idle_since < min(said_s, bound)
+
+    def broke_off(self, endpoint, rested_s, took_s):
+        """A connection on which a request was sent after a rest broke within `took_s` seconds."""
+        if took_s < AT_ONCE_S and rested_s > RESTED_S:
             now = self.clock()
-            rest, since = self.learnt.get(machine.svc, (inf, -inf))
-            self.learnt[machine.svc] = min(rested * LEARNT, rest if now - since < UNLEARNT_S else inf), now
-
-    async def dial(self, machine, until):
-        """A new link, or None where the machine is not reached in time."""
-        self.dialled += 1
-        machine.dialling += 1
-        within = max(0.001, min(CONNECT, until - self.clock()))
+            known_s = self.rest_bounds.get(endpoint.service, NO_BOUND).at(now)
+            self.rest_bounds[endpoint.service] = RestBound(min(rested_s * LEARNT_PART, known_s), now)
+
+    async def open(self, endpoint, until):
+        """A new connection, or None where the endpoint is not reached in time."""
+        self.opened += 1
+        endpoint.connecting += 1
+        within_s = max(LEAST_S, min(CONNECT_S, until - self.clock()))
         try:
-            link = await self.connect(machine.ip, machine.port, within, machine.joined)
+            place = endpoint.ip, endpoint.port
+            connection = await self.connect(*place, within_s, endpoint.connection_changed)
         except (httpcore.ConnectError, httpcore.ConnectTimeout):
             return None
         finally:
-            machine.dialling -= 1
-        link.home = lambda link: self.back(machine, link)
-        return link
-
-    def back(self, machine, link):
-        """Keeps a link for later, unless it or its machine has ended."""
-        if link.fit and machine.state == "ready":
-            machine.links.append(link)
+            endpoint.connecting -= 1
+        connection.on_release = lambda connection: self.release(endpoint, connection)
+        return connection
+
+    def release(self, endpoint, connection):
+        """Keeps a connection for later, unless it or its endpoint has ended."""
+        if connection.reusable and endpoint.state == READY:
+            endpoint.idle_connections.append(connection)
         else:
-            link.close()
+            connection.close()
 
-    def drop(self, machine):
-        """Ends what is kept of a machine that has left."""
-        for link in machine.links:
-            link.close()
-        machine.links.clear()
+    def close_idle(self, endpoint):
+        """Ends what is kept of an endpoint that has left."""
+        for connection in endpoint.idle_connections:
+            connection.close()
+        endpoint.idle_connections.clear()
 
-    def tidy(self, machines):
+    def close_expired(self, endpoints):
         """Ends what is too old; called now and then."""
         now = self.clock()
-        for machine in machines:
-            kept = [link for link in machine.links if self.trusted(now, machine, link)]
-            for link in machine.links:
-                if link not in kept:
-                    link.close()
-            machine.links[:] = kept
+        for endpoint in endpoints:
+            idle = endpoint.idle_connections
+            kept = [one for one in idle if self.is_trusted(now, endpoint, one)]
+            for connection in idle:
+                if connection not in kept:
+                    connection.close()
+            idle[:] = kept
--- a/honeywood/gateway/proxy/program.py
+++ b/honeywood/gateway/proxy/program.py
@@ -8,127 +8,131 @@
 from honeywood.gateway.dissemination.history import CUT, History
 from honeywood.gateway.dissemination.messages import Asker
 from honeywood.gateway.dissemination.publisher import HOLD, Publisher
-from honeywood.gateway.dissemination.record import Record
 from honeywood.gateway.dissemination.rendezvous import order
 from honeywood.gateway.dissemination.subscriber import Subscriber
 from honeywood.gateway.program import COUNTS, Program
 from honeywood.gateway.proxy.app import App
 from honeywood.gateway.proxy.connections import ConnectionPool
+from honeywood.gateway.proxy.count_records import CountRecords
+from honeywood.gateway.proxy.fleet import FleetSize
 from honeywood.gateway.proxy.forwarding import Forwarder
 from honeywood.gateway.rollout.stage import Stage
-from honeywood.gateway.routing.attempts import AttemptGate
-from honeywood.gateway.routing.budget import Budget
+from honeywood.gateway.routing.attempts import AttemptPolicy
+from honeywood.gateway.routing.budget import RetryBudget
 from honeywood.gateway.routing.endpoints import LOST, Endpoints
-from honeywood.gateway.routing.routes import Table
+from honeywood.gateway.routing.routes import RouteTable
 from honeywood.gateway.rpc.connection import Connection
 from honeywood.gateway.rpc.server import HttpServer
 
-SURE, SURE_ROLLOUT = 0.4, 0.2  # seconds between asks that make sure of the news; while a version is on trial
-ASKED = 40  # such asks a second at one controller; where there are more fronts they ask less often,
-SPARSE = 2.0  # but not more than so many times less
-REST = 1.0  # seconds at most for which one that doesn't answer isn't asked
-TELLING = 0.5  # seconds after which a front tells anew for how long it has known of a trial
-KEPT = 3.0  # seconds for which a controller's word on how many fronts there are stands beside newer ones
-TURNS = 8  # asks of one controller in a row while it has more to tell
-DOUBTS = 10.0  # seconds in which controllers have told again all that they know
-TIDY = 0.5  # seconds between looks at idle connections
-TOLD_IN = 2.2  # seconds in which the platform has noticed a front that isn't ready (two misses of 1 s)
-MANY = 32  # fronts that share what all may do, until controllers have told how many there are
-SHARED = 3.0  # seconds after which a lower number of them is believed
-SETTLE = 2.0  # seconds a front with a configuration waits for machines before it calls itself ready
+POLL_S, TRIAL_POLL_S = 0.4, 0.2  # between asks of controllers; while a version is on trial
+POLLS_PER_S = 40  # at one controller; where there are more proxies they ask less often,
+POLL_SPREAD = 2.0  # but not more than so many times less
+JITTER = 0.1  # of a pause between asks, by chance more or less
+BACKOFF_MOST_S = 1.0  # for which one that doesn't answer isn't asked
+ASKS_IN_A_ROW = 8  # of one controller while it has more to tell
+DOUBT_S = 10.0  # in which controllers have told again all that they know
+TIDY_S = 0.5  # between looks at idle connections
+UNREADY_SEEN_S = 2.2  # in which the platform has noticed a proxy that isn't ready (two misses of 1 s)
+STOP_MARGIN_S = 0.5  # of the grace that is left for the end of the process
+SETTLE_S = 2.0  # a proxy with a configuration waits for endpoints before it calls itself ready
+SAY_AGAIN_S = 5.0  # between lines of one trouble
+LISTEN_PAUSE_S, POLL_PAUSE_S = 0.01, 0.05  # between turns of the loops, besides what they wait themselves
 
 
 class Proxy(Program):
-    def __init__(self, *given, random=None, connect=Connection.to):
+    """The data plane's process: its state, and the loops that keep it up to date."""
+
+    def __init__(self, *given, random=None, connect=Connection.open):
+        """`given` is what Program takes; `connect` opens connections to endpoints."""
         super().__init__(*given)
-        s, self.app = self.settings, App(self)
-        self.random, self.table, self.limits, self.config_at = random or Random(), None, config.Limits(), None
-        self.endpoints = Endpoints()
+        s, self.app, self.random = self.settings, App(self), random or Random()
+        self.table, self.limits, self.config_at, self.server = None, config.Limits(), None, None
+        self.endpoints, self.budgets, self.fleet = Endpoints(), {}, FleetSize(self.clock)
         self.stage = Stage(self.endpoints, s.bounds["canary_share"], self.fronts)
-        self.budgets, self.server = {}, None
-        self.fleet, self.known, self.fell, self.relays = {}, 1, (self.clock(), MANY), []
-        self.links = ConnectionPool(self.clock, connect)
-        self.gate = AttemptGate(self.budget_of, self.fronts, self.stage, self.endpoints.most)
+        self.pool, self.tasks = ConnectionPool(self.clock, connect), set()
+        self.policy = AttemptPolicy(self.budget_of, self.fronts, self.stage, self.endpoints.max_connections)
         self.forwarder = Forwarder(
-            self.clock, self.random, s.zone, self.endpoints, self.gate, self.stage, self.links, self.budget_of
+            self.clock,
+            self.random,
+            s.zone,
+            self.endpoints,
+            self.policy,
+            self.stage,
+            self.pool,
+            self.budget_of,
         )
-        self.publisher, self.tasks = Publisher(self.store_incarnation(), self.hear, rate=s.link), set()
-        self.history, self.doubted_at = History(self.publisher.store), None
-        backoff = Backoff(self.random, REST)
+        self.publisher = Publisher(self.store_incarnation(), self.hear, rate=s.link)
+        store, backoff = self.publisher.store, Backoff(self.random, BACKOFF_MOST_S)
+        self.history, self.doubted_at = History(store), None
+        self.counts = CountRecords(self.stage, self.clock, s.node, self.life, store)
         self.subscriber = Subscriber(self.publisher, self.caller, self.who, backoff)
-        self.sure = Subscriber(self.publisher, self.caller, self.who, backoff, self.own)
-        self.controllers, self.turn, self.met_majority = [ip for ip, _ in s.seeds], 0, False
-        self.told_in = 0  # the epoch in which the counts were told last
-        self.told, self.last, self.counted = 0, {"rows": [], "votes": {}, "left": {}, "known": {}}, {}
+        self.sure = Subscriber(self.publisher, self.caller, self.who, backoff, self.counts.records_for)
+        self.controllers, self.relays = [ip for ip, _ in s.seeds], []
+        self.turn, self.met_majority = 0, False
 
     def config_held(self):
+        """The version in force here, in digits as operators send it."""
         return f"{self.table.version:08x}" if self.table else None
 
     def found(self, controllers):
+        """Controllers that are told of."""
         self.controllers += [ip for ip in controllers if ip not in self.controllers]
 
     def start(self, work):
+        """A task of `work` that is kept until it ends."""
         task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         return task
 
-    def budget_of(self, svc):
-        if svc not in self.budgets:
-            b = self.settings.bounds
-            self.budgets[svc] = Budget(b["retry_ratio"], b["retry_slack"], b["retry_win_s"])
-        return self.budgets[svc]
+    def budget_of(self, service):
+        """A service's RetryBudget."""
+        if service not in self.budgets:
+            bounds = self.settings.bounds
+            self.budgets[service] = RetryBudget(
+                bounds["retry_ratio"], bounds["retry_slack"], bounds["retry_win_s"]
+            )
+        return self.budgets[service]
 
     def fronts(self):
-        """How many fronts share what all may do together: the most that controllers told of lately, since one
-        that has just started knows few, and a front that has just started knows none."""
-        at, before = self.fell
-        return max(1, self.known, before if self.clock() - at < SHARED else 1)
-
-    def hear_fleet(self, ip, count):
-        """A controller says how many fronts there are. What others said lately counts beside it."""
-        now, before = self.clock(), self.fronts()
-        self.fleet[ip] = now, count
-        self.fleet = {one: told for one, told in self.fleet.items() if now - told[0] < KEPT}
-        self.known = max(count for _, count in self.fleet.values())
-        if self.fronts() < before:
-            self.fell = now, before
+        """How many proxies share what all may do together."""
+        return self.fleet.count()
 
     # news
     def who(self):
+        """Who asks for news."""
         s = self.settings
         return Asker(s.node, s.ip, s.zone, self.life, proxy=True)
 
-    def own(self, ip):
-        """This front's counts, where they have changed since that controller had them."""
-        told = self.stage.told(self.clock())
-        known = {svc: [n, int(seconds / TELLING)] for svc, (n, seconds) in told["known"].items()}
-        epoch = self.publisher.store.epoch
-        if {**told, "known": known} != self.last or self.told and epoch != self.told_in:
-            self.told, self.last, self.told_in = self.told + 1, {**told, "known": known}, epoch
-        if self.counted.get(ip, 0) >= self.told:
-            return []
-        key, stamp = f"count/{self.settings.node}/{self.life}", [self.told, self.told_in]
-        return [Record(key, stamp, {"life": self.life, **told})]
-
     def hear(self, key, value):
+        """A record has come, or has changed."""
         kind, _, name = key.partition("/")
         if kind == "config":
-            read = config.read(config.unpack(value))
-            self.table, self.limits, self.config_at = Table(read), read.limits, self.config_at or self.clock()
-            self.endpoints.most.clear()
-            self.endpoints.most.update({name: service.max_conns for name, service in read.services.items()})
-            self.say("configuration")
+            self.hear_config(config.read(config.unpack(value)))
         elif kind == "machine":
-            self.history.hear(self.clock(), name, value["state"])
-            machine, left = self.endpoints.hear(self.clock(), name, value)
-            if left and machine is not None:
-                self.links.drop(machine)
+            self.hear_endpoint(name, value)
         elif kind == "rollout":
             self.stage.hear(value)
         elif kind == "bourse":
             self.found([name])
 
+    def hear_config(self, read):
+        """Another configuration is in force here."""
+        self.table, self.limits = RouteTable(read), read.limits
+        self.config_at = self.config_at or self.clock()
+        most = self.endpoints.max_connections
+        most.clear()
+        most.update({name: service.max_conns for name, service in read.services.items()})
+        self.say("configuration")
+
+    def hear_endpoint(self, id, value):
+        """An endpoint has changed; one that leaves service keeps no idle connection."""
+        now = self.clock()
+        self.history.hear(now, id, value["state"])
+        endpoint, left = self.endpoints.update(now, id, value)
+        if left:
+            self.pool.close_idle(endpoint)
+
     async def listen(self):
         """Asks its relay for news, held until there are some; where that one is silent, the next above it."""
         s, now, backoff = self.settings, self.clock(), self.subscriber.backoff
@@ -147,12 +151,13 @@
         ring = order(self.controllers, self.settings.node)
         ring = ring[self.turn % len(ring) :] + ring[: self.turn % len(ring)]
         for ip in self.sure.backoff.fit(ring, self.clock()):
-            for _ in range(TURNS):
+            for _ in range(ASKS_IN_A_ROW):
                 asked = self.clock()  # an answer may have lain here unread while this process was frozen
                 reply = await self.sure.ask(ip, self.settings.controller_port, 0.0)
                 if reply.ok and reply.value.fleet is not None:
-                    (count, self.relays), self.counted[ip] = reply.value.fleet, reply.value.counted or 0
-                    self.hear_fleet(ip, count)
+                    count, self.relays = reply.value.fleet
+                    self.counts.held_by(ip, reply.value.counted or 0)
+                    self.fleet.report(ip, count)
                 if not (reply.ok and reply.value.more):
                     break
             if reply.ok and reply.value.in_quorum:
@@ -162,25 +167,26 @@
                     self.stage.heard_at = asked
                 self.met_majority = True
                 return await asyncio.sleep(self.sure_pause())
-        self.say("no controller answers", 5.0)
+        self.say("no controller answers", SAY_AGAIN_S)
         await asyncio.sleep(FIRST)
 
     def sure_pause(self):
         """Seconds until the next ask: longer where many fronts ask few controllers."""
-        most = SURE_ROLLOUT if self.stage.active else SURE
-        many = self.fronts() / (ASKED * len(self.controllers)) / SURE
-        return most * min(SPARSE, max(1.0, many)) * (0.9 + 0.2 * self.random.random())
+        pause_s = TRIAL_POLL_S if self.stage.active else POLL_S
+        crowd = self.fronts() / (POLLS_PER_S * len(self.controllers)) / POLL_S
+        return pause_s * min(POLL_SPREAD, max(1.0, crowd)) * (1 - JITTER + 2 * JITTER * self.random.random())
 
     @property
     def ready(self):
+        """Whether it calls itself ready for clients."""
         if self.stopping.is_set() or self.table is None:
             return False
         if not self.met_majority:  # the configuration may be that of a controller cut off from the others
             if self.clock() - self.config_at < self.settings.bounds["contact_s"]:
                 return False
-            self.say("ready without a controller that hears a majority", 5.0)
-        served = {svc for routes in self.table.hosts.values() for r in routes.values() for svc, _ in r.split}
-        return served <= set(self.endpoints.services) or self.clock() - self.config_at > SETTLE
+            self.say("ready without a controller that hears a majority", SAY_AGAIN_S)
+        known = self.table.services <= set(self.endpoints.by_service)
+        return known or self.clock() - self.config_at > SETTLE_S
 
     def doubt(self):
         """After so long a cut that news of machines that left may have been dropped meanwhile: asks for all
@@ -191,24 +197,25 @@
         self.doubted_at = self.clock()
 
     async def tidy(self):
+        """Ends what is too old, and what nobody told of again after a doubt."""
         now, store = self.clock(), self.publisher.store
-        self.links.tidy(self.endpoints.machines.values())
+        self.pool.close_expired(self.endpoints.by_id.values())
         self.history.look(now)
         store.prune()
-        if self.doubted_at is not None and now - self.doubted_at > DOUBTS:
+        if self.doubted_at is not None and now - self.doubted_at > DOUBT_S:
             self.doubted_at = None
             for key in store.doubted("machine/"):
                 store.put(key, [0], {**store.get(key), "state": LOST})
 
     async def count(self):
         """A line of what was done since the start, and of what stands now."""
-        machines = self.endpoints.machines.values()
+        endpoints = self.endpoints.by_id.values()
         self.say(
             "counts",
             **self.forwarder.counts,
-            dialled=self.links.dialled,
-            connections=sum(machine.held for machine in machines),
-            machines=len(machines),
+            dialled=self.pool.opened,
+            connections=sum(endpoint.connections for endpoint in endpoints),
+            machines=len(endpoints),
             fronts=self.fronts(),
             told=dict(self.publisher.told),
             called=dict(self.caller.carried),
@@ -216,6 +223,7 @@
         )
 
     async def run(self):
+        """Serves until the platform says to stop; then what is at work ends within the grace."""
         s = self.settings
         self.server = HttpServer(self.app)
         await self.server.open([s.listen["http"], s.listen["ready"], (s.ip, s.proxy_port)])
@@ -223,13 +231,13 @@
         self.begin()
         await self.until_stopped()
         self.say("stopping")
-        await asyncio.sleep(TOLD_IN)
-        await self.server.close(s.bounds["grace_s"] - TOLD_IN - 0.5)
+        await asyncio.sleep(UNREADY_SEEN_S)
+        await self.server.close(s.bounds["grace_s"] - UNREADY_SEEN_S - STOP_MARGIN_S)
         self.say("stopped")
 
     def begin(self):
         """Starts the loops."""
-        self.loop(self.listen, 0.01)
-        self.loop(self.make_sure, 0.05)
-        self.loop(self.tidy, TIDY)
+        self.loop(self.listen, LISTEN_PAUSE_S)
+        self.loop(self.make_sure, POLL_PAUSE_S)
+        self.loop(self.tidy, TIDY_S)
         self.loop(self.count, COUNTS)
--- a/honeywood/gateway/rollout/stage.py
+++ b/honeywood/gateway/rollout/stage.py
@@ -7,7 +7,7 @@
 from honeywood.gateway.dissemination.rendezvous import order
 from honeywood.gateway.rollout.record import ACTIVE, DONE, FULL, REVERTED, TRIAL
 from honeywood.gateway.rollout.verdict import Voter
-from honeywood.gateway.routing.answers import GOOD, NOT_RUN
+from honeywood.gateway.routing.outcomes import AttemptOutcome
 from honeywood.judge.counts import EDGES, Counts
 
 SAFETY = (
@@ -39,13 +39,13 @@
         """What `ver` of `svc` is just now."""
         record = self.records.get(svc)
         if record is None:
-            vers = Counter(m.ver for m in self.endpoints.services.get(svc, ()))
+            vers = Counter(m.version for m in self.endpoints.of(svc))
             most = max(vers.values(), default=0)
             first = min((v for v, n in vers.items() if n == most), default=ver)
             return ESTABLISHED if ver == first else ON_TRIAL
         named = ver == record["to_ver"]
         if ver in record["back"]:  # sent back before this order; better than nothing where no other is there
-            vers = {m.ver for m in self.endpoints.services.get(svc, ())}
+            vers = {m.version for m in self.endpoints.of(svc)}
             if vers - {record["to_ver"], *record["back"]}:
                 return CLOSED
         if record["state"] == REVERTED:
@@ -62,9 +62,7 @@
 
     def behind(self, svc):
         """Requests still out at machines whose version gets nothing any more."""
-        return sum(
-            m.open for m in self.endpoints.services.get(svc, ()) if self.standing(svc, m.ver) == CLOSED
-        )
+        return sum(m.in_flight for m in self.endpoints.of(svc) if self.standing(svc, m.version) == CLOSED)
 
     def room(self, now, ask):
         """Whether one more request of the class fits under its cap; only safe classes are tried."""
@@ -79,21 +77,25 @@
         self.earned[place] = min(BANKED, self.earned[place] + self.share)
 
     def allows(self, now, ask, machine):
-        standing = self.standing(ask.service, machine.ver)
+        standing = self.standing(ask.service, machine.version)
         return standing == ESTABLISHED or standing == ON_TRIAL and self.room(now, ask)
 
     def sent(self, now, ask, machine):
-        if self.standing(ask.service, machine.ver) == ON_TRIAL:
+        if self.standing(ask.service, machine.version) == ON_TRIAL:
             self.earned[ask.service, ask.route.name] -= 1
 
     def groups(self, now, ask, machines):
         """The machines in groups, the first to ask first: on trial while there is room, then the rest."""
         by = {ESTABLISHED: [], ON_TRIAL: [], CLOSED: []}
-        standing = {ver: self.standing(ask.service, ver) for ver in sorted({m.ver for m in machines})}
+        standing = {ver: self.standing(ask.service, ver) for ver in sorted({m.version for m in machines})}
         for machine in machines:
-            if standing[machine.ver] != ON_TRIAL or now - machine.seen_at >= YOUNG and now >= machine.warm_at:
-                by[standing[machine.ver]].append(machine)  # what can't be counted yet isn't tried either
-        if by[ON_TRIAL] and not ask.sends and self.room(now, ask):
+            if (
+                standing[machine.version] != ON_TRIAL
+                or now - machine.discovered_at >= YOUNG
+                and now >= machine.warm_at
+            ):
+                by[standing[machine.version]].append(machine)  # what can't be counted yet isn't tried either
+        if by[ON_TRIAL] and not ask.attempts and self.room(now, ask):
             return [self.few(ask.service, by[ON_TRIAL]), by[ESTABLISHED]]
         return [by[ESTABLISHED], by[ON_TRIAL]]
 
@@ -106,17 +108,22 @@
             self.chosen[svc] = ids, [m for m in machines if m.id in first]
         return self.chosen[svc][1]
 
-    def ended(self, now, ask, machine, meaning, took):
+    def ended(self, now, ask, machine, outcome, took):
         """Counts how a send ended, by class and version, while a version is on trial."""
         record = self.records.get(ask.service)
-        if record is None or record["state"] != ACTIVE or meaning == NOT_RUN or now < machine.warm_at:
+        if (
+            record is None
+            or record["state"] != ACTIVE
+            or outcome is AttemptOutcome.NOT_RUN
+            or now < machine.warm_at
+        ):
             return
-        place = ask.service, ask.route.name, machine.ver
+        place = ask.service, ask.route.name, machine.version
         # few are tried, and these may be the slow ones of the service; in full service all are asked
-        if machine.ver == record["to_ver"] and record["stage"] == TRIAL:
+        if machine.version == record["to_ver"] and record["stage"] == TRIAL:
             took /= UNLIKE
         counts = self.counts.setdefault(place, Counts())
-        counts.add(1, meaning != GOOD, 1, bisect_left(EDGES, took / ask.route.timeout))
+        counts.add(1, outcome is not AttemptOutcome.SUCCESS, 1, bisect_left(EDGES, took / ask.route.timeout))
 
     def told(self, now):
         """What controllers are told: counts as rows [svc, class, version, failed, ended, bins], this front's
--- a/honeywood/gateway/routing/routes.py
+++ b/honeywood/gateway/routing/routes.py
@@ -1,20 +1,19 @@
 """Host and path to a route: of the host's routes the one with the longest prefix of the path."""
 
 
-class Table:
+class RouteTable:
     """The routes of one configuration."""
 
     def __init__(self, config):
+        """The routes and services of a configuration.Config."""
         self.version, self.hosts = config.version, {}
         for route in config.routes:
             self.hosts.setdefault(route.host.encode(), {})[route.prefix.encode()] = route
+        self.services = {service for route in config.routes for service, _ in route.split}
 
     def find(self, host, path):
         """The route of a Host value and a raw path (bytes), or None."""
-        name = host.lower()
-        routes = self.hosts.get(name)
-        if routes is None:  # a port says nothing of which host is meant
-            routes = self.hosts.get(name.rpartition(b":")[0]) if b":" in name else None
+        routes = self._routes_of(host.lower())
         if routes is None:
             return None
         end = path.rfind(b"/")
@@ -25,8 +24,15 @@
             end = path.rfind(b"/", 0, end)
         return None
 
+    def _routes_of(self, host):
+        """The routes of a host; its port says nothing of which host is meant."""
+        routes = self.hosts.get(host)
+        if routes is None and b":" in host:
+            routes = self.hosts.get(host.rpartition(b":")[0])
+        return routes
 
-def share_out(split, chance):
+
+def pick_service(split, chance):
     """One of [(service, weight)] by weight; `chance` is within [0, 1)."""
     if len(split) == 1:
         return split[0][0]
--- a/honeywood/gateway/rpc/asgi.py
+++ b/honeywood/gateway/rpc/asgi.py
@@ -1,5 +1,24 @@
 """What an ASGI scope asks for, and how it is answered."""
 
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+CONTEXT = "honeywood.context"  # the scope's key of its RequestContext
+
+
+@dataclass(slots=True)
+class RequestContext:
+    """What the server says of a request beside ASGI. `target` has its raw escapes; `received_at` is when the
+    request was whole, on the loop's clock; `early_response` is a future where the application has begun with
+    it behind another request of its connection, `others_begun` tells whether any behind it has been."""
+
+    target: bytes
+    client_gone: Callable = lambda: False
+    others_begun: Callable = lambda: False
+    received_at: float | None = None
+    early_response: Any = None
+
 
 async def body_of(receive, most):
     """The request's whole body, or None where it is longer than `most` bytes or its sender has left."""
@@ -18,11 +37,14 @@
 
 async def answer(send, status, headers=(), body=b""):
     """A whole answer of ours."""
-    await send(
-        {
-            "type": "http.response.start",
-            "status": status,
-            "headers": [*headers, (b"content-length", str(len(body)).encode())],
-        }
-    )
+    length = (b"content-length", str(len(body)).encode())
+    await send({"type": "http.response.start", "status": status, "headers": [*headers, length]})
     await send({"type": "http.response.body", "body": body})
+
+
+async def stream(send, status, headers, chunks):
+    """An answer that is passed on as it comes."""
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    async for chunk in chunks:
+        await send({"type": "http.response.body", "body": chunk, "more_body": True})
+    await send({"type": "http.response.body", "body": b""})
--- a/honeywood/gateway/rpc/client.py
+++ b/honeywood/gateway/rpc/client.py
@@ -14,19 +14,22 @@
 
 from honeywood.gateway.configuration.check import read_json
 from honeywood.gateway.configuration.outcome import Done, Failed, Wrong
-from honeywood.gateway.rpc.connection import Broken, Connection
+from honeywood.gateway.rpc.connection import Connection, ExchangeFailed
 from honeywood.gateway.rpc.server import CALL_ID
 
-CONNECT = 0.3  # seconds for a connection to one of ours
-IDLE = 5.0  # seconds after which an idle connection isn't trusted
-MOST = 8 << 20  # bytes of an answer
+CONNECT_S = 0.3  # seconds for a connection to one of ours
+IDLE_S = 5.0  # seconds after which an idle connection isn't trusted
+LEAST_S = 0.001  # seconds that a connection is given, however late the call is
+ANSWER_MOST = 8 << 20  # bytes of an answer
+UNAVAILABLE = 503
 
 
 class Caller:
     """Keeps a few connections to each peer; `carried` counts bytes asked and answered by path."""
 
     def __init__(self):
-        self.links, self.name, self.numbers = {}, os.urandom(6).hex(), count(1)
+        """A caller with a name of its own, which its calls' ids begin with."""
+        self.idle, self.name, self.numbers = {}, os.urandom(6).hex(), count(1)
         self.carried = Counter()
 
     async def call(self, ip, port, path, body, within, again=False):
@@ -35,37 +38,56 @@
         `again` is the call's word that it may be made twice: if a kept connection ends before its answer, it
         is made once more on another. A call that doesn't say so is made again only where nothing of it left.
         """
-        loop, peer = asyncio.get_running_loop(), f"{ip}:{port}"
-        until, kept = loop.time() + within, self.links.setdefault((ip, port), [])
+        until, peer = asyncio.get_running_loop().time() + within, f"{ip}:{port}"
         raw = json.dumps(body, separators=(",", ":")).encode()
         id = b"%s-%d" % (self.name.encode(), next(self.numbers))
         headers = [(b"host", peer.encode()), (CALL_ID, id), (b"content-length", str(len(raw)).encode())]
         self.carried[f"{path} asked"] += len(raw)
-        while True:
-            link = kept.pop() if kept else None
-            if link is not None and not (link.fit and loop.time() - link.idle_at < IDLE):
-                link.close()
-                continue
-            try:
-                fresh = link is None
-                link = link or await Connection.to(ip, port, max(0.001, min(CONNECT, until - loop.time())))
-            except (httpcore.ConnectError, httpcore.ConnectTimeout) as wrong:
-                return Failed(path, f"{type(wrong).__name__}: {wrong}", peer, 503)
-            reply = await link.exchange(b"POST", path.encode(), headers, raw, until, MOST)
-            ended = isinstance(reply, Broken) and not fresh and not reply.late and loop.time() < until
-            if not (ended and (again or not reply.sent)):
-                break
-        if isinstance(reply, Broken):
-            return Failed(path, reply.why, peer, 503)
-        self.carried[f"{path} answered"] += len(reply.body)
-        if reply.fields.get(CALL_ID) != id or reply.rest is not None:
-            link.close()
-            return Failed(path, "no answer to this call, or one too long", peer, 503)
-        if link.fit:
-            kept.append(link)
-        if reply.status != 200:
-            return Failed(path, reply.body.decode(errors="replace")[:200], peer, reply.status)
         try:
-            return Done(read_json(reply.body, path, peer))
-        except Wrong as wrong:
-            return wrong.failed
+            connection, reply = await self._exchange((ip, port), path, headers, raw, until, again)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as wrong:
+            return Failed(path, f"{type(wrong).__name__}: {wrong}", peer, UNAVAILABLE)
+        if isinstance(reply, ExchangeFailed):
+            return Failed(path, reply.reason, peer, UNAVAILABLE)
+        self.carried[f"{path} answered"] += len(reply.body)
+        if reply.fields.get(CALL_ID) != id or reply.remainder is not None:
+            connection.close()
+            return Failed(path, "no answer to this call, or one too long", peer, UNAVAILABLE)
+        if connection.reusable:
+            self.idle[ip, port].append(connection)
+        return _outcome(reply, path, peer)
+
+    async def _exchange(self, place, path, headers, raw, until, again):
+        """(connection, Reply or ExchangeFailed), over a kept connection or a new one."""
+        loop = asyncio.get_running_loop()
+        while True:
+            connection = self._take_idle(place, loop.time())
+            kept = connection is not None
+            if not kept:
+                within_s = max(LEAST_S, min(CONNECT_S, until - loop.time()))
+                connection = await Connection.open(*place, within_s)
+            reply = await connection.exchange(b"POST", path.encode(), headers, raw, until, ANSWER_MOST)
+            if not (kept and isinstance(reply, ExchangeFailed) and (again or not reply.sent)):
+                return connection, reply
+            if reply.timed_out or loop.time() >= until:
+                return connection, reply
+
+    def _take_idle(self, place, now):
+        """A kept connection that may be used, or None."""
+        idle = self.idle.setdefault(place, [])
+        while idle:
+            connection = idle.pop()
+            if connection.reusable and now - connection.idle_since < IDLE_S:
+                return connection
+            connection.close()
+        return None
+
+
+def _outcome(reply, path, peer):
+    """What an answer to a call says."""
+    if reply.status != 200:
+        return Failed(path, reply.body.decode(errors="replace")[:200], peer, reply.status)
+    try:
+        return Done(read_json(reply.body, path, peer))
+    except Wrong as wrong:
+        return wrong.failed
--- a/honeywood/gateway/rpc/connection.py
+++ b/honeywood/gateway/rpc/connection.py
@@ -8,9 +8,9 @@
 
 from honeywood.gateway.rpc.stream import dial
 
-HOLD = 1 << 18  # bytes of an answer that are held until it is whole; longer ones are passed on as they come
-SURPLUS_MOST = 2  # answers to earlier requests that one exchange reads past
-HOPS = frozenset(
+HOLD_BYTES = 1 << 18  # of an answer that are held until it is whole; longer ones are passed on as they come
+SURPLUS_MOST = 2  # answers to other requests that one exchange reads past
+HOP_BY_HOP = frozenset(
     (
         b"connection",
         b"keep-alive",
@@ -33,28 +33,29 @@
         if name == b"connection"
         for token in value.split(b",")
     }
-    return [(name, value) for name, value in headers if name not in HOPS and name not in named]
+    return [(name, value) for name, value in headers if name not in HOP_BY_HOP and name not in named]
 
 
 @dataclass(slots=True)
 class Reply:
-    """A whole answer, or with `rest` the start of a long one. `headers` are in lower case, as they came."""
+    """A whole answer, or with `remainder` the start of a long one. `headers` are in lower case, as they came;
+    `fields` has one value of each."""
 
     status: int
     headers: list
     body: bytes
-    rest: Any = None
+    remainder: Any = None
     fields: dict = field(default_factory=dict)
     surplus: bool = False  # it answers another request, and `Connection.read_on` may find the right one
 
 
 @dataclass(slots=True)
-class Broken:
-    """No whole answer: `sent` says that bytes of the request may have left, `late` that time was up."""
+class ExchangeFailed:
+    """No whole answer: `sent` says that bytes of the request may have left, `timed_out` that time was up."""
 
-    why: str
+    reason: str
     sent: bool
-    late: bool = False
+    timed_out: bool = False
 
 
 class AfterSurplus(httpcore.AsyncNetworkStream):
@@ -62,94 +63,114 @@
     gives what follows that answer, and drops the request, which has left already."""
 
     def __init__(self, stream, unread):
+        """`unread` was read behind the surplus answer."""
         self.stream, self.unread = stream, unread
 
     async def read(self, max_bytes, timeout=None):
+        """What was read behind the surplus answer, then what comes."""
         if not self.unread:
             return await self.stream.read(max_bytes, timeout)
         data, self.unread = self.unread[:max_bytes], self.unread[max_bytes:]
         return data
 
     async def write(self, buffer, timeout=None):
-        pass
+        """The request again: it isn't sent twice."""
 
     async def aclose(self):
+        """Ends the connection."""
         await self.stream.aclose()
 
     def get_extra_info(self, info):
+        """As of the stream."""
         return self.stream.get_extra_info(info)
 
 
 class Connection:
-    """A connection to a peer; `idle_at` is when its last exchange ended, `keep` the peer's patience, `home`
-    where it goes when a long answer has been passed on."""
+    """A connection to a peer. `idle_since` is when its last exchange ended, `keep_alive_s` for how long the
+    peer says it keeps an idle one, `on_release` is told of it when a long answer has been passed on."""
+
+    __slots__ = (
+        "stream",
+        "origin",
+        "http",
+        "idle_since",
+        "keep_alive_s",
+        "on_release",
+        "head_sent",
+        "request",
+        "expected",
+        "surplus",
+    )
 
     def __init__(self, stream, ip, port):
+        """Over a Stream that stands; see `open`."""
         self.stream, self.origin = stream, httpcore.Origin(b"http", ip.encode(), port)
-        self.line = httpcore.AsyncHTTP11Connection(self.origin, stream)
-        self.host, self.idle_at, self.keep, self.used = f"{ip}:{port}".encode(), 0.0, None, 0
-        self.home = lambda link: None
+        self.http = httpcore.AsyncHTTP11Connection(self.origin, stream)
+        self.idle_since, self.keep_alive_s = 0.0, None
+        self.on_release = lambda connection: None
         self.head_sent = False  # after a HEAD the end of an answer depends on which request it answers
-        self.asked, self.expected, self.surplus = None, None, 0
+        self.request, self.expected, self.surplus = None, None, 0
 
     @classmethod
-    async def to(cls, ip, port, within, *up):
-        return cls(await dial(ip, port, within, *up), ip, port)
-
-    async def exchange(self, method, target, headers, body, until, hold=HOLD, expected=None):
-        """Reply or Broken, by `until` on the loop's clock; then the link is `fit` for another, or ended. An
-        answer over `hold` bytes is passed on as it comes. `expected` is the (name, value) of the header that
-        answers repeat: an answer with another value is surplus. Whoever cancels this ends the connection."""
-        if not self.stream.fit:
-            return Broken("the connection had ended", False)
-        self.stream.begin()
-        self.used += 1
+    async def open(cls, ip, port, within_s, *on_change):
+        """A new connection, or httpcore.ConnectError or ConnectTimeout."""
+        return cls(await dial(ip, port, within_s, *on_change), ip, port)
+
+    async def exchange(self, method, target, headers, body, until, hold=HOLD_BYTES, expected=None):
+        """Reply or ExchangeFailed, by `until` on the loop's clock; then the connection is `reusable`, or
+        ended. An answer over `hold` bytes is passed on as it comes. `expected` is the (name, value) of the
+        header that answers repeat: an answer with another value is surplus. Whoever cancels this ends the
+        connection."""
+        if not self.stream.usable:
+            return ExchangeFailed("the connection had ended", False)
+        self.stream.begin_exchange()
         self.head_sent = self.head_sent or method == b"HEAD"
         url = httpcore.URL(scheme=b"http", host=self.origin.host, port=self.origin.port, target=target)
-        self.asked, self.expected = httpcore.Request(method, url, headers=headers, content=body), expected
-        return await self._answer(until, hold)
+        self.request, self.expected = httpcore.Request(method, url, headers=headers, content=body), expected
+        return await self._reply(until, hold)
 
-    async def read_on(self, until, hold=HOLD):
+    async def read_on(self, until, hold=HOLD_BYTES):
         """The answer that follows a surplus one, as `exchange` returns it; nothing is sent."""
-        return await self._answer(until, hold)
+        return await self._reply(until, hold)
 
-    async def _answer(self, until, hold):
-        stream = self.stream
-        timer = asyncio.get_running_loop().call_at(until, stream.give_up)
+    async def _reply(self, until, hold):
+        timer = asyncio.get_running_loop().call_at(until, self.stream.abort)
+        reply = None
         try:
-            reply = await self.line.handle_async_request(self.asked)
-            fields = {name.lower(): value for name, value in reply.headers}
-            found = Reply(
-                reply.status, [(name.lower(), value) for name, value in reply.headers], b"", None, fields
-            )
-            if not framed(self.asked.method, reply.status, fields):
-                raise httpcore.RemoteProtocolError("nothing tells where the answer ends")
-            chunks, size, parts = aiter(reply.stream), 0, []
-            async for chunk in chunks:
-                parts.append(chunk)
-                size += len(chunk)
-                if size > hold:
-                    found.body, found.rest = b"".join(parts), self._rest(reply, chunks, fields, timer)
-                    timer = None
-                    return found
-            found.body = b"".join(parts)
-            found.surplus = self._may_read_on(fields)
-            if found.surplus:
-                self._pass_over()
-            else:
-                await self._over(reply, fields)
-            return found
+            reply = await self._read(hold, timer)
+            return reply
         except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError, OSError) as wrong:
-            late = isinstance(wrong, httpcore.TimeoutException)
             self.close()
-            return Broken(f"{type(wrong).__name__}: {wrong}", stream.flushed, late)
+            reason = f"{type(wrong).__name__}: {wrong}"
+            return ExchangeFailed(reason, self.stream.sent, isinstance(wrong, httpcore.TimeoutException))
         except BaseException:  # cancelled: what was asked for may still come, and must meet no other
             self.close()
             raise
         finally:
-            if timer is not None:
+            if reply is None or reply.remainder is None:  # else the remainder's reader ends it
                 timer.cancel()
 
+    async def _read(self, hold, timer):
+        """The Reply to the request that is out."""
+        response = await self.http.handle_async_request(self.request)
+        headers = [(name.lower(), value) for name, value in response.headers]
+        fields = dict(headers)
+        if not is_framed(self.request.method, response.status, fields):
+            raise httpcore.RemoteProtocolError("nothing tells where the answer ends")
+        chunks, size, parts = aiter(response.stream), 0, []
+        async for chunk in chunks:
+            parts.append(chunk)
+            size += len(chunk)
+            if size > hold:
+                remainder = self._remainder(response, chunks, fields, timer)
+                return Reply(response.status, headers, b"".join(parts), remainder, fields)
+        reply = Reply(response.status, headers, b"".join(parts), None, fields, self._may_read_on(fields))
+        if reply.surplus:
+            self._pass_over()
+        else:
+            await self._end(response, fields)
+        return reply
+
     def _may_read_on(self, fields):
         """Whether a whole answer belongs to another request, and the right one may follow it."""
         if self.expected is None or self.head_sent or self.surplus >= SURPLUS_MOST:
@@ -161,31 +182,31 @@
     def _pass_over(self):
         """Makes ready for what follows a surplus answer. No other request is sent on this connection."""
         self.surplus += 1
-        self.stream.stained = True
-        self.line = httpcore.AsyncHTTP11Connection(self.origin, AfterSurplus(self.stream, self._unread))
+        self.stream.tainted = True
+        self.http = httpcore.AsyncHTTP11Connection(self.origin, AfterSurplus(self.stream, self._unread))
 
     @property
     def _unread(self):
         """What came behind an answer. httpcore tells of that only after upgrades, but its h11 state (of the
         pinned version) knows."""
-        unread, _ = self.line._h11_state.trailing_data
+        unread, _ = self.http._h11_state.trailing_data
         return unread
 
-    async def _over(self, reply, fields):
+    async def _end(self, response, fields):
         """The answer is whole: keeps the connection only if nothing came behind it."""
         unread = self._unread
-        await reply.aclose()
-        self.stream.done(not unread)
-        self.keep, self.idle_at = kept(fields), asyncio.get_running_loop().time()
-        if not self.fit:
+        await response.aclose()
+        self.stream.end_exchange(not unread)
+        self.keep_alive_s, self.idle_since = keep_alive_of(fields), asyncio.get_running_loop().time()
+        if not self.reusable:
             self.close()
 
-    async def _rest(self, reply, chunks, fields, timer):
+    async def _remainder(self, response, chunks, fields, timer):
         try:
             async for chunk in chunks:
                 yield chunk
-            await self._over(reply, fields)
-            self.home(self)
+            await self._end(response, fields)
+            self.on_release(self)
         except BaseException:
             self.close()
             raise
@@ -193,21 +214,22 @@
             timer.cancel()
 
     @property
-    def fit(self):
+    def reusable(self):
         """Whether another exchange may begin on it."""
-        return self.stream.fit and self.line.is_idle()
+        return self.stream.usable and self.http.is_idle()
 
     def close(self):
-        self.stream.give_up("closed")
+        """Ends it; what is out on it fails."""
+        self.stream.abort("closed")
 
 
-def framed(method, status, fields):
+def is_framed(method, status, fields):
     """Whether an answer tells where it ends. One that ends with its connection could have been cut."""
     bare = method == b"HEAD" or status in (204, 304)
     return bare or b"content-length" in fields or b"transfer-encoding" in fields
 
 
-def kept(fields):
+def keep_alive_of(fields):
     """For how many seconds the peer keeps an idle connection, None where it doesn't say."""
     for part in fields.get(b"keep-alive", b"").split(b","):
         name, _, value = part.strip().partition(b"=")
--- a/honeywood/gateway/rpc/server.py
+++ b/honeywood/gateway/rpc/server.py
@@ -7,14 +7,18 @@
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 from uvicorn.server import Server
 
+from honeywood.gateway.rpc.asgi import CONTEXT, RequestContext
+
 BACKLOG = 1024
-AHEAD = 16  # requests of one connection that are at work before the first is answered
-CLOSE_LOOK = 0.05  # seconds between looks at what is left while listening ends
+PIPELINED_MOST = 16  # requests of one connection that are at work before the first is answered
+CLOSE_LOOK_S = 0.05  # seconds between looks at what is left while listening ends
+LINE_BYTES = 4  # of a header's line beside its name and value
 CALL_ID = b"x-call-id"  # the id that one of our own calls carries, and its answer repeats
+BAD_REQUEST, TIMEOUT, HEAD_TOO_LONG = 400, 408, 431
 
 
 class Refused(Exception):
-    """A request that is not read further; carries the status."""
+    """A request that is not read further; `HttpProtocol.refusal` is its status."""
 
 
 class HttpProtocol(HttpToolsProtocol):
@@ -23,34 +27,37 @@
     with requests that stand behind another."""
 
     def connection_made(self, transport):
+        """A client has come."""
         super().connection_made(transport)
-        self.size, self.status = 0, 400
-        self.patience = self.loop.call_later(self.config.app.limits.idle_s, self.too_slow)
+        self.head_bytes, self.refusal = 0, BAD_REQUEST
+        self.timer = self.loop.call_later(self.config.app.limits.idle_s, self.on_timeout)
 
     def connection_lost(self, exc):
-        self.patience.cancel()
+        """The client has gone."""
+        self.timer.cancel()
         super().connection_lost(exc)
 
     @property
-    def free(self):
+    def idle(self):
         """Whether no request is at work."""
         return self.cycle is None or self.cycle.response_complete
 
     def data_received(self, data):
-        if self.free and not self.size:  # a head begins
-            self.wait(self.config.app.limits.header_s)
+        """Bytes of requests have come."""
+        if self.idle and not self.head_bytes:  # a head begins
+            self.restart_timer(self.config.app.limits.header_s)
         super().data_received(data)
-        if self.reading and not self.transport.is_closing():
-            self.wait(self.config.app.limits.idle_s)
+        if self.reading_body and not self.transport.is_closing():
+            self.restart_timer(self.config.app.limits.idle_s)
 
     @property
-    def reading(self):
+    def reading_body(self):
         """Whether a request has begun whose body is not whole; nothing of it has been passed on."""
         return self.cycle is not None and self.cycle.more_body and not self.cycle.response_started
 
     def on_response_complete(self):
         """A rest begins, if nothing stands behind: it lasts as long as the limits in force say."""
-        self.rests_at, self.timeout_keep_alive = self.loop.time(), self.config.app.limits.idle_s
+        self.rests_since, self.timeout_keep_alive = self.loop.time(), self.config.app.limits.idle_s
         super().on_response_complete()
 
     def timeout_keep_alive_handler(self):
@@ -58,88 +65,114 @@
         clients go by either. A rest begins when the answer has left."""
         now = self.loop.time()
         if self.transport.get_write_buffer_size():
-            self.rests_at = now
-        left = self.rests_at + self.config.app.limits.idle_s - now
-        if left > 0:
-            self.timeout_keep_alive_task = self.loop.call_later(left, self.timeout_keep_alive_handler)
+            self.rests_since = now
+        left_s = self.rests_since + self.config.app.limits.idle_s - now
+        if left_s > 0:
+            self.timeout_keep_alive_task = self.loop.call_later(left_s, self.timeout_keep_alive_handler)
         else:
             super().timeout_keep_alive_handler()
 
     @property
-    def begun(self):
-        """Whether a request that stands behind another has been begun: it may be at a machine, and an answer
-        before it that ends the connection would cut it off."""
-        return any(cycle.scope.get("early") is not None for cycle, _ in self.pipeline)
+    def early_begun(self):
+        """Whether a request that stands behind another has been begun: it may be at an endpoint, and an
+        answer before it that ends the connection would cut it off."""
+        return any(cycle.scope[CONTEXT].early_response is not None for cycle, _ in self.pipeline)
 
     def shutdown(self):
         """uvicorn's way to end a connection, left to the last answer where requests behind have begun."""
-        if not self.begun:
+        if not self.early_begun:
             super().shutdown()
 
-    def wait(self, within):
-        self.patience.cancel()
-        self.patience = self.loop.call_later(within, self.too_slow)
+    def restart_timer(self, within_s):
+        """Gives the client so long for what is to come next."""
+        self.timer.cancel()
+        self.timer = self.loop.call_later(within_s, self.on_timeout)
 
-    def too_slow(self):
+    def on_timeout(self):
         """No whole head or no more of a body came in time."""
-        if self.size or self.reading:
-            self.end(408)
+        if self.head_bytes or self.reading_body:
+            self.refuse(TIMEOUT)
         self.transport.close()
 
     def send_400_response(self, msg):
         """uvicorn's answer to what can't be read, with the status that fits."""
-        self.end(self.status)
+        self.refuse(self.refusal)
 
-    def end(self, status):
+    def refuse(self, status):
         """Ends the connection, with an answer unless that would stand between those of other requests."""
-        self.patience.cancel()
-        if (self.free or self.reading and not self.pipeline) and not self.transport.is_closing():
+        self.timer.cancel()
+        alone = self.idle or self.reading_body and not self.pipeline
+        if alone and not self.transport.is_closing():
             self.transport.write(STATUS_LINE[status] + b"content-length: 0\r\nconnection: close\r\n\r\n")
         self.transport.close()
 
     def on_message_complete(self):
         """A request is whole. It may stand behind another for long, while its client's time goes on."""
-        self.patience.cancel()
-        self.scope["arrived"] = self.loop.time()
+        self.timer.cancel()
+        self.scope[CONTEXT].received_at = self.loop.time()
         super().on_message_complete()
 
-    def count(self, size):
-        self.size += size
-        if self.size > self.config.app.limits.header_bytes:
-            self.status = 431
+    def count_head(self, size):
+        """Raises Refused once a head is longer than the limits allow."""
+        self.head_bytes += size
+        if self.head_bytes > self.config.app.limits.header_bytes:
+            self.refusal = HEAD_TOO_LONG
             raise Refused
 
     def on_url(self, url):
-        self.count(len(url) + 1)
+        """A part of a request's target."""
+        self.count_head(len(url) + 1)
         super().on_url(url)
 
     def on_header(self, name, value):
-        self.count(len(name) + len(value) + 4)
+        """A header of a request."""
+        self.count_head(len(name) + len(value) + LINE_BYTES)
         super().on_header(name, value)
 
     def on_headers_complete(self):
-        self.patience.cancel()
-        self.size, names = 0, [name for name, _ in self.headers]
+        """A request's head is whole: it begins, at once or behind others."""
+        self.timer.cancel()
+        self.head_bytes = 0
+        self.refuse_ambiguous()
+        self.scope[CONTEXT] = RequestContext(self.url, self.transport.is_closing, self.any_early_begun)
+        super().on_headers_complete()
+        self.repeat_call_id()
+        if self.pipeline and self.pipeline[0][0] is self.cycle:
+            self.begin_early()
+
+    def any_early_begun(self):
+        """`early_begun` as a function."""
+        return self.early_begun
+
+    def refuse_ambiguous(self):
+        """Raises Refused for a head that another reader might read otherwise."""
+        names = [name for name, _ in self.headers]
         coded = [value.strip().lower() for name, value in self.headers if name == b"transfer-encoding"]
         if names.count(b"host") != 1 or coded not in ([], [b"chunked"]):
             raise Refused
         if not self.url.startswith(b"/") or b"#" in self.url:
             raise Refused
-        self.scope["target"], self.scope["left"] = self.url, self.transport.is_closing
-        self.scope["behind"] = lambda: self.begun
-        super().on_headers_complete()
-        ids = [(name, value) for name, value in self.headers if name == CALL_ID]
-        if ids:  # put here, so that no application forgets it
-            self.cycle.default_headers = [*self.cycle.default_headers, ids[0]]
-        if self.pipeline and self.pipeline[0][0] is self.cycle and self.scope["method"] in ("GET", "HEAD"):
-            early = getattr(self.config.app, "early", None)
-            if early is not None:
-                self.scope["early"] = early(self.scope)
-            if len(self.pipeline) < AHEAD:
-                self.flow.resume_reading()
+
+    def repeat_call_id(self):
+        """Puts the id of one of our own calls on its answer: here, so that no application forgets it."""
+        for name, value in self.headers:
+            if name == CALL_ID:
+                self.cycle.default_headers = [*self.cycle.default_headers, (name, value)]
+                return
+
+    def begin_early(self):
+        """Lets the application begin with a request that stands behind another, where it wants to."""
+        early = getattr(self.config.app, "early", None)
+        if self.scope["method"] not in ("GET", "HEAD"):
+            return
+        if early is not None:
+            self.scope[CONTEXT].early_response = early(self.scope)
+        if len(self.pipeline) < PIPELINED_MOST:
+            self.flow.resume_reading()
 
 
 def listen(ip, port):
+    """A listening socket."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind((ip, port))
@@ -151,6 +184,7 @@
     """The listeners of a program; `app.limits` bounds what comes in."""
 
     def __init__(self, app):
+        """`app` is the ASGI application."""
         config = Config(
             app,
             http=HttpProtocol,
@@ -172,17 +206,17 @@
         self.server.lifespan = self.server.config.lifespan_class(self.server.config)
         await self.server.startup(sockets=[listen(ip, port) for ip, port in places])
 
-    async def close(self, within):
+    async def close(self, within_s):
         """Takes no more, ends idle connections, and waits for what is at work and until its answers have
         left: what a program that ends still holds is lost."""
+        loop, state = asyncio.get_running_loop(), self.server.server_state
         for server in self.server.servers:
             server.close()
-        for connection in list(self.server.server_state.connections):
+        for connection in list(state.connections):
             connection.shutdown()
-        loop, state = asyncio.get_running_loop(), self.server.server_state
-        until = loop.time() + within
+        until = loop.time() + within_s
         while (state.tasks or state.connections) and loop.time() < until:
             if state.tasks:
-                await asyncio.wait(set(state.tasks), timeout=CLOSE_LOOK)
+                await asyncio.wait(set(state.tasks), timeout=CLOSE_LOOK_S)
             else:
-                await asyncio.sleep(CLOSE_LOOK)
+                await asyncio.sleep(CLOSE_LOOK_S)
--- a/honeywood/lab/emulator/clients.py
+++ b/honeywood/lab/emulator/clients.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
+from honeywood.gateway.rpc.asgi import CONTEXT, RequestContext
 from honeywood.lab.emulator.boot import AIM_S, DEADLINE_S
 from honeywood.lab.emulator.network import OUTSIDE
 from honeywood.lab.emulator.rules import PROMISES
@@ -113,7 +114,7 @@
     """A request as the proxy's server hands it on."""
     headers = [(b"host", b"h"), (b"x-try-id", id), (b"x-deadline-ms", b"%d" % (left_s * 1000))]
     target = b"/r/x" if safe else b"/w/x"
-    return {"headers": headers, "raw_path": target, "target": target, "method": "GET"}
+    return {"headers": headers, "raw_path": target, "method": "GET", CONTEXT: RequestContext(target)}
 
 
 async def _no_body():
--- a/honeywood/lab/emulator/loopback.py
+++ b/honeywood/lab/emulator/loopback.py
@@ -12,7 +12,7 @@
 
 from honeywood.gateway.configuration.outcome import Failed
 from honeywood.gateway.rpc.client import Caller
-from honeywood.gateway.rpc.connection import Broken, Connection
+from honeywood.gateway.rpc.connection import ExchangeFailed, Connection
 from honeywood.lab.emulator.boot import boot
 from standins.sorting import Machine
 
@@ -94,14 +94,18 @@
         ip = PROXIES[at % len(PROXIES)]
         headers = [(b"host", HOST.encode()), (b"x-try-id", b"%d" % at), (b"x-deadline-ms", b"1000")]
         try:
-            link = await Connection.to(ip, HTTP, 1.0)
+            link = await Connection.open(ip, HTTP, 1.0)
         except OSError as wrong:
             return str(wrong)
         reply = await link.exchange(
             b"GET", b"/parcel/7", headers, b"", asyncio.get_running_loop().time() + 1.0
         )
         link.close()
-        return "broken off" if isinstance(reply, Broken) else f"{reply.status} by {reply.body.decode()[:2]}"
+        return (
+            "broken off"
+            if isinstance(reply, ExchangeFailed)
+            else f"{reply.status} by {reply.body.decode()[:2]}"
+        )
 
     async def client(self):
         """Requests all the time."""
--- a/honeywood/lab/emulator/machines.py
+++ b/honeywood/lab/emulator/machines.py
@@ -6,7 +6,7 @@
 
 import httpcore
 
-from honeywood.gateway.rpc.connection import Broken, Reply
+from honeywood.gateway.rpc.connection import ExchangeFailed, Reply
 
 REFUSES, DARK, LEFT = "refuses", "dark", "left"  # how a machine that has ended is met
 COLD_S, COLD_PACE = 3.0, 2.0  # seconds after its start in which a machine is so many times slower
@@ -91,25 +91,25 @@
     def __init__(self, machines, front, machine, up):
         """`up` is told of each connection that begins (1) or ends (-1)."""
         self.machines, self.front, self.machine, self.up = machines, front, machine, up
-        self.fit, self.idle_at, self.keep, self.broke = True, 0.0, None, None
+        self.reusable, self.idle_since, self.keep_alive_s, self.broke = True, 0.0, None, None
         self.own = None  # a future of the answer behind a surplus one
         machine.links[self] = None
         up(1)
 
     def close(self):
         """Ends the connection; what is under way on it breaks off."""
-        if self.fit or self in self.machine.links:
-            self.fit = False
+        if self.reusable or self in self.machine.links:
+            self.reusable = False
             self.machine.links.pop(self, None)
             self.up(-1)
             if self.broke is not None and not self.broke.done():
                 self.broke.set_result(None)
 
     async def exchange(self, method, target, headers, body, until, expected=None):
-        """Reply or Broken, as over a real connection."""
+        """Reply or ExchangeFailed, as over a real connection."""
         loop = asyncio.get_running_loop()
-        if not self.fit:
-            return Broken("the connection had ended", False)
+        if not self.reusable:
+            return ExchangeFailed("the connection had ended", False)
         self.broke = loop.create_future()
         work = loop.create_task(self.machines.serve(self, dict(headers), target), context=Context())
         return await self._outcome(work, until, expected)
@@ -126,13 +126,13 @@
         left = max(0.0, until - loop.time())
         await asyncio.wait((work, self.broke), timeout=left, return_when="FIRST_COMPLETED")
         if work.done() and work.result() is not None:
-            self.idle_at, reply = loop.time(), work.result()
+            self.idle_since, reply = loop.time(), work.result()
             if expected is not None and reply.fields.get(expected[0], expected[1]) != expected[1]:
-                reply.surplus, self.fit = True, False
+                reply.surplus, self.reusable = True, False
             return reply
         late = not work.done() and not self.broke.done()
         self.close()
-        return Broken("time is up" if late else "reset", True, late)
+        return ExchangeFailed("time is up" if late else "reset", True, late)
 
 
 class Machines:
@@ -169,7 +169,7 @@
         return (front, machine.address) in self.world.cuts
 
     async def connect(self, front, ip, port, within, up):
-        """What ConnectionPool.dial calls: a Connection, or httpcore's ConnectError or ConnectTimeout."""
+        """What ConnectionPool.open calls: a Connection, or httpcore's ConnectError or ConnectTimeout."""
         machine = self.at.get(ip)
         await asyncio.sleep(self.delay(front, machine) * 2 if machine else self.world.delay)
         if machine is None or machine.gone in (REFUSES, LEFT):
@@ -196,7 +196,7 @@
         if not await machine.slot():
             return await self._reply(link, 503, {b"x-not-run": b"1", b"x-try-id": id})
         try:
-            if loop.time() > until or not link.fit:
+            if loop.time() > until or not link.reusable:
                 return await self._reply(link, 503, {b"x-not-run": b"1", b"x-try-id": id})
             failed = self.random.random() < machine.bad
             self.requests.ran(loop.time(), id, machine, link.front, failed)
--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -12,12 +12,13 @@
 from ward import each, test
 
 from honeywood.gateway.configuration.config import Limits
-from honeywood.gateway.proxy import forwarding as carry
+from honeywood.gateway.proxy import responses, sender
+from honeywood.gateway.proxy.forwarding import ANSWER_EARLY_S, ClientRequest
 from honeywood.gateway.proxy.program import Proxy
-from honeywood.gateway.routing import answers
-from honeywood.gateway.routing.answers import PROMISES
-from honeywood.gateway.routing.attempts import Ask
-from honeywood.gateway.rpc import connection as link
+from honeywood.gateway.proxy.sender import LATE_ANSWER_S
+from honeywood.gateway.routing.attempts import PendingRequest
+from honeywood.gateway.routing.outcomes import PROMISES, AttemptOutcome, classify
+from honeywood.gateway.rpc import connection
 from honeywood.gateway.rpc import stream
 from honeywood.gateway.rpc.client import Caller
 from honeywood.gateway.rpc.server import HttpProtocol, HttpServer
@@ -31,7 +32,7 @@
 CALLED = b'HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n{"n":%d}'
 NOBODYS = b"HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n"
 STEP = 0.001  # seconds one way
-TIMEOUT, SPARE = 0.6, carry.SPARE
+TIMEOUT, SPARE = 0.6, ANSWER_EARLY_S
 
 
 def good(id):
@@ -153,10 +154,10 @@
         fields = {b"host": b"h.example", b"x-try-id": id}
         route = proxy.table.find(b"h.example", b"/p0/x")
         began = self.loop.time()
-        given = route, self.method, b"/p0/x", list(fields.items()), fields, b"body"
-        answer = await proxy.forwarder.carry(*given)
+        request = ClientRequest(self.method, b"/p0/x", list(fields.items()), fields, b"body")
+        answer = await proxy.forwarder.forward(route, request)
         self.answers[id] = answer.status, answer.body, self.loop.time() - began
-        at_work = sum(one.open - one.dialling for one in proxy.endpoints.machines.values())
+        at_work = sum(one.in_flight - one.connecting for one in proxy.endpoints.by_id.values())
         if answer.status in PROMISES and at_work:  # one that is still being dialled gets nothing any more
             self.still_out.append(id)
         return answer.status
@@ -193,10 +194,10 @@
                 found.append(f"{id} was refused with a machine at work")
             if took > max(TIMEOUT, self.still + 3 * STEP) + 0.001:
                 found.append(f"{id} was held for {took}")
-        for held in self.proxy.endpoints.machines.values():
-            kept = sum(one.fit for one in held.links)
-            if held.open or held.dialling or held.up != kept:
-                found.append(f"{held.id}: {held.open} open, {held.up} connections, {kept} kept")
+        for held in self.proxy.endpoints.by_id.values():
+            kept = sum(one.reusable for one in held.idle_connections)
+            if held.in_flight or held.connecting or held.connected != kept:
+                found.append(f"{held.id}: {held.in_flight} open, {held.connected} connections, {kept} kept")
         return found
 
 
@@ -281,7 +282,7 @@
                 loop.call_at(TIMEOUT - SPARE + late / 1000 + 0.02, line.say, whole[n:])
 
             yield CallScenario(kind, script), (b"a1", b"a2")
-        for still in (0.3, TIMEOUT - carry.SPARE, TIMEOUT, TIMEOUT + carry.AFTER, 2.0):
+        for still in (0.3, TIMEOUT - SPARE, TIMEOUT, TIMEOUT + LATE_ANSWER_S, 2.0):
 
             def frozen(line, id, n=n, still=still):
                 line.loop.now += still  # then what came is heard, and all timers are due
@@ -383,25 +384,26 @@
 
 def lax(status, fields, id):
     refused = b"x-not-run" in fields or status == 421
-    return "not run" if refused else answers.meaning(status, fields, id)
+    return AttemptOutcome.NOT_RUN if refused else classify(status, fields, id)
 
 
 def anyones(status, fields, id):
-    return answers.meaning(status, {**fields, b"x-try-id": id}, id)
+    return classify(status, {**fields, b"x-try-id": id}, id)
 
 
+FAILED = connection.ExchangeFailed
 GUARDS = {  # each guard taken away: (what stands in its place, the family that shows it)
-    "whose refusal it is": ((carry, "meaning", lax), "strays"),
-    "whose answer it is": ((carry, "meaning", anyones), "strays"),
-    "what may have run": ((Ask, "may_have_run", property(lambda ask: False)), "requests cut"),
+    "whose refusal it is": ((sender, "classify", lax), "strays"),
+    "whose answer it is": ((sender, "classify", anyones), "strays"),
+    "what may have run": ((PendingRequest, "may_have_run", property(lambda request: False)), "requests cut"),
     "what has left": (
-        (link, "Broken", lambda why, sent, late=False, kind=link.Broken: kind(why, False, late)),
+        (connection, "ExchangeFailed", lambda why, sent, late=False, kind=FAILED: kind(why, False, late)),
         "requests cut",
     ),
-    "where it ends": ((link, "framed", lambda *given: True), "endless answers"),
-    "who may promise": ((carry, "may_pass", lambda status: True), "silent promises cut"),
+    "where it ends": ((connection, "is_framed", lambda *given: True), "endless answers"),
+    "who may promise": ((responses, "may_relay", lambda status: True), "silent promises cut"),
     "what came at rest": (
-        (stream.Stream, "fit", property(lambda line: not (line.eof or line.lost))),
+        (stream.Stream, "usable", property(lambda line: not (line.eof or line.error))),
         "strays at rest",
     ),
 }
@@ -465,7 +467,7 @@
         other.send(b"x") if what == "bytes" else other.shutdown(socket.SHUT_WR) if what == "the end" else None
 
         async def work():
-            line.begin()
+            line.begin_exchange()
             await line.write(b"GET")
             task = loop.create_task(line.read(1))
             await asyncio.sleep(STEP)
@@ -473,7 +475,7 @@
             await asyncio.gather(task, return_exceptions=True)
 
         loop.run_until_complete(work())
-        assert line.flushed == leaves
+        assert line.sent == leaves
     loop.close()
 
 
@@ -512,7 +514,7 @@
 
         self.loop.run_until_complete(work())
         self.loop.close()
-        kept = sum(one.fit for ones in self.caller.links.values() for one in ones)
+        kept = sum(one.reusable for ones in self.caller.idle.values() for one in ones)
         wrong = [n for n, reply in told.items() if getattr(reply, "ok", False) and reply.value != {"n": n}]
         wrong += [] if told[3].ok else ["the next got no answer"]
         wrong += [] if again else [f"{n} twice" for n, came in self.came.items() if came > 1]
--- a/tests/gateway/test_emulator.py
+++ b/tests/gateway/test_emulator.py
@@ -14,17 +14,17 @@
 from honeywood.gateway.controller.app import App
 from honeywood.gateway.dissemination.record import Record
 from honeywood.gateway.dissemination.store import Store
-from honeywood.gateway.proxy import forwarding as carry
-from honeywood.gateway.proxy import program
+from honeywood.gateway.proxy import program, sender
 from honeywood.gateway.proxy.forwarding import Forwarder
 from honeywood.gateway.proxy.program import Proxy
+from honeywood.gateway.proxy.responses import own_response
 from honeywood.gateway.register import membership as members
 from honeywood.gateway.register.replica import Register
 from honeywood.gateway.rollout import record
 from honeywood.gateway.rollout.stage import Stage
-from honeywood.gateway.routing import answers
-from honeywood.gateway.routing.attempts import AttemptGate
-from honeywood.gateway.routing.budget import Budget
+from honeywood.gateway.routing.attempts import AttemptPolicy
+from honeywood.gateway.routing.budget import RetryBudget
+from honeywood.gateway.routing.outcomes import AttemptOutcome
 from honeywood.lab.emulator import hunt
 from honeywood.lab.emulator.day import Day, draw, play
 from honeywood.lab.emulator.faults import Fault
@@ -88,19 +88,18 @@
     return Fault(kind, at_s, for_s, target, variant)
 
 
-def barless(name):
-    """The gate without one of its bars."""
-    bar = AttemptGate.bar
+def unrefused(name):
+    """The attempt policy without one of its refusals."""
 
-    def without(self, now, ask, machine, connected=False):
-        found = bar(self, now, ask, machine, connected)
-        return None if found == name else found
+    def without(method):
+        kept = AttemptPolicy.__dict__[method]
+        return lambda *given: None if kept(*given) == name else kept(*given)
 
-    return [(AttemptGate, "bar", without)]
+    return [(AttemptPolicy, method, without(method)) for method in ("request_refusal", "endpoint_refusal")]
 
 
 def any_answer(status, fields, try_id):
-    return answers.GOOD if 200 <= status < 300 else answers.FAILED
+    return AttemptOutcome.SUCCESS if 200 <= status < 300 else AttemptOutcome.FAILURE
 
 
 def unexpecting(self, *given, expected=None, exchange=Connection.exchange):
@@ -181,7 +180,7 @@
 
 
 def promise(self, ask, best):
-    return carry.ours(503, "no machine free", 0.1)
+    return own_response(503, "no machine free", 0.1)
 
 
 POOR = {"per_s": 120.0, "bounds": (("retry_slack", 2), ("retry_ratio", 0.02))}
@@ -195,13 +194,13 @@
         *("kept", "kept", "reads", "drain", "acks", "ready"),
     ),
     patch=each(
-        lambda: barless("may have run"),
-        lambda: [(Forwarder, "_given_up", promise)],
-        lambda: [(carry, "meaning", any_answer), (Connection, "exchange", unexpecting)],
-        lambda: barless("state"),
-        lambda: [(program, "SURE", 3.0), (Proxy, "listen", idle)],
+        lambda: unrefused("may have run"),
+        lambda: [(Forwarder, "_give_up", promise)],
+        lambda: [(sender, "classify", any_answer), (Connection, "exchange", unexpecting)],
+        lambda: unrefused("state"),
+        lambda: [(program, "POLL_S", 3.0), (Proxy, "listen", idle)],
         lambda: [(Store, "put", last_wins), (Store, "since", all_again)],
-        lambda: [(Budget, "allows", lambda self, now, fronts: True)],
+        lambda: [(RetryBudget, "allows", lambda self, now, fronts: True)],
         lambda: [(Stage, "room", lambda self, now, ask: True)],
         lambda: [(Register, "_keep", unwritten)],
         lambda: [(App, "replace", by_number)],
@@ -214,7 +213,7 @@
         lambda: [(Register, "_keep", unwritten)],
         lambda: [(Register, "_keep", unwritten)],
         lambda: [(Register, "_keep", without_rollouts)],
-        lambda: barless("state"),
+        lambda: unrefused("state"),
         lambda: [(members, "majority", lambda here: len(here["members"]))],
         lambda: [(Proxy, "listen", gives_up), (Proxy, "make_sure", idle)],
     ),
--- a/tests/gateway/test_epochs.py
+++ b/tests/gateway/test_epochs.py
@@ -334,6 +334,6 @@
         front.put("machine/m", [1, 0], machine("m"))
         world.run(4.0)
         assert world.state("c", "m") == world.state("f", "m") == "gone"
-        assert world.nodes["f"].endpoints.machines == {}
+        assert world.nodes["f"].endpoints.by_id == {}
     finally:
         world.close()
--- a/tests/gateway/test_history.py
+++ b/tests/gateway/test_history.py
@@ -114,7 +114,7 @@
             world.run(float(second))
             world.say("a", "beat n ready")
         assert world.state("f", "m") == "silent" and world.state("f", "n") == "ready"
-        assert set(world.nodes["f"].endpoints.machines) == {"n"}
+        assert set(world.nodes["f"].endpoints.by_id) == {"n"}
     finally:
         world.close()
 
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -9,7 +9,10 @@
 from honeywood.gateway.rollout import record
 from honeywood.gateway.rollout.stage import Stage
 from honeywood.gateway.rollout.verdict import Verdict, Voter
-from honeywood.gateway.routing.attempts import Ask
+from honeywood.gateway.routing.attempts import PendingRequest
+from honeywood.gateway.routing.outcomes import AttemptOutcome
+
+SUCCESS, FAILURE = AttemptOutcome.SUCCESS, AttemptOutcome.FAILURE
 
 
 class Fleet:
@@ -27,7 +30,7 @@
         for _ in range(fronts):
             endpoints = Endpoints()
             for id, ver in (("m", "v1"), *((f"n{n}", "v2") for n in range(8))):
-                endpoints.hear(-5.0, id, machine(id, ver, slots=6))
+                endpoints.update(-5.0, id, machine(id, ver, slots=6))
             self.fronts.append((endpoints, Stage(endpoints, 0.1, lambda: fronts)))
         self.record = record.start(None, "s", "v2", 14.0, 0.0)
         for _, stage in self.fronts:
@@ -40,18 +43,18 @@
         """One request at one front."""
         endpoints, stage = self.draw.choice(self.fronts)
         route = self.draw.choice(self.routes)
-        ask = Ask(route, "s", b"i", now, now + 0.6)
+        ask = PendingRequest(route, "s", b"i", now, now + 0.6)
         stage.taking(ask)
         self.total += 1
         machine = next(
             m
-            for group in stage.groups(now, ask, endpoints.services["s"])
+            for group in stage.groups(now, ask, endpoints.by_service["s"])
             for m in group
             if stage.allows(now, ask, m)
         )
         stage.sent(now, ask, machine)
         failed, took = self.draw.random() < 0.003, 0.06 * self.draw.lognormvariate(0, 0.5)
-        if machine.ver == "v2":
+        if machine.version == "v2":
             took *= self.paces[int(machine.id[1:]) % len(self.paces)]
             load = self.loads.setdefault(machine.id, [])
             load[:] = [end for end in load if end > now]
@@ -65,7 +68,7 @@
             took *= self.draw.choice(self.paces)
         if took > 0.6:
             failed, took = True, 0.6
-        stage.ended(now, ask, machine, "failed" if failed else "good", took)
+        stage.ended(now, ask, machine, FAILURE if failed else SUCCESS, took)
 
     def run(self, until=14.0):
         verdict, now, told, heard = Verdict(1), 0.0, [], []
@@ -178,9 +181,9 @@
         fleet = Fleet(good, 0)
         endpoints, stage = fleet.fronts[0]
         stage.hear({**fleet.record, "stage": stage_now, "n": 2})
-        ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
+        ask = PendingRequest(fleet.routes[0], "s", b"i", 0.0, 9.0)
         for id in ("m", "n0"):
-            stage.ended(0.0, ask, endpoints.machines[id], "good", 0.3)
+            stage.ended(0.0, ask, endpoints.by_id[id], SUCCESS, 0.3)
         return [list(count.bins) for count in stage.counts.values()]
 
     on_trial, full = bins(record.TRIAL), bins(record.FULL)
@@ -236,9 +239,9 @@
     for full in (fleet.record, record.advance(fleet.record, "v2", 1, stage=record.FULL)):
         stage.hear(full)
     for n in range(60):
-        ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
-        machine = stage.endpoints.machines["m" if n < 30 else "n1"]
-        stage.ended(1.0, ask, machine, "good" if n < 30 else "failed", 0.05)
+        ask = PendingRequest(fleet.routes[0], "s", b"i", 0.0, 9.0)
+        machine = stage.endpoints.by_id["m" if n < 30 else "n1"]
+        stage.ended(1.0, ask, machine, SUCCESS if n < 30 else FAILURE, 0.05)
     told = stage.told(2.0)
     assert told["left"]["s"] == [2, 1] and told["votes"]["s"] == [2, None]
     assert stage.standing("s", "v1") == "established" and stage.standing("s", "v2") == "trial"
@@ -250,15 +253,15 @@
     endpoints, stage = fleet.fronts[0]
     stage.hear(fleet.record)
     stage.heard_at = 0.0
-    ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
+    ask = PendingRequest(fleet.routes[0], "s", b"i", 0.0, 9.0)
     for _ in range(20):
         stage.taking(ask)
     assert stage.allows(
-        0.1, ask, next(m for m in stage.few("s", [m for m in endpoints.machines.values() if m.ver == "v2"]))
+        0.1, ask, next(m for m in stage.few("s", [m for m in endpoints.by_id.values() if m.version == "v2"]))
     ) and not stage.allows(
-        9.0, ask, next(m for m in stage.few("s", [m for m in endpoints.machines.values() if m.ver == "v2"]))
+        9.0, ask, next(m for m in stage.few("s", [m for m in endpoints.by_id.values() if m.version == "v2"]))
     )
-    assert stage.allows(9.0, ask, endpoints.machines["m"])
+    assert stage.allows(9.0, ask, endpoints.by_id["m"])
 
 
 @test("a machine on trial that is young gets nothing: what isn't counted would only spend the cap")
@@ -266,10 +269,10 @@
     fleet = Fleet(good, 0)
     endpoints, stage = fleet.fronts[0]
     stage.hear(fleet.record)
-    ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
+    ask = PendingRequest(fleet.routes[0], "s", b"i", 0.0, 9.0)
     for now, versions in ((-3.0, {"v1"}), (-1.0, {"v1", "v2"})):
-        groups = stage.groups(now, ask, endpoints.services["s"])
-        assert {m.ver for group in groups for m in group} == versions
+        groups = stage.groups(now, ask, endpoints.by_service["s"])
+        assert {m.version for group in groups for m in group} == versions
 
 
 @test("attempts that could not be made are not saved up")
@@ -279,12 +282,12 @@
     fleet = Fleet(good, 0)
     for _ in range(2000):
         endpoints, stage = fleet.draw.choice(fleet.fronts)
-        stage.taking(Ask(fleet.routes[0], "s", b"i", 0.0, 9.0))
+        stage.taking(PendingRequest(fleet.routes[0], "s", b"i", 0.0, 9.0))
     for _ in range(24):
         for endpoints, stage in fleet.fronts:
-            ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
-            machine = stage.groups(0.0, ask, endpoints.services["s"])[0][0]
-            fleet.trial += machine.ver == "v2"
+            ask = PendingRequest(fleet.routes[0], "s", b"i", 0.0, 9.0)
+            machine = stage.groups(0.0, ask, endpoints.by_service["s"])[0][0]
+            fleet.trial += machine.version == "v2"
             stage.sent(0.0, ask, machine)
     assert 0 < fleet.trial <= 12
 
@@ -465,8 +468,8 @@
     fleet = Fleet(good, 0)
     _, stage = fleet.fronts[0]
     for n in range(60):
-        ask, id = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0), "m" if n < 30 else "n1"
-        stage.ended(1.0, ask, stage.endpoints.machines[id], "good" if n < 30 else "failed", 0.05)
+        ask, id = PendingRequest(fleet.routes[0], "s", b"i", 0.0, 9.0), "m" if n < 30 else "n1"
+        stage.ended(1.0, ask, stage.endpoints.by_id[id], SUCCESS if n < 30 else FAILURE, 0.05)
     assert stage.told(2.0)["rows"]
     sent_back = record.advance(fleet.record, "v2", 1, 3.0, state=record.REVERTED)
     again = record.start(sent_back, "s", "v2", 14.0, 20.0)
@@ -500,9 +503,9 @@
     fleet = Fleet(good, 0)
     endpoints, stage = fleet.fronts[0]
     stage.hear(played((0, V2), (3, "reverted"), (1, V3)))
-    endpoints.hear(0.0, "o", machine("o", "v3"))
+    endpoints.update(0.0, "o", machine("o", "v3"))
     assert [stage.standing("s", ver) for ver in ("v1", "v2", "v3")] == ["established", "closed", "trial"]
-    endpoints.hear(0.0, "m", {**machine("m", "v1"), "state": "gone"})
+    endpoints.update(0.0, "m", {**machine("m", "v1"), "state": "gone"})
     assert stage.standing("s", "v2") == "established"
     stage.hear(played((0, V2), (3, "reverted"), (1, V3), (9, "done"), (1, V2)))
     assert stage.standing("s", "v2") == "trial"
--- a/tests/gateway/test_sockets.py
+++ b/tests/gateway/test_sockets.py
@@ -284,9 +284,9 @@
     async def work():
         async with Scene([ok], kind="unsafe") as scene:
             assert status(await scene.post(b"a")) == 200
-            link = scene.proxy.endpoints.machines["i-0"].links[0]
+            kept = scene.proxy.endpoints.by_id["i-0"].idle_connections[0]
             scene.machines[0].script = [close]
-            link.stream.eof_received()  # its end has come
+            kept.stream.eof_received()  # its end has come
             scene.machines[0].script = [ok]
             assert status(await scene.post(b"b")) == 200 and scene.machines[0].accepted == 2
 
@@ -297,14 +297,14 @@
 def _():
     async def work():
         async with Scene([ok]) as scene:
-            dial = scene.proxy.links.dial
+            opened = scene.proxy.pool.open
 
             async def late(machine, until):
-                link = await dial(machine, until)
+                connection = await opened(machine, until)
                 scene.note(0, "draining")
-                return link
+                return connection
 
-            scene.proxy.links.dial = late
+            scene.proxy.pool.open = late
             found = await scene.get()
             assert status(found) == 503 and b"retry-after" in found and scene.machines[0].seen == []
 
