--- a/honeywood/lab/emulator/day.py
+++ b/honeywood/lab/emulator/day.py
@@ -154,7 +154,7 @@
             program = self.nodes.get(name)
             self.monitor.proxies.answers_ready(now, name, program is not None and program.ready)
             if program is not None:
-                ready = {one.id for one in program.endpoints.machines.values() if one.state == READY}
+                ready = {one.id for one in program.endpoints.by_id.values() if one.state == READY}
                 self.monitor.proxies.knows(now, name, ready)
                 held = program.table.version if program.table else None
                 self.monitor.proxies.holds(now, name, self.lives[name], held)
