--- a/honeywood/gateway/proxy/program.py
+++ b/honeywood/gateway/proxy/program.py
@@ -66,7 +66,7 @@
         self.history, self.doubted_at = History(store), None
         self.counts = CountRecords(self.stage, self.clock, s.node, self.life, store)
         self.subscriber = Subscriber(self.publisher, self.caller, self.who, backoff)
-        self.sure = Subscriber(self.publisher, self.caller, self.who, backoff, self.counts.records_for)
+        self.poller = Subscriber(self.publisher, self.caller, self.who, backoff, self.counts.records_for)
         self.controllers, self.relays = [ip for ip, _ in s.seeds], []
         self.turn, self.met_majority = 0, False
 
@@ -84,7 +84,7 @@
         for ip in {key.partition("/")[2] for key in keys} - seeds:
             self.controllers = [one for one in self.controllers if one != ip]
             self.counts.forget(ip)
-            for subscriber in (self.subscriber, self.sure):
+            for subscriber in (self.subscriber, self.poller):
                 subscriber.forget(ip)
 
     def start(self, work):
@@ -153,33 +153,45 @@
                 return await asyncio.sleep(min(HOLD, reply.value.later_s or 0.0))
         await asyncio.sleep(FIRST)
 
-    async def make_sure(self):
+    async def poll(self):
         """Asks one controller after the other, of those that hear a majority, for what was missed, and tells
-        it this front's counts: whoever is cut off from the others is not the only one asked for long."""
+        it this proxy's counts: whoever is cut off from the others is not the only one asked for long."""
         self.turn += 1
         ring = order(self.controllers, self.settings.node)
-        ring = ring[self.turn % len(ring) :] + ring[: self.turn % len(ring)]
-        for ip in self.sure.backoff.fit(ring, self.clock()):
-            for _ in range(ASKS_IN_A_ROW):
-                asked = self.clock()  # an answer may have lain here unread while this process was frozen
-                reply = await self.sure.ask(ip, self.settings.controller_port, 0.0)
-                if reply.ok and reply.value.fleet is not None:
-                    count, self.relays = reply.value.fleet
-                    self.counts.held_by(ip, reply.value.counted or 0)
-                    self.fleet.report(ip, count)
-                if not (reply.ok and reply.value.more):
-                    break
-            if reply.ok and reply.value.in_quorum:
-                if reply.value.whole:  # else what ends a stage may be among what was not told
-                    if self.met_majority and asked - self.stage.heard_at > CUT:
-                        self.doubt()
-                    self.stage.heard_at = asked
-                self.met_majority = True
-                return await asyncio.sleep(self.sure_pause())
+        start = self.turn % len(ring)
+        for ip in self.poller.backoff.fit(ring[start:] + ring[:start], self.clock()):
+            asked_at, answer = await self.ask_controller(ip)
+            if answer is not None and answer.in_quorum:
+                self.met_quorum(asked_at, answer)
+                return await asyncio.sleep(self.poll_pause())
         self.say("no controller answers", SAY_AGAIN_S)
         await asyncio.sleep(FIRST)
 
-    def sure_pause(self):
+    async def ask_controller(self, ip):
+        """(when it was asked last, its last Answer or None): again while it has more to tell."""
+        for _ in range(ASKS_IN_A_ROW):
+            asked_at = self.clock()  # an answer may have lain here unread while this process was frozen
+            reply = await self.poller.ask(ip, self.settings.controller_port, 0.0)
+            if not reply.ok:
+                return asked_at, None
+            answer = reply.value
+            if answer.fleet is not None:
+                count, self.relays = answer.fleet
+                self.counts.held_by(ip, answer.counted or 0)
+                self.fleet.report(ip, count)
+            if not answer.more:
+                break
+        return asked_at, answer
+
+    def met_quorum(self, asked_at, answer):
+        """A controller that hears a majority has answered."""
+        if answer.whole:  # else what ends a stage may be among what was not told
+            if self.met_majority and asked_at - self.stage.heard_at > CUT:
+                self.doubt()
+            self.stage.heard_at = asked_at
+        self.met_majority = True
+
+    def poll_pause(self):
         """Seconds until the next ask: longer where many fronts ask few controllers."""
         pause_s = TRIAL_POLL_S if self.stage.active else POLL_S
         crowd = self.fronts() / (POLLS_PER_S * len(self.controllers)) / POLL_S
@@ -202,7 +214,7 @@
         anew, and takes for lost whichever machine nobody tells of."""
         self.publisher.store.doubt("machine/")
         self.subscriber.known.clear()
-        self.sure.known.clear()
+        self.poller.known.clear()
         self.doubted_at = self.clock()
 
     async def tidy(self):
@@ -247,6 +259,6 @@
     def begin(self):
         """Starts the loops."""
         self.loop(self.listen, LISTEN_PAUSE_S)
-        self.loop(self.make_sure, POLL_PAUSE_S)
+        self.loop(self.poll, POLL_PAUSE_S)
         self.loop(self.tidy, TIDY_S)
         self.loop(self.count, COUNTS)
--- a/tests/gateway/test_dissemination_links.py
+++ b/tests/gateway/test_dissemination_links.py
@@ -250,8 +250,8 @@
         world.run(6.0)
         held = {name: world.nodes[name].store.get(f"count/f/{front.life}") for name in "abc"}
         assert all(note and note["rows"][0][4] == 9 for note in held.values()), held
-        own, asked = front.sure.records_for, []
-        front.sure.records_for = lambda ip: asked.append(own(ip)) or asked[-1]
+        own, asked = front.poller.records_for, []
+        front.poller.records_for = lambda ip: asked.append(own(ip)) or asked[-1]
         world.run(9.0)
         assert asked and not any(asked), "what hasn't changed is told again"
     finally:
--- a/tests/gateway/test_emulator.py
+++ b/tests/gateway/test_emulator.py
@@ -226,7 +226,7 @@
         lambda: [(Storage, "keep", without_rollouts)],
         lambda: unrefused("state"),
         lambda: [(members, "majority", lambda here: len(here["members"]))],
-        lambda: [(Proxy, "listen", gives_up), (Proxy, "make_sure", idle)],
+        lambda: [(Proxy, "listen", gives_up), (Proxy, "poll", idle)],
         lambda: [(App, "leave", unheeded), (machines, "beat", always_ready)],
     ),
     faults=each(
--- a/tests/gateway/test_epochs.py
+++ b/tests/gateway/test_epochs.py
@@ -327,7 +327,7 @@
         world.kill("d")
         world.run(40.0)
         assert asked() == ({"abc"}, {2})
-        assert "d" not in world.nodes["a"].others and "d" not in world.nodes["f"].sure.backoff.failed
+        assert "d" not in world.nodes["a"].others and "d" not in world.nodes["f"].poller.backoff.failed
         world.kill("b")  # a seed and a member
         world.run(80.0)
         assert world.nodes["f"].controllers.count("b") == world.nodes["a"].controllers.count("b") == 1
--- a/tests/gateway/test_orders.py
+++ b/tests/gateway/test_orders.py
@@ -469,11 +469,11 @@
             world.loop.now += 20.0  # all stand still while the answer lies there
             return Done(Answer("", 0, in_quorum=True))
 
-        controller.subscriber.ask = front.sure.ask = old
+        controller.subscriber.ask = front.poller.ask = old
         world.loop.run_until_complete(controller.listen("b"))
         assert not controller.joined
         now = world.loop.now
-        world.loop.run_until_complete(front.make_sure())
+        world.loop.run_until_complete(front.poll())
         assert front.stage.heard_at == now
     finally:
         world.close()
