--- a/honeywood/gateway/proxy/program.py
+++ b/honeywood/gateway/proxy/program.py
@@ -16,6 +16,7 @@
 from honeywood.gateway.proxy.count_records import CountRecords
 from honeywood.gateway.proxy.fleet import FleetSize
 from honeywood.gateway.proxy.forwarding import Forwarder
+from honeywood.gateway.proxy.polling import poll_pause
 from honeywood.gateway.rollout.stage import Stage
 from honeywood.gateway.routing.attempts import AttemptPolicy
 from honeywood.gateway.routing.budget import RetryBudget
@@ -24,10 +25,6 @@
 from honeywood.gateway.rpc.connection import Connection
 from honeywood.gateway.rpc.server import HttpServer
 
-POLL_S, TRIAL_POLL_S = 0.4, 0.2  # between asks of controllers; while a version is on trial
-POLLS_PER_S = 40  # at one controller; where there are more proxies they ask less often,
-POLL_SPREAD = 2.0  # but not more than so many times less
-JITTER = 0.1  # of a pause between asks, by chance more or less
 BACKOFF_MOST_S = 1.0  # for which one that doesn't answer isn't asked
 ASKS_IN_A_ROW = 8  # of one controller while it has more to tell
 DOUBT_S = 10.0  # in which controllers have told again all that they know
@@ -51,16 +48,8 @@
         self.stage = Stage(self.endpoints, s.bounds["canary_share"], s.bounds["canary_slack"], self.fronts)
         self.pool, self.tasks = ConnectionPool(self.clock, connect), set()
         self.policy = AttemptPolicy(self.budget_of, self.fronts, self.stage, self.endpoints.max_connections)
-        self.forwarder = Forwarder(
-            self.clock,
-            self.random,
-            s.zone,
-            self.endpoints,
-            self.policy,
-            self.stage,
-            self.pool,
-            self.budget_of,
-        )
+        parts = self.endpoints, self.policy, self.stage, self.pool, self.budget_of
+        self.forwarder = Forwarder(self.clock, self.random, s.zone, *parts)
         self.publisher = Publisher(self.store_incarnation(), self.hear, rate=s.link)
         store, backoff = self.publisher.store, Backoff(self.random, BACKOFF_MOST_S)
         self.history, self.doubted_at = History(store), None
@@ -163,7 +152,10 @@
             asked_at, answer = await self.ask_controller(ip)
             if answer is not None and answer.in_quorum:
                 self.met_quorum(asked_at, answer)
-                return await asyncio.sleep(self.poll_pause())
+                pause_s = poll_pause(
+                    self.stage.active, self.fronts(), len(self.controllers), self.random.random()
+                )
+                return await asyncio.sleep(pause_s)
         self.say("no controller answers", SAY_AGAIN_S)
         await asyncio.sleep(FIRST)
 
@@ -191,12 +183,6 @@
             self.stage.heard_at = asked_at
         self.met_majority = True
 
-    def poll_pause(self):
-        """Seconds until the next ask: longer where many fronts ask few controllers."""
-        pause_s = TRIAL_POLL_S if self.stage.active else POLL_S
-        crowd = self.fronts() / (POLLS_PER_S * len(self.controllers)) / POLL_S
-        return pause_s * min(POLL_SPREAD, max(1.0, crowd)) * (1 - JITTER + 2 * JITTER * self.random.random())
-
     @property
     def ready(self):
         """Whether it calls itself ready for clients."""
--- a/tests/gateway/test_emulator.py
+++ b/tests/gateway/test_emulator.py
@@ -15,7 +15,7 @@
 from honeywood.gateway.controller.app import App
 from honeywood.gateway.dissemination.record import Record
 from honeywood.gateway.dissemination.store import Store
-from honeywood.gateway.proxy import program, sender
+from honeywood.gateway.proxy import polling, sender
 from honeywood.gateway.proxy.forwarding import Forwarder
 from honeywood.gateway.proxy.program import Proxy
 from honeywood.gateway.proxy.responses import own_response
@@ -209,7 +209,7 @@
         lambda: [(Forwarder, "_give_up", promise)],
         lambda: [(sender, "classify", any_answer), (Connection, "exchange", unexpecting)],
         lambda: unrefused("state"),
-        lambda: [(program, "POLL_S", 3.0), (Proxy, "listen", idle)],
+        lambda: [(polling, "POLL_S", 3.0), (Proxy, "listen", idle)],
         lambda: [(Store, "put", last_wins), (Store, "since", all_again)],
         lambda: [(RetryBudget, "allows", lambda self, now, fronts: True)],
         lambda: [(Stage, "room", lambda self, now, ask: True)],
