--- a/honeywood/gateway/proxy/count_records.py
+++ b/honeywood/gateway/proxy/count_records.py
@@ -1,6 +1,7 @@
 """This proxy's counts of versions on trial, as records for the controllers."""
 
 from honeywood.gateway.dissemination.record import Record
+from honeywood.gateway.rollout import report
 
 KNOWN_STEP_S = 0.5  # after which a proxy tells anew for how long it has known of a trial
 
@@ -17,7 +18,7 @@
 
     def records_for(self, controller):
         """The record that a controller lacks, in a list; none where it has the newest."""
-        told = self.stage.told(self.clock())
+        told = report.encode(self.stage.report(self.clock()))
         known = {svc: [n, int(seconds / KNOWN_STEP_S)] for svc, (n, seconds) in told["known"].items()}
         now, epoch = {**told, "known": known}, self.store.epoch
         if now != self.last or self.number and epoch != self.epoch:
--- a/honeywood/gateway/proxy/program.py
+++ b/honeywood/gateway/proxy/program.py
@@ -17,6 +17,7 @@
 from honeywood.gateway.proxy.fleet import FleetSize
 from honeywood.gateway.proxy.forwarding import Forwarder
 from honeywood.gateway.proxy.polling import poll_pause
+from honeywood.gateway.rollout import record
 from honeywood.gateway.rollout.stage import Stage
 from honeywood.gateway.routing.attempts import AttemptPolicy
 from honeywood.gateway.routing.budget import RetryBudget
@@ -110,7 +111,7 @@
         elif kind == "machine":
             self.hear_endpoint(name, value)
         elif kind == "rollout":
-            self.stage.hear(self.clock(), value)
+            self.stage.hear(self.clock(), record.decode(value))
         elif kind == "bourse":
             self.found([name])
 
--- a/tests/gateway/test_emulator.py
+++ b/tests/gateway/test_emulator.py
@@ -26,6 +26,7 @@
 from honeywood.gateway.routing.attempts import AttemptPolicy
 from honeywood.gateway.routing.budget import RetryBudget
 from honeywood.gateway.routing.outcomes import AttemptOutcome
+from honeywood.gateway.routing.routes import RouteTable
 from honeywood.lab.emulator import hunt
 from honeywood.lab.emulator.day import Day, draw, play
 from honeywood.lab.emulator.faults import Fault
@@ -52,6 +53,15 @@
         assert not told.breaches, f"seed {seed}, {variant}: {told.breaches}"
 
 
+@test("no loop of a program fails while all start within 0.3 s in any order")
+def _():
+    # Found by the emulator: a disk that entered the first epoch while it waited for its lock was to move on
+    # from there, to a next epoch that there is not (TypeError, hidden by the loop that tried again).
+    for seed in (2, 300015, 310063):
+        told = play(Day(seed, seconds=3.0))
+        assert not told.breaches, f"seed {seed}: {told.breaches}"
+
+
 AGAIN = """
 import sys
 kept = [bytearray(n % 999) for n in range(int(sys.argv[1]))]
@@ -173,7 +183,7 @@
 
 def forgetful(held, *order, start=record.start):
     """Orders before the one that is held are forgotten."""
-    return start({**held, "past": ()} if held else held, *order)
+    return start(replace(held, earlier=()) if held else held, *order)
 
 
 async def unlooked(self, of, body, peer):
@@ -190,6 +200,12 @@
     return beat(id, {**body, "state": "ready"}, peer)
 
 
+def three_routes(self, config, init=RouteTable.__init__):
+    """Routes beyond the first three of a configuration are forgotten."""
+    init(self, config)
+    self.hosts = {host: dict([*routes.items()][:3]) for host, routes in self.hosts.items()}
+
+
 def promise(self, ask, best):
     return own_response(503, "no machine free", 0.1)
 
@@ -202,7 +218,7 @@
     rule=each(
         *("once", "promise", "own", "drain", "apply", "back", "budget", "exposure", "kept"),
         *("number", "refused", "reads", "reads", "acks", "raised", "reads"),
-        *("kept", "kept", "reads", "drain", "acks", "ready", "left"),
+        *("kept", "kept", "reads", "drain", "acks", "ready", "left", "routes"),
     ),
     patch=each(
         lambda: unrefused("may have run"),
@@ -228,6 +244,7 @@
         lambda: [(members, "majority", lambda here: len(here["members"]))],
         lambda: [(Proxy, "listen", gives_up), (Proxy, "poll", idle)],
         lambda: [(App, "leave", unheeded), (machines, "beat", always_ready)],
+        lambda: [(RouteTable, "__init__", three_routes)],
     ),
     faults=each(
         (fault("answers_lost", variant=1.0),),
@@ -253,8 +270,9 @@
         (fault("disk_refuses", 1.0), fault("configure", 1.5)),
         (),
         (fault("drain", 1.0, target=0.1), fault("drain", 1.5, target=0.9), fault("drain", 2.0)),
+        (fault("configure", 1.0),),
     ),
-    shape=each(*[{}] * 6, POOR, {"per_s": 150.0}, *[{}] * 15),
+    shape=each(*[{}] * 6, POOR, {"per_s": 150.0}, *[{}] * 16),
 ):
     patches = [(place, name, place.__dict__[name], without) for place, name, without in patch()]
     for place, name, _, without in patches:
