--- a/honeywood/gateway/controller/rollouts.py
+++ b/honeywood/gateway/controller/rollout_loop.py
@@ -1,31 +1,44 @@
 """Steering of rollouts at one controller: what proxies tell of them, and the next step by a round."""
 
 import asyncio
+from dataclasses import dataclass
 
 from honeywood.gateway.dissemination.rendezvous import order
 from honeywood.gateway.rollout import record, report
 from honeywood.gateway.rollout.verdict import Verdict
 
 ROLLOUT, COUNT = "rollout/", "count/"  # keys of the register, and of what proxies tell
-SPREAD = 0.15  # seconds by which controllers act after each other
-LATE = 0.5  # seconds beyond a controller's turn after which what it decided before is looked at again
+TURN_S = 0.15  # seconds by which controllers act after each other
+LATE_S = 0.5  # seconds beyond a controller's turn after which what it decided before it is decided anew
 
 
-class Rollouts:
-    """The rollouts that one controller knows of; a part of it."""
+@dataclass(frozen=True, slots=True)
+class Known:
+    """Which revision of a rollout's record is known here, and since when."""
 
-    def __init__(self, controller):
-        self.controller, self.clock, self.store = controller, controller.clock, controller.store
-        self.verdicts, self.known_at = {}, {}
+    revision: int = 0
+    since: float = 0.0
 
-    def hear(self, service, value):
-        """A record has come to the store."""
-        self.known_at[service] = value["n"], self.clock()
+
+class RolloutLoop:
+    """The rollouts that one controller knows of. `publish(key, value)` tells all of what a majority's disks
+    hold."""
+
+    def __init__(self, local_ip, store, register, contacts, fleet, publish, clock, say):
+        """No rollout is known."""
+        self.local_ip, self.store, self.register = local_ip, store, register
+        self.contacts, self.fleet, self.publish = contacts, fleet, publish
+        self.clock, self.say = clock, say
+        self.verdicts, self._known = {}, {}  # by service
+
+    def heard(self, service, revision):
+        """A record of a rollout has come to the store."""
+        self._known[service] = Known(revision, self.clock())
 
     async def steer(self):
         """Brings rollouts on or back. Whoever has not heard enough others lately decides nothing: what it
         knows of proxies' counts may be as old as its cut or its standstill."""
-        if not self.controller.joined:
+        if not self.contacts.in_quorum(self.clock()):
             return
         for key, value in self.store.under(ROLLOUT):
             rollout = record.decode(value)
@@ -47,12 +60,12 @@
 
     async def _turn(self, rollout, key, value):
         """Waits for this controller's turn; whether what was decided before still holds."""
-        here = self.controller.settings.ip
-        ring = order({*self.controller.register.members, here}, rollout.service)
-        wait, decided = ring.index(here) * SPREAD, self.clock()
-        await asyncio.sleep(wait)
-        late = self.clock() - decided - wait > LATE
-        return not late and self.controller.joined and self.store.get(key) == value
+        turns = order({*self.register.members, self.local_ip}, rollout.service)
+        wait_s, decided_at = turns.index(self.local_ip) * TURN_S, self.clock()
+        await asyncio.sleep(wait_s)
+        now = self.clock()
+        in_time = now - decided_at - wait_s <= LATE_S
+        return in_time and self.contacts.in_quorum(now) and self.store.get(key) == value
 
     async def _carry_out(self, key, rollout, change):
         def changed(held):
@@ -60,19 +73,19 @@
             step = (rollout.version, rollout.revision, since_s, change.state, change.stage)
             return record.advance(held, *step)
 
-        found = await self.controller.register.change(key, lambda value: record.rewritten(value, changed))
+        found = await self.register.change(key, lambda value: record.rewritten(value, changed))
         if not found.ok:
             return
-        self.controller.publish(key, found.value)
+        self.publish(key, found.value)
         changes = {name: getattr(change, name) for name in ("state", "stage") if getattr(change, name)}
         told = {"svc": rollout.service, "to_ver": rollout.version, "why": change.why}
-        self.controller.say("rollout", **told, **changes)
+        self.say("rollout", **told, **changes)
 
     def since(self, rollout):
         """For how many seconds the rollout's revision has been known at least: here, or at a proxy, whose
         steady clocks go on where all controllers begin anew."""
-        revision, at = self.known_at.get(rollout.service, (0, 0.0))
-        known = [self.clock() - at] if revision == rollout.revision else []
+        here = self._known.get(rollout.service, Known())
+        known = [self.clock() - here.since] if here.revision == rollout.revision else []
         ballots = (report.decode(value).ballot(rollout.service) for _, value in self.store.under(COUNT))
         known += [
             ballot.known_s
@@ -91,7 +104,7 @@
         tallies = [tally for _, one in reports if self._since_order(one, rollout) for tally in one.tallies]
         ballots = [
             last[node].ballot(rollout.service) if node in last else None
-            for node in self.controller.look_at_fleet()
+            for node in self.fleet.sharing(self.clock())
         ]
         current = [one if one and one.revision == rollout.revision else None for one in ballots]
         votes = [one.vote if one else None for one in current]
--- a/honeywood/gateway/proxy/program.py
+++ b/honeywood/gateway/proxy/program.py
@@ -7,7 +7,7 @@
 from honeywood.gateway.dissemination.backoff import FIRST, Backoff
 from honeywood.gateway.dissemination.history import CUT, History
 from honeywood.gateway.dissemination.messages import Asker
-from honeywood.gateway.dissemination.publisher import HOLD, Publisher
+from honeywood.gateway.dissemination.publisher import HOLD, SMALL, Publisher
 from honeywood.gateway.dissemination.rendezvous import order
 from honeywood.gateway.dissemination.subscriber import Subscriber
 from honeywood.gateway.program import COUNTS, Program
@@ -32,6 +32,7 @@
 TIDY_S = 0.5  # between looks at idle connections
 UNREADY_SEEN_S = 2.2  # in which the platform has noticed a proxy that isn't ready (two misses of 1 s)
 STOP_MARGIN_S = 0.5  # of the grace that is left for the end of the process
+STARTING_S = 1.0  # in which one without a configuration asks no relay: it may have started too
 SETTLE_S = 2.0  # a proxy with a configuration waits for endpoints before it calls itself ready
 SAY_AGAIN_S = 5.0  # between lines of one trouble
 LISTEN_PAUSE_S, POLL_PAUSE_S = 0.01, 0.05  # between turns of the loops, besides what they wait themselves
@@ -56,9 +57,11 @@
         self.history, self.doubted_at = History(store), None
         self.counts = CountRecords(self.stage, self.clock, s.node, self.life, store)
         self.subscriber = Subscriber(self.publisher, self.caller, self.who, backoff)
-        self.poller = Subscriber(self.publisher, self.caller, self.who, backoff, self.counts.records_for)
+        told = self.counts.records_for, self.poll_most
+        self.poller = Subscriber(self.publisher, self.caller, self.who, backoff, *told)
         self.controllers, self.relays = [ip for ip, _ in s.seeds], []
         self.turn, self.met_majority = 0, False
+        self.started_at = self.listened_at = self.clock()  # `listen` was answered last
 
     def config_held(self):
         """The version in force here, in digits as operators send it."""
@@ -135,11 +138,14 @@
     async def listen(self):
         """Asks its relay for news, held until there are some; where that one is silent, the next above it."""
         s, now, backoff = self.settings, self.clock(), self.subscriber.backoff
-        places = [(ip, s.proxy_port) for ip in self.relays if not backoff.rest(ip, now)]
+        starting = self.table is None and now - self.started_at < STARTING_S
+        relays = [] if starting else self.relays
+        places = [(ip, s.proxy_port) for ip in relays if not backoff.rest(ip, now)]
         places += [(ip, s.controller_port) for ip in backoff.fit(order(self.controllers, s.node), now)]
         for ip, port in places:
             reply = await self.subscriber.ask(ip, port, HOLD)
             if reply.ok:
+                self.listened_at = self.clock()
                 return await asyncio.sleep(min(HOLD, reply.value.later_s or 0.0))
         await asyncio.sleep(FIRST)
 
@@ -172,7 +178,7 @@
                 count, self.relays = answer.fleet
                 self.counts.held_by(ip, answer.counted or 0)
                 self.fleet.report(ip, count)
-            if not answer.more:
+            if not answer.more or self.poll_most():
                 break
         return asked_at, answer
 
@@ -184,6 +190,12 @@
             self.stage.heard_at = asked_at
         self.met_majority = True
 
+    def poll_most(self):
+        """The most bytes of an answer to a poll: few while `listen` hears the first configuration, since each
+        controller that is asked besides would tell all that it holds once more."""
+        listens = self.clock() - self.listened_at < HOLD
+        return SMALL if self.table is None and listens else None
+
     @property
     def ready(self):
         """Whether it calls itself ready for clients."""
