--- a/honeywood/lab/emulator/clients.py
+++ b/honeywood/lab/emulator/clients.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
+from honeywood.gateway.rpc.asgi import CONTEXT, RequestContext
 from honeywood.lab.emulator.boot import AIM_S, DEADLINE_S
 from honeywood.lab.emulator.network import OUTSIDE
 from honeywood.lab.emulator.operators import LATER_ROUTES
@@ -128,7 +129,7 @@
 def _scope(id, left_s, path):
     """A request as the proxy's server hands it on."""
     headers = [(b"host", b"h"), (b"x-try-id", id), (b"x-deadline-ms", b"%d" % (left_s * 1000))]
-    return {"headers": headers, "raw_path": path, "target": path, "method": "GET"}
+    return {"headers": headers, "raw_path": path, "method": "GET", CONTEXT: RequestContext(path)}
 
 
 async def _no_body():
--- a/tests/gateway/test_epochs.py
+++ b/tests/gateway/test_epochs.py
@@ -332,7 +332,8 @@
         world.kill("d")
         world.run(40.0)
         assert asked() == ({"abc"}, {2})
-        assert "d" not in world.nodes["a"].contacts.peers and "d" not in world.nodes["f"].sure.backoff.failed
+        assert "d" not in world.nodes["a"].contacts.peers
+        assert "d" not in world.nodes["f"].poller.backoff.failed
         world.kill("b")  # a seed and a member
         world.run(80.0)
         assert known("f").count("b") == known("a").count("b") == 1
@@ -417,6 +418,6 @@
         front.put("machine/m", [1, 0], machine("m"))
         world.run(4.0)
         assert world.state("c", "m") == world.state("f", "m") == "gone"
-        assert world.nodes["f"].endpoints.machines == {}
+        assert world.nodes["f"].endpoints.by_id == {}
     finally:
         world.close()
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -11,7 +11,10 @@
 from honeywood.gateway.rollout.stage import Stage
 from honeywood.gateway.rollout.report import Ballot, Tally
 from honeywood.gateway.rollout.verdict import Change, Verdict, Voter
-from honeywood.gateway.routing.attempts import Ask
+from honeywood.gateway.routing.attempts import PendingRequest
+from honeywood.gateway.routing.outcomes import AttemptOutcome
+
+SUCCESS, FAILURE = AttemptOutcome.SUCCESS, AttemptOutcome.FAILURE
 
 
 class Fleet:
@@ -31,7 +34,7 @@
         for _ in range(fronts):
             endpoints = Endpoints()
             for id, ver in (("m", "v1"), *((f"n{n}", "v2") for n in range(8))):
-                endpoints.hear(warm_s if ver == "v2" else -5.0, id, machine(id, ver, slots=6))
+                endpoints.update(warm_s if ver == "v2" else -5.0, id, machine(id, ver, slots=6))
             self.fronts.append((endpoints, Stage(endpoints, 0.1, 50, lambda: fronts)))
         self.record = record.start(None, "s", "v2", over_s, 0.0)
         for _, stage in self.fronts:
@@ -43,9 +46,9 @@
     @staticmethod
     def passed_on(now, endpoints, stage, route):
         """A request that a front takes, and the machine that it goes to."""
-        ask = Ask(route, "s", b"i", now, now + 0.6)
+        ask = PendingRequest(route, "s", b"i", now, now + 0.6)
         stage.taking(ask)
-        groups = stage.groups(now, ask, endpoints.services["s"])
+        groups = stage.groups(now, ask, endpoints.by_service["s"])
         machine = next(m for group in groups for m in group if stage.allows(now, ask, m))
         stage.sent(now, ask, machine)
         return ask, machine
@@ -56,7 +59,7 @@
         ask, machine = self.passed_on(now, endpoints, stage, self.draw.choice(self.routes))
         route, self.total = ask.route, self.total + 1
         failed, took = self.draw.random() < 0.003, 0.06 * self.draw.lognormvariate(0, 0.5)
-        if machine.ver == "v2":
+        if machine.version == "v2":
             took *= self.paces[int(machine.id[1:]) % len(self.paces)]
             load = self.loads.setdefault(machine.id, [])
             load[:] = [end for end in load if end > now]
@@ -70,7 +73,7 @@
             took *= self.draw.choice(self.paces)
         if took > 0.6:
             failed, took = True, 0.6
-        stage.ended(now, ask, machine, "failed" if failed else "good", took)
+        stage.ended(now, ask, machine, FAILURE if failed else SUCCESS, took)
 
     def run(self):
         until, verdict, now, told, heard = self.over_s, Verdict(1), 0.0, [], []
@@ -198,10 +201,10 @@
     stage.hear(0.0, replace(fleet.record, stage=record.WIDE, revision=2))
     write = Route("w", "h", "/w/", "unsafe", 0.6, 0.25, 0, 2, (("s", 1.0),))
     sends = [fleet.passed_on(0.0, endpoints, stage, route) for route in [write, *fleet.routes] * 100]
-    vers = [taken.ver for _, taken in sends]
+    vers = [taken.version for _, taken in sends]
     assert vers[:10] == ["v2"] * 10 and "v1" in vers[10:14] and 0 < vers[100:].count("v2") <= 10
     assert stage.report(0.0).ballot("s").pending == 1  # the earlier machines are still needed
-    assert not stage.allows(9.0, sends[0][0], endpoints.machines["n1"])  # a lease, as on trial
+    assert not stage.allows(9.0, sends[0][0], endpoints.by_id["n1"])  # a lease, as on trial
 
 
 @test("a good version whose machines start with its order is done by its term, at {per_s} requests a second")
@@ -224,7 +227,7 @@
 
         for _, stage in fleet.fronts:  # a service's classes have earned what they may before the order
             for route in fleet.routes * 40:
-                stage.taking(Ask(route, "s", b"i", 0.0, 9.0))
+                stage.taking(PendingRequest(route, "s", b"i", 0.0, 9.0))
         ordered = record.start(
             record.advance(fleet.record, "v2", 1, state=record.REVERTED), "s", "v2", 9.0, 9.0
         )
@@ -241,7 +244,7 @@
                 stage.heard_at = 0.0
                 fleet.fronts[n] = endpoints, stage
             _, taken = fleet.passed_on(0.0, endpoints, stage, draw.choice(fleet.routes))
-            attempts, requests = attempts + (taken.ver == "v2"), requests + 1
+            attempts, requests = attempts + (taken.version == "v2"), requests + 1
         assert attempts <= 0.1 * requests + 50, (fronts, attempts, requests)
         tried += attempts
     assert tried
@@ -276,9 +279,9 @@
         fleet = Fleet(good, 0)
         endpoints, stage = fleet.fronts[0]
         stage.hear(0.0, replace(fleet.record, stage=stage_now, revision=2))
-        ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
+        ask = PendingRequest(fleet.routes[0], "s", b"i", 0.0, 9.0)
         for id in ("m", "n0"):
-            stage.ended(0.0, ask, endpoints.machines[id], "good", 0.3)
+            stage.ended(0.0, ask, endpoints.by_id[id], SUCCESS, 0.3)
         return [list(count.bins) for count in stage.counts.values()]
 
     on_trial, full = bins(record.TRIAL), bins(record.FULL)
@@ -331,9 +334,9 @@
     for full in (fleet.record, record.advance(fleet.record, "v2", 1, stage=record.FULL)):
         stage.hear(0.0, full)
     for n in range(60):
-        ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
-        machine = stage.endpoints.machines["m" if n < 30 else "n1"]
-        stage.ended(1.0, ask, machine, "good" if n < 30 else "failed", 0.05)
+        ask = PendingRequest(fleet.routes[0], "s", b"i", 0.0, 9.0)
+        machine = stage.endpoints.by_id["m" if n < 30 else "n1"]
+        stage.ended(1.0, ask, machine, SUCCESS if n < 30 else FAILURE, 0.05)
     ballot = stage.report(2.0).ballot("s")
     assert (ballot.revision, ballot.pending, ballot.vote) == (2, 1, None)
     assert stage.standing("s", "v1") == "established" and stage.standing("s", "v2") == "trial"
@@ -345,15 +348,15 @@
     endpoints, stage = fleet.fronts[0]
     stage.hear(0.0, fleet.record)
     stage.heard_at = 0.0
-    ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
+    ask = PendingRequest(fleet.routes[0], "s", b"i", 0.0, 9.0)
     for _ in range(20):
         stage.taking(ask)
     assert stage.allows(
-        0.1, ask, next(m for m in stage.few("s", [m for m in endpoints.machines.values() if m.ver == "v2"]))
+        0.1, ask, next(m for m in stage.few("s", [m for m in endpoints.by_id.values() if m.version == "v2"]))
     ) and not stage.allows(
-        9.0, ask, next(m for m in stage.few("s", [m for m in endpoints.machines.values() if m.ver == "v2"]))
+        9.0, ask, next(m for m in stage.few("s", [m for m in endpoints.by_id.values() if m.version == "v2"]))
     )
-    assert stage.allows(9.0, ask, endpoints.machines["m"])
+    assert stage.allows(9.0, ask, endpoints.by_id["m"])
 
 
 @test("a machine on trial that is young gets nothing: what isn't counted would only spend the cap")
@@ -361,10 +364,10 @@
     fleet = Fleet(good, 0)
     endpoints, stage = fleet.fronts[0]
     stage.hear(0.0, fleet.record)
-    ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
+    ask = PendingRequest(fleet.routes[0], "s", b"i", 0.0, 9.0)
     for now, versions in ((-3.0, {"v1"}), (-1.0, {"v1", "v2"})):
-        groups = stage.groups(now, ask, endpoints.services["s"])
-        assert {m.ver for group in groups for m in group} == versions
+        groups = stage.groups(now, ask, endpoints.by_service["s"])
+        assert {m.version for group in groups for m in group} == versions
 
 
 @test("attempts that could not be made are not saved up")
@@ -374,12 +377,12 @@
     fleet = Fleet(good, 0)
     for _ in range(2000):
         endpoints, stage = fleet.draw.choice(fleet.fronts)
-        stage.taking(Ask(fleet.routes[0], "s", b"i", 0.0, 9.0))
+        stage.taking(PendingRequest(fleet.routes[0], "s", b"i", 0.0, 9.0))
     for _ in range(24):
         for endpoints, stage in fleet.fronts:
-            ask = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0)
-            machine = stage.groups(0.0, ask, endpoints.services["s"])[0][0]
-            fleet.trial += machine.ver == "v2"
+            ask = PendingRequest(fleet.routes[0], "s", b"i", 0.0, 9.0)
+            machine = stage.groups(0.0, ask, endpoints.by_service["s"])[0][0]
+            fleet.trial += machine.version == "v2"
             stage.sent(0.0, ask, machine)
     assert 0 < fleet.trial <= 12
 
@@ -562,8 +565,8 @@
     fleet = Fleet(good, 0)
     _, stage = fleet.fronts[0]
     for n in range(60):
-        ask, id = Ask(fleet.routes[0], "s", b"i", 0.0, 9.0), "m" if n < 30 else "n1"
-        stage.ended(1.0, ask, stage.endpoints.machines[id], "good" if n < 30 else "failed", 0.05)
+        ask, id = PendingRequest(fleet.routes[0], "s", b"i", 0.0, 9.0), "m" if n < 30 else "n1"
+        stage.ended(1.0, ask, stage.endpoints.by_id[id], SUCCESS if n < 30 else FAILURE, 0.05)
     assert stage.report(2.0).tallies
     sent_back = record.advance(fleet.record, "v2", 1, 3.0, state=record.REVERTED)
     again = record.start(sent_back, "s", "v2", 14.0, 20.0)
@@ -597,9 +600,9 @@
     fleet = Fleet(good, 0)
     endpoints, stage = fleet.fronts[0]
     stage.hear(0.0, played((0, V2), (3, "reverted"), (1, V3)))
-    endpoints.hear(0.0, "o", machine("o", "v3"))
+    endpoints.update(0.0, "o", machine("o", "v3"))
     assert [stage.standing("s", ver) for ver in ("v1", "v2", "v3")] == ["established", "closed", "trial"]
-    endpoints.hear(0.0, "m", {**machine("m", "v1"), "state": "gone"})
+    endpoints.update(0.0, "m", {**machine("m", "v1"), "state": "gone"})
     assert stage.standing("s", "v2") == "established"
     stage.hear(0.0, played((0, V2), (3, "reverted"), (1, V3), (9, "done"), (1, V2)))
     assert stage.standing("s", "v2") == "trial"
