--- a/honeywood/gateway/dissemination/departed.py
+++ b/honeywood/gateway/dissemination/departed.py
@@ -58,8 +58,15 @@
 
 
 def holds(value, name):
-    """Whether a bucket (None: empty) names `name`."""
-    return value is not None and hashed(name) in decode(value)
+    """Whether a bucket (None: empty) names `name`; asked for each machine that isn't known, so no entry is
+    unpacked."""
+    if value is None:
+        return False
+    entries, wanted = a2b_base64(value), hashed(name).to_bytes(8, "little")
+    at = entries.find(wanted)
+    while at % ENTRY.size and at >= 0:  # the same bytes across two entries
+        at = entries.find(wanted, at + 1)
+    return at >= 0
 
 
 def count(values):
--- a/tests/gateway/test_epochs.py
+++ b/tests/gateway/test_epochs.py
@@ -3,6 +3,7 @@
 
 import json
 import random
+from binascii import b2a_base64
 
 from timeline import World, machine
 from ward import each, test
@@ -359,6 +360,14 @@
     both = departed.merge(one, two)
     assert both == departed.merge(two, one) == departed.merge(both, two)
     assert departed.holds(one, names[-1]) and not departed.holds(one, names[0])
+    assert [departed.holds(one, name) for name in names] == [
+        departed.hashed(name) in departed.decode(one) for name in names
+    ]
+    across = departed.ENTRY.pack(0, 1)[4:] + departed.ENTRY.pack(0, 1)[:4]  # bytes of the end of one entry
+    entries = b"\0" * 4 + departed.hashed("i-1").to_bytes(8, "little") + across
+    assert not departed.holds(b2a_base64(entries).decode(), "i-1")
+    entries += departed.ENTRY.pack(departed.hashed("i-1"), 3)
+    assert departed.holds(b2a_base64(entries).decode(), "i-1")
     stores = [Store(n) for n in "abc"]
     for n in range(2000):
         store = draw.choice(stores)
