--- a/honeywood/cli/emulator.py
+++ b/honeywood/cli/emulator.py
@@ -24,6 +24,13 @@
             show_default=True,
             help="Disks that may be lost at once; 2 bear + 1 controllers.",
         ),
+        click.option(
+            "--most-faults",
+            type=click.IntRange(1),
+            default=6,
+            show_default=True,
+            help="In each eight seconds.",
+        ),
         click.option("--changes", type=click.IntRange(0), default=0, help="Of the configuration, besides."),
         click.option("--link", type=float, default=0.0, help="Bytes a second that a front's link takes."),
     ):
--- a/honeywood/lab/emulator/day.py
+++ b/honeywood/lab/emulator/day.py
@@ -41,6 +41,7 @@
     bounds: tuple = ()  # (key, figure) where not those of boot.BOUNDS
     seeing: bool = False  # a router with sight of all machines instead of ours: the bound
     changes: int = 0  # of the configuration, one after the other, besides those that faults make
+    most_faults: int = 6  # in each eight seconds of traffic
     link: float = 0.0  # bytes a second that a proxy's link takes; 0: all
 
 
--- a/honeywood/lab/emulator/faults/drawing.py
+++ b/honeywood/lab/emulator/faults/drawing.py
@@ -5,8 +5,7 @@
 from honeywood.lab.emulator.faults import disks, machines, membership, network, orders, processes
 from honeywood.lab.emulator.faults.fault import Fault
 
-DRAWN_S = 8.0  # seconds of traffic that get MOST_FAULTS faults at most
-MOST_FAULTS = 6
+DRAWN_S = 8.0  # seconds of traffic that get one fault at least, and most_faults of the day at most
 ROLLOUTS = ("rollout_good", "rollout_bad", "rollout_after")
 # one a day: what is lost stays borne
 LARGE = (
@@ -59,10 +58,10 @@
 
 
 def draw(chance, day):
-    """One to six faults in each DRAWN_S seconds of traffic, by `chance`."""
+    """One to `most_faults` faults in each DRAWN_S seconds of traffic, by `chance`; of some kinds one a day."""
     found = []
     stretches = max(1, round(day.seconds / DRAWN_S))
-    for _ in range(sum(chance.randrange(1, MOST_FAULTS + 1) for _ in range(stretches))):
+    for _ in range(sum(chance.randrange(1, day.most_faults + 1) for _ in range(stretches))):
         kind = chance.choice(sorted(CAUSES))
         at_s, for_s = chance.uniform(0.5, day.seconds - 1.0), chance.uniform(0.5, 3.0)
         if any(kind in group and fault.kind in group for group in (LARGE, ROLLOUTS) for fault in found):
