--- a/honeywood/lab/emulator/faults/drawing.py
+++ b/honeywood/lab/emulator/faults/drawing.py
@@ -58,7 +58,7 @@
 
 
 def draw(chance, day):
-    """One to `most_faults` faults in each DRAWN_S seconds of traffic, by `chance`; of some kinds one a day."""
+    """One to `most_faults` faults in each DRAWN_S seconds, drawn by `chance`; of some kinds one a day."""
     found = []
     stretches = max(1, round(day.seconds / DRAWN_S))
     for _ in range(sum(chance.randrange(1, day.most_faults + 1) for _ in range(stretches))):
