--- a/honeywood/lab/emulator/faults/drawing.py
+++ b/honeywood/lab/emulator/faults/drawing.py
@@ -36,6 +36,7 @@
         disks.disk,
         disks.disk_refuses,
         membership.remove,
+        membership.replace,
         network.cut,
         network.sever,
         network.seeds_cut,
@@ -55,9 +56,6 @@
         orders.rollout_after,
     )
 }
-# played by name: beside `copies` a controller that is gone seems alive for as long as calls of its come
-# late, so its place is taken later than sync_s (open, docs/measured/lab.md)
-BY_NAME_ONLY = {cause.__name__: cause for cause in (membership.replace,)}
 
 
 def draw(chance, day):
@@ -76,4 +74,4 @@
 async def cause(world, fault, begun):
     """Brings a fault about at its time, counted from `begun`, when traffic begins."""
     await asyncio.sleep(begun + fault.at_s - world.loop.time())
-    await {**CAUSES, **BY_NAME_ONLY}[fault.kind](world, fault)
+    await CAUSES[fault.kind](world, fault)
