--- a/honeywood/gateway/controller/program.py
+++ b/honeywood/gateway/controller/program.py
@@ -132,10 +132,6 @@
             self.store.put(key, [value["n"]], value)
 
     # what orders rest on
-    def since(self, record):
-        """For how many seconds a rollout's record has been known at least."""
-        return self.rollouts.known_s(record)
-
     async def hear_others(self):
         """Polls all other controllers for what they know now; whether enough told all of it."""
         return await self.peers.poll_all()
--- a/honeywood/lab/emulator/day.py
+++ b/honeywood/lab/emulator/day.py
@@ -41,6 +41,7 @@
     bounds: tuple = ()  # (key, figure) where not those of boot.BOUNDS
     seeing: bool = False  # a router with sight of all machines instead of ours: the bound
     changes: int = 0  # of the configuration, one after the other, besides those that faults make
+    most_faults: int = 6  # in each eight seconds of traffic
     link: float = 0.0  # bytes a second that a proxy's link takes; 0: all
 
 
@@ -154,8 +155,9 @@
             program = self.nodes.get(name)
             self.monitor.proxies.answers_ready(now, name, program is not None and program.ready)
             if program is not None:
-                ready = {one.id for one in program.endpoints.machines.values() if one.state == READY}
-                self.monitor.proxies.knows(now, name, ready)
+                if self.monitor.proxies.left_at:
+                    ready = {one.id for one in program.endpoints.by_id.values() if one.state == READY}
+                    self.monitor.proxies.knows(now, name, ready)
                 held = program.table.version if program.table else None
                 self.monitor.proxies.holds(now, name, self.lives[name], held)
         if self.cuts or self.loss or self.operators.unheard:
--- a/honeywood/lab/emulator/world.py
+++ b/honeywood/lab/emulator/world.py
@@ -17,6 +17,7 @@
 
 EPOCH_S = 1e9  # the time of day at which a world begins
 LOOK_S = 0.05  # seconds between two looks while time passes
+CLOSING_ROUNDS = 4  # in each the tasks end that waited for those of the one before
 
 
 class MemoryDisk:
@@ -79,10 +80,15 @@
             kind, more = Controller, {"disk": self._disk()}
         else:
             kind, more = Proxy, self.more(name)
-        quiet = type("Quiet", (kind,), {"say": lambda *said, **more: None})
+        quiet = type("Quiet", (kind,), {"say": self._said})
         chance = random.Random(self.random.random())
         return quiet(found, Wire(self, name), clock, time_of_day, random=chance, **more)
 
+    def _said(self, event, every=0.0, **more):
+        """In place of a program's log: only loops that failed for what nobody foresaw are noted."""
+        if event == "loop failed" and not more["why"].startswith("Wrong("):
+            self.raised.append(RuntimeError(f"{more['step']}: {more['why']}"))
+
     def _disk(self):
         return type("Disk", (MemoryDisk,), {"kept": self.disks})
 
@@ -150,7 +156,7 @@
         """Ends all programs and the loop."""
         for name in list(self.nodes):
             self.kill(name)
-        for _ in range(2):  # the second time those that waited for what has just ended
+        for _ in range(CLOSING_ROUNDS):
             for task in asyncio.all_tasks(self.loop):
                 task.cancel()
             self.run(self.loop.time() + 0.01)
--- a/tests/gateway/test_emulator.py
+++ b/tests/gateway/test_emulator.py
@@ -15,19 +15,20 @@
 from honeywood.gateway.controller.app import App
 from honeywood.gateway.dissemination.record import Record
 from honeywood.gateway.dissemination.store import Store
-from honeywood.gateway.proxy import forwarding as carry
-from honeywood.gateway.proxy import program
+from honeywood.gateway.proxy import polling, sender
 from honeywood.gateway.proxy.forwarding import Forwarder
 from honeywood.gateway.proxy.program import Proxy
+from honeywood.gateway.proxy.responses import own_response
 from honeywood.gateway.register import membership as members
 from honeywood.gateway.register.storage import Storage
 from honeywood.gateway.rollout import record
 from honeywood.gateway.rollout.stage import Stage
-from honeywood.gateway.routing import answers
-from honeywood.gateway.routing.attempts import AttemptGate
-from honeywood.gateway.routing.budget import Budget
+from honeywood.gateway.routing.attempts import AttemptPolicy
+from honeywood.gateway.routing.budget import RetryBudget
+from honeywood.gateway.routing.outcomes import AttemptOutcome
+from honeywood.gateway.routing.routes import RouteTable
 from honeywood.lab.emulator import hunt
-from honeywood.lab.emulator.day import Day, draw, play
+from honeywood.lab.emulator.day import Day, EmulatedDay, draw, play
 from honeywood.lab.emulator.faults import Fault
 from honeywood.lab.emulator.loop import Loop
 from honeywood.lab.emulator.machines import Connection
@@ -52,6 +53,15 @@
         assert not told.breaches, f"seed {seed}, {variant}: {told.breaches}"
 
 
+@test("no loop of a program fails while all start within 0.3 s in any order")
+def _():
+    # Found by the emulator: a disk that entered the first epoch while it waited for its lock was to move on
+    # from there, to a next epoch that there is not (TypeError, hidden by the loop that tried again).
+    for seed in (2, 300015, 310063):
+        told = play(Day(seed, seconds=3.0))
+        assert not told.breaches, f"seed {seed}: {told.breaches}"
+
+
 AGAIN = """
 import sys
 kept = [bytearray(n % 999) for n in range(int(sys.argv[1]))]
@@ -89,19 +99,18 @@
     return Fault(kind, at_s, for_s, target, variant)
 
 
-def barless(name):
-    """The gate without one of its bars."""
-    bar = AttemptGate.bar
+def unrefused(name):
+    """The attempt policy without one of its refusals."""
 
-    def without(self, now, ask, machine, connected=False):
-        found = bar(self, now, ask, machine, connected)
-        return None if found == name else found
+    def without(method):
+        kept = AttemptPolicy.__dict__[method]
+        return lambda *given: None if kept(*given) == name else kept(*given)
 
-    return [(AttemptGate, "bar", without)]
+    return [(AttemptPolicy, method, without(method)) for method in ("request_refusal", "endpoint_refusal")]
 
 
 def any_answer(status, fields, try_id):
-    return answers.GOOD if 200 <= status < 300 else answers.FAILED
+    return AttemptOutcome.SUCCESS if 200 <= status < 300 else AttemptOutcome.FAILURE
 
 
 def unexpecting(self, *given, expected=None, exchange=Connection.exchange):
@@ -174,7 +183,7 @@
 
 def forgetful(held, *order, start=record.start):
     """Orders before the one that is held are forgotten."""
-    return start({**held, "past": ()} if held else held, *order)
+    return start(replace(held, earlier=()) if held else held, *order)
 
 
 async def unlooked(self, of, body, peer):
@@ -191,8 +200,14 @@
     return beat(id, {**body, "state": "ready"}, peer)
 
 
+def three_routes(self, config, init=RouteTable.__init__):
+    """Routes beyond the first three of a configuration are forgotten."""
+    init(self, config)
+    self.hosts = {host: dict([*routes.items()][:3]) for host, routes in self.hosts.items()}
+
+
 def promise(self, ask, best):
-    return carry.ours(503, "no machine free", 0.1)
+    return own_response(503, "no machine free", 0.1)
 
 
 POOR = {"per_s": 120.0, "bounds": (("retry_slack", 2), ("retry_ratio", 0.02))}
@@ -203,16 +218,16 @@
     rule=each(
         *("once", "promise", "own", "drain", "apply", "back", "budget", "exposure", "kept"),
         *("number", "refused", "reads", "reads", "acks", "raised", "reads"),
-        *("kept", "kept", "reads", "drain", "acks", "ready", "left"),
+        *("kept", "kept", "reads", "drain", "acks", "ready", "left", "routes"),
     ),
     patch=each(
-        lambda: barless("may have run"),
-        lambda: [(Forwarder, "_given_up", promise)],
-        lambda: [(carry, "meaning", any_answer), (Connection, "exchange", unexpecting)],
-        lambda: barless("state"),
-        lambda: [(program, "SURE", 3.0), (Proxy, "listen", idle)],
+        lambda: unrefused("may have run"),
+        lambda: [(Forwarder, "_give_up", promise)],
+        lambda: [(sender, "classify", any_answer), (Connection, "exchange", unexpecting)],
+        lambda: unrefused("state"),
+        lambda: [(polling, "POLL_S", 3.0), (Proxy, "listen", idle)],
         lambda: [(Store, "put", last_wins), (Store, "since", all_again)],
-        lambda: [(Budget, "allows", lambda self, now, fronts: True)],
+        lambda: [(RetryBudget, "allows", lambda self, now, fronts: True)],
         lambda: [(Stage, "room", lambda self, now, ask: True)],
         lambda: [(Storage, "keep", unwritten)],
         lambda: [(App, "replace", by_number)],
@@ -225,10 +240,11 @@
         lambda: [(Storage, "keep", unwritten)],
         lambda: [(Storage, "keep", unwritten)],
         lambda: [(Storage, "keep", without_rollouts)],
-        lambda: barless("state"),
+        lambda: unrefused("state"),
         lambda: [(members, "majority", lambda here: len(here["members"]))],
-        lambda: [(Proxy, "listen", gives_up), (Proxy, "make_sure", idle)],
+        lambda: [(Proxy, "listen", gives_up), (Proxy, "poll", idle)],
         lambda: [(App, "leave", unheeded), (machines, "beat", always_ready)],
+        lambda: [(RouteTable, "__init__", three_routes)],
     ),
     faults=each(
         (fault("answers_lost", variant=1.0),),
@@ -254,8 +270,9 @@
         (fault("disk_refuses", 1.0), fault("configure", 1.5)),
         (),
         (fault("drain", 1.0, target=0.1), fault("drain", 1.5, target=0.9), fault("drain", 2.0)),
+        (fault("configure", 1.0),),
     ),
-    shape=each(*[{}] * 6, POOR, {"per_s": 150.0}, *[{}] * 15),
+    shape=each(*[{}] * 6, POOR, {"per_s": 150.0}, *[{}] * 16),
 ):
     patches = [(place, name, place.__dict__[name], without) for place, name, without in patch()]
     for place, name, _, without in patches:
@@ -272,6 +289,24 @@
             setattr(place, name, guarded)
 
 
+@test("a program that one fault has started again is not started by another one beside it")
+def _():
+    # Two lives of one controller on one disk lost a rollout that was acknowledged (dense days, seed 700002).
+    many = [
+        fault("kill_many", 1.0, target=0.2, variant=0.1),
+        fault("kill_many", 1.1, target=0.7, variant=0.1),
+    ]
+    day, started = EmulatedDay(Day(1, (*many, fault("clock_step", 1.2, target=0.1, variant=0.0)))), []
+
+    def start(name, start=day.start):
+        started.append((name, name in day.processes))
+        start(name)
+
+    day.start = start
+    assert not day.play().breaches
+    assert len(started) >= 10 and not any(runs for _, runs in started), started
+
+
 @test("{kind}: what it adds to a day breaks nothing")
 def _(kind=each("kill_many", "lost_after_order", "disk_refuses")):
     for seed, at in enumerate((0.12, 0.37, 0.62, 0.87)):
--- a/tests/gateway/test_orders.py
+++ b/tests/gateway/test_orders.py
@@ -286,7 +286,12 @@
 def sent_back(world, name, to_ver):
     """Sends the rollout that is under way back."""
     key, held = "rollout/s", world.nodes[name].store.get("rollout/s")
-    step = lambda now: rollouts.advance(now, to_ver, held["n"], state=rollouts.REVERTED)  # noqa: E731
+
+    def step(value):
+        return rollouts.rewritten(
+            value, lambda now: rollouts.advance(now, to_ver, held["n"], state=rollouts.REVERTED)
+        )
+
     world.loop.create_task(world.nodes[name].register.change(key, step))
 
 
@@ -469,11 +474,11 @@
             world.loop.now += 20.0  # all stand still while the answer lies there
             return Done(Answer("", 0, in_quorum=True))
 
-        controller.peers.subscriber.ask = front.sure.ask = old
+        controller.peers.subscriber.ask = front.poller.ask = old
         world.loop.run_until_complete(controller.peers.poll("b"))
         assert not controller.in_quorum
         now = world.loop.now
-        world.loop.run_until_complete(front.make_sure())
+        world.loop.run_until_complete(front.poll())
         assert front.stage.heard_at == now
     finally:
         world.close()
--- a/tests/gateway/test_sockets.py
+++ b/tests/gateway/test_sockets.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import json
-import socket
 
+from ports import free_port
 from timeline import config
 from ward import each, test
 
@@ -16,12 +16,6 @@
 GET = b"GET /p0/a%%2Fb?c HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: %s\r\nX-Deadline-Ms: 600\r\n\r\n"
 
 
-def free():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 class Machine:
     """Answers by a script: one function of (try id, writer) a request, the last for all that follow."""
 
@@ -134,7 +128,7 @@
         self.scripts, self.kind, self.timeout = scripts, kind, timeout
 
     async def __aenter__(self):
-        text = boot("127.0.0.1", bear=0, ports=(free(), free(), free(), 7000, 7010))
+        text = boot("127.0.0.1", bear=0, ports=(free_port(), free_port(), free_port(), 7000, 7010))
         quiet = type("Quiet", (Proxy,), {"say": lambda *said, **more: None})
         self.proxy = quiet(read(text))
         sent = config(5, kind=self.kind)
@@ -284,9 +278,9 @@
     async def work():
         async with Scene([ok], kind="unsafe") as scene:
             assert status(await scene.post(b"a")) == 200
-            link = scene.proxy.endpoints.machines["i-0"].links[0]
+            kept = scene.proxy.endpoints.by_id["i-0"].idle_connections[0]
             scene.machines[0].script = [close]
-            link.stream.eof_received()  # its end has come
+            kept.stream.eof_received()  # its end has come
             scene.machines[0].script = [ok]
             assert status(await scene.post(b"b")) == 200 and scene.machines[0].accepted == 2
 
@@ -297,14 +291,14 @@
 def _():
     async def work():
         async with Scene([ok]) as scene:
-            dial = scene.proxy.links.dial
+            opened = scene.proxy.pool.open
 
             async def late(machine, until):
-                link = await dial(machine, until)
+                connection = await opened(machine, until)
                 scene.note(0, "draining")
-                return link
+                return connection
 
-            scene.proxy.links.dial = late
+            scene.proxy.pool.open = late
             found = await scene.get()
             assert status(found) == 503 and b"retry-after" in found and scene.machines[0].seen == []
 
