--- a/honeywood/gateway/rollout/stage.py
+++ b/honeywood/gateway/rollout/stage.py
@@ -9,7 +9,7 @@
 from honeywood.gateway.rollout.record import DONE, FULL, REVERTED, TRIAL, WIDE
 from honeywood.gateway.rollout.report import Ballot, Report, Tally
 from honeywood.gateway.rollout.verdict import Voter
-from honeywood.gateway.routing.answers import GOOD, NOT_RUN
+from honeywood.gateway.routing.outcomes import AttemptOutcome
 from honeywood.judge.counts import EDGES, Counts
 
 # of the share and the slack that are told: requests end up elsewhere than they began
@@ -64,11 +64,11 @@
         return ON_TRIAL if named else ESTABLISHED
 
     def _versions(self, service):
-        return {machine.ver for machine in self.endpoints.services.get(service, ())}
+        return {machine.version for machine in self.endpoints.of(service)}
 
     def _commonest(self, service, default):
         """The version of most machines of a service, where no order names one."""
-        counted = Counter(machine.ver for machine in self.endpoints.services.get(service, ()))
+        counted = Counter(machine.version for machine in self.endpoints.of(service))
         most = max(counted.values(), default=0)
         return min((version for version, count in counted.items() if count == most), default=default)
 
@@ -100,29 +100,33 @@
         key = ask.service, ask.route.name
         self.earned[key] = min(BANKED, self.earned[key] + self.share)
         if ask.service in self.allowances:
-            self.allowances[ask.service].taking(ask.taken, self.proxies())
+            self.allowances[ask.service].taking(ask.received_at, self.proxies())
 
     def allows(self, now, ask, machine):
         """Whether a request may go to a machine."""
-        standing = self.standing(ask.service, machine.ver)
+        standing = self.standing(ask.service, machine.version)
         return standing == ESTABLISHED or standing == ON_TRIAL and self.room(now, ask)
 
     def sent(self, now, ask, machine):
         """A request goes to a machine."""
         rollout = self.rollouts.get(ask.service)
-        if rollout is not None and machine.ver == rollout.version:
+        if rollout is not None and machine.version == rollout.version:
             self.allowances[ask.service].attempts += 1
-        if not self._wide(ask.service) and self.standing(ask.service, machine.ver) == ON_TRIAL:
+        if not self._wide(ask.service) and self.standing(ask.service, machine.version) == ON_TRIAL:
             self.earned[ask.service, ask.route.name] -= 1
 
     def groups(self, now, ask, machines):
         """The machines in groups, the first to ask first: on trial while there is room, then the rest."""
         by = {ESTABLISHED: [], ON_TRIAL: [], CLOSED: []}
-        standing = {ver: self.standing(ask.service, ver) for ver in sorted({m.ver for m in machines})}
+        standing = {ver: self.standing(ask.service, ver) for ver in sorted({m.version for m in machines})}
         for machine in machines:
-            if standing[machine.ver] != ON_TRIAL or now - machine.seen_at >= YOUNG and now >= machine.warm_at:
-                by[standing[machine.ver]].append(machine)  # what can't be counted yet isn't tried either
-        if by[ON_TRIAL] and not ask.sends and self.room(now, ask):
+            if (
+                standing[machine.version] != ON_TRIAL
+                or now - machine.discovered_at >= YOUNG
+                and now >= machine.warm_at
+            ):
+                by[standing[machine.version]].append(machine)  # what can't be counted yet isn't tried either
+        if by[ON_TRIAL] and not ask.attempts and self.room(now, ask):
             return [self._tried(ask.service, by[ON_TRIAL]), by[ESTABLISHED]]
         return [by[ESTABLISHED], by[ON_TRIAL]]
 
@@ -139,16 +143,21 @@
             self.chosen[service] = ids, [machine for machine in machines if machine.id in first]
         return self.chosen[service][1]
 
-    def ended(self, now, ask, machine, meaning, took):
+    def ended(self, now, ask, machine, outcome, took):
         """Counts how a send ended, by class and version, while a rollout is under way."""
         rollout = self.rollouts.get(ask.service)
-        if rollout is None or not rollout.active or meaning == NOT_RUN or now < machine.warm_at:
+        if (
+            rollout is None
+            or not rollout.active
+            or outcome is AttemptOutcome.NOT_RUN
+            or now < machine.warm_at
+        ):
             return
         # few are tried, and these may be the slow ones of the service; in full service all are asked
-        if machine.ver == rollout.version and rollout.stage == TRIAL:
+        if machine.version == rollout.version and rollout.stage == TRIAL:
             took /= UNLIKE
-        counts = self.counts.setdefault((ask.service, ask.route.name, machine.ver), Counts())
-        counts.add(1, meaning != GOOD, 1, bisect_left(EDGES, took / ask.route.timeout))
+        counts = self.counts.setdefault((ask.service, ask.route.name, machine.version), Counts())
+        counts.add(1, outcome is not AttemptOutcome.SUCCESS, 1, bisect_left(EDGES, took / ask.route.timeout))
 
     def report(self, now):
         """What controllers are told."""
@@ -171,8 +180,8 @@
     def _pending(self, rollout):
         """Requests still out at machines whose version gets nothing any more; 1 more while this proxy does
         not leave the earlier machines."""
-        machines = self.endpoints.services.get(rollout.service, ())
-        out = sum(m.open for m in machines if self.standing(rollout.service, m.ver) == CLOSED)
+        machines = self.endpoints.of(rollout.service)
+        out = sum(m.in_flight for m in machines if self.standing(rollout.service, m.version) == CLOSED)
         stays = rollout.active and rollout.stage != FULL
         return out + (stays or self.doubted(rollout))
 
--- a/tests/gateway/test_epochs.py
+++ b/tests/gateway/test_epochs.py
@@ -3,6 +3,7 @@
 
 import json
 import random
+from binascii import b2a_base64
 
 from timeline import World, machine
 from ward import each, test
@@ -332,7 +333,8 @@
         world.kill("d")
         world.run(40.0)
         assert asked() == ({"abc"}, {2})
-        assert "d" not in world.nodes["a"].contacts.peers and "d" not in world.nodes["f"].sure.backoff.failed
+        assert "d" not in world.nodes["a"].contacts.peers
+        assert "d" not in world.nodes["f"].poller.backoff.failed
         world.kill("b")  # a seed and a member
         world.run(80.0)
         assert known("f").count("b") == known("a").count("b") == 1
@@ -359,6 +361,14 @@
     both = departed.merge(one, two)
     assert both == departed.merge(two, one) == departed.merge(both, two)
     assert departed.holds(one, names[-1]) and not departed.holds(one, names[0])
+    assert [departed.holds(one, name) for name in names] == [
+        departed.hashed(name) in departed.decode(one) for name in names
+    ]
+    across = departed.ENTRY.pack(0, 1)[4:] + departed.ENTRY.pack(0, 1)[:4]  # bytes of the end of one entry
+    entries = b"\0" * 4 + departed.hashed("i-1").to_bytes(8, "little") + across
+    assert not departed.holds(b2a_base64(entries).decode(), "i-1")
+    entries += departed.ENTRY.pack(departed.hashed("i-1"), 3)
+    assert departed.holds(b2a_base64(entries).decode(), "i-1")
     stores = [Store(n) for n in "abc"]
     for n in range(2000):
         store = draw.choice(stores)
@@ -417,6 +427,6 @@
         front.put("machine/m", [1, 0], machine("m"))
         world.run(4.0)
         assert world.state("c", "m") == world.state("f", "m") == "gone"
-        assert world.nodes["f"].endpoints.machines == {}
+        assert world.nodes["f"].endpoints.by_id == {}
     finally:
         world.close()
