--- a/tests/gateway/test_dissemination_mutations.py
+++ b/tests/gateway/test_dissemination_mutations.py
@@ -115,7 +115,7 @@
     Mutation("a part is silence", Answer, "whole", True, LINKS, "parts of what others know"),
     Mutation("one queue", Publisher, "_turn", lambda turn, ask: turn, LINKS, "a controller is told its part"),
     Mutation("lists of proxies to all", store, "PRIVATE", (), LINKS, "what a front is told doesn't grow"),
-    Mutation("counts at each ask", CountRecords, "records_for", counts_always, LINKS, "all controllers share"),
+    Mutation("counts always told", CountRecords, "records_for", counts_always, LINKS, "all controllers"),
     Mutation("no backoff", Backoff, "rest", lambda *given: 0.0, LINKS, "whoever gets no answers"),
     Mutation("own records of before", LocalRecords, "heard", unlike, LINKS, "a program that hears its own"),
     Mutation("dead controllers", contact, "VOUCHES_S", FOREVER, LINKS, "a controller that is heard"),
