Controllers take the caller's state from the server's typed context

The server hands a RequestContext under its own key, the controller still read scope['left'], which only a test set; so every rollouts.start of real controllers ended in 500. Change: CONTEXT is read; the test hands over the server's own type.

--- a/honeywood/gateway/controller/app.py
+++ b/honeywood/gateway/controller/app.py
@@ -11,7 +11,7 @@
 from honeywood.gateway.dissemination.messages import Ask
 from honeywood.gateway.dissemination.record import PATH
 from honeywood.gateway.register import replica as register
-from honeywood.gateway.rpc.asgi import answer, body_of
+from honeywood.gateway.rpc.asgi import CONTEXT, answer, body_of
 
 MOST = 8 << 20  # bytes of a call's body
 JSON = [(b"content-type", b"application/json")]
@@ -45,7 +45,8 @@
             body = await body_of(receive, MOST)
             if body is None:
                 raise Wrong(named, "the body is too long or broken off", peer, 413)
-            more = {"left": scope["left"]} if call == self.start else {}  # begins nothing for who has gone
+            # an order begins nothing for a caller that has gone
+            more = {"left": scope[CONTEXT].client_gone} if call == self.start else {}
             found = await call(of, body, peer, **more)
         except Wrong as wrong:
             failed, self.refused = wrong.failed, self.refused + 1
--- a/tests/gateway/test_orders.py
+++ b/tests/gateway/test_orders.py
@@ -11,6 +11,7 @@
 from honeywood.gateway.configuration.outcome import Done
 from honeywood.gateway.controller.orders import Orders
 from honeywood.gateway.rollout import record as rollouts
+from honeywood.gateway.rpc.asgi import CONTEXT, RequestContext
 from honeywood.lab.emulator.boot import BOUNDS
 
 CONTENTS = {"x": 1, "y": 2, "z": 3}  # contents under one number, by their routes
@@ -270,7 +271,10 @@
         self.body = json.dumps({"svc": "s", "to_ver": to_ver, "over_s": over_s}).encode()
         self.world, self.leaves_at, self.status = world, world.loop.time() + stays_s, None
         scope = {"client": ("op", 1), "server": ("a", 82), "method": "POST", "path": "/v1/rpc"}
-        scope |= {"query_string": b"call=rollouts.start", "left": self.left}
+        # What the server hands over, by its own type: a key that only tests knew let every order of the real
+        # controllers end in 500.
+        context = RequestContext(b"/v1/rpc?call=rollouts.start", client_gone=self.left)
+        scope |= {"query_string": b"call=rollouts.start", CONTEXT: context}
         world.loop.create_task(world.nodes[name].app(scope, self.receive, self.send))
 
     def left(self):
