Emulator: a machine that begins to drain is replaced in one place

Cause: two ways to lose a disk after a draining or an end opened with the same five lines. Change: both call _begin_draining; nothing else.

--- a/honeywood/lab/emulator/faults/disks.py
+++ b/honeywood/lab/emulator/faults/disks.py
@@ -74,13 +74,21 @@
         await world.operators.send_once(order, "rollouts.start", body, controller)
 
 
-async def _send_draining(world, fault, controller):
-    """A machine that says to one controller that it leaves, and serves on for long; what it does then."""
+def _begin_draining(world, fault):
+    """The machine that drains from now on, another in its place; None where the chosen one isn't ready."""
     machine = chosen_machine(world, fault)
     if machine is None or machine.state != "ready":
         return None
     world.fleet.start(machine.svc, ver=machine.ver)
     machine.state = "draining"
+    return machine
+
+
+async def _send_draining(world, fault, controller):
+    """A machine that says to one controller that it leaves, and serves on for long; what it does then."""
+    machine = _begin_draining(world, fault)
+    if machine is None:
+        return None
     body = machine.heartbeat(world.loop.time())
     status, _ = await world.ask(controller, "instances.heartbeat", machine.id, body)
     if status == 200:
@@ -90,11 +98,9 @@
 
 async def _send_leave(world, fault, controller):
     """A machine that has drained says to one controller that it has ended."""
-    machine = chosen_machine(world, fault)
-    if machine is None or machine.state != "ready":
+    machine = _begin_draining(world, fault)
+    if machine is None:
         return None
-    world.fleet.start(machine.svc, ver=machine.ver)
-    machine.state = "draining"
     body = machine.heartbeat(world.loop.time())
     await world.fleet.call("instances.heartbeat", machine.id, body, DRAIN_TURNS)
     await asyncio.sleep(world.bounds["drain_s"])
