Sight: counts of clients that leave by how far their request had come, and a metrics page

Cause: neither logs nor metrics told whether a client's leaving was seen, nor what was at a machine then; a line every 10 s was all. No decision changes. Shared scene of the socket tests moved to socket_scene.py.

--- a/honeywood/gateway/controller/app.py
+++ b/honeywood/gateway/controller/app.py
@@ -1,6 +1,7 @@
 """The controller's ASGI application: one dispatch of machines', operators' and our own calls."""
 
 import json
+from collections import Counter
 from dataclasses import replace
 from urllib.parse import parse_qs
 
@@ -19,7 +20,7 @@
 
 class App:
     def __init__(self, controller):
-        self.controller, self.refused = controller, 0
+        self.controller, self.refused = controller, Counter()  # refusals by step and status
         self.calls = {
             ("POST", "v1", "rpc", "instances.heartbeat"): self.heartbeat,
             ("POST", "v1", "rpc", "instances.leave"): self.leave,
@@ -38,6 +39,8 @@
         named, of = (asked.get(key, [""])[0] for key in ("call", "of"))
         place = (scope["method"], *scope["path"].strip("/").split("/"))
         inside = scope["server"][1] == self.controller.settings.controller_port
+        if scope["server"][1] == self.controller.metrics_port:
+            return await self.controller.tell_figures(scope, send)
         call = self.ours.get(place) if inside else self.calls.get((*place, named))
         try:
             if call is None:
@@ -46,10 +49,13 @@
             if body is None:
                 raise Wrong(named, "the body is too long or broken off", peer, 413)
             # an order begins nothing for a caller that has gone
-            more = {"left": scope[CONTEXT].client_gone} if call == self.start else {}
+            departure = scope[CONTEXT].departure
+            clock = self.controller.clock
+            more = {"left": lambda: departure.check(clock())} if call == self.start else {}
             found = await call(of, body, peer, **more)
         except Wrong as wrong:
-            failed, self.refused = wrong.failed, self.refused + 1
+            failed = wrong.failed
+            self.refused[f"refused: {named or failed.step} {failed.status}"] += 1
             self.controller.say(
                 "refused", 1.0, step=failed.step, peer=peer, why=failed.why, status=failed.status
             )
--- a/honeywood/gateway/controller/program.py
+++ b/honeywood/gateway/controller/program.py
@@ -17,6 +17,7 @@
 from honeywood.gateway.dissemination.epochs import EpochClock
 from honeywood.gateway.dissemination.local import LocalRecords
 from honeywood.gateway.dissemination.publisher import Publisher
+from honeywood.gateway.metrics import Figures
 from honeywood.gateway.program import COUNTS, Program
 from honeywood.gateway.register.disk import Disk
 from honeywood.gateway.register.paging import PagedCaller, PagedResponder
@@ -162,15 +163,31 @@
             disk=self.disk_state().value,
             epoch=self.register.epoch,
             counts=self.register.counts,
-            refused=self.app.refused,
+            refused=self.app.refused.total(),
+            **self.app.refused,
         )
 
+    def figures(self):
+        """Sums since the start, and what stands now."""
+        states = Counter(value["state"] for _, value in self.store.under("machine/"))
+        stamp = self.store.stamp(CONFIG)
+        gauges = {
+            "in_quorum": self.in_quorum,
+            "register_synced": self.register.sound,
+            "epoch": self.register.epoch,
+            "config_version": stamp[0] if stamp else 0,
+            "proxies": len(self.fleet.proxies),
+            **{f"machines_{state}": count for state, count in states.items()},
+        }
+        return Figures(self.app.refused, gauges)
+
     async def run(self):
         """Runs until it is stopped."""
         s = self.settings
         await self.register.open()
         server = HttpServer(self.app)
         await server.open([s.listen["ctl"], (s.ip, s.controller_port)])
+        await self.open_metrics(server)
         self.say("started", role=s.role)
         self.begin()
         await self.until_stopped()
--- a/honeywood/gateway/proxy/app.py
+++ b/honeywood/gateway/proxy/app.py
@@ -1,6 +1,7 @@
 """The proxy's ASGI application: clients, the platform's readiness calls, and news."""
 
 import json
+from collections import Counter
 
 from honeywood.gateway.configuration.check import read_json
 from honeywood.gateway.configuration.outcome import Wrong
@@ -26,7 +27,7 @@
 
     def __init__(self, proxy):
         """`proxy` is the program."""
-        self.proxy = proxy
+        self.proxy, self.refusals = proxy, Counter()  # refusals by reason
         self.ready_port = proxy.settings.listen["ready"][1]
         self.news_port = proxy.settings.proxy_port
 
@@ -42,6 +43,8 @@
             return await answer(send, OK if self.proxy.ready else UNAVAILABLE)
         if port == self.news_port:
             return await self.news(scope, receive, send)
+        if port == self.proxy.metrics_port:
+            return await self.proxy.tell_figures(scope, send)
         context = scope[CONTEXT]
         early = context.early_response
         response = await (early if early is not None else self.client(scope, receive))
@@ -71,15 +74,20 @@
         """The ClientResponse to a client's request."""
         fields = dict(scope["headers"])
         if self.proxy.table is None:
-            return own_response(UNAVAILABLE, "no configuration yet", RETRY_AFTER_S)
+            return self._refused(UNAVAILABLE, "no configuration yet", RETRY_AFTER_S)
         route = self._route(scope, fields)
         if route is None:
-            return own_response(NOT_FOUND, "no route")
+            return self._refused(NOT_FOUND, "no route")
         body = await body_of(receive, self.proxy.limits.body_bytes)
         if body is None:
-            return own_response(BODY_TOO_LONG, "the body is too long")
+            return self._refused(BODY_TOO_LONG, "the body is too long")
         return await self._forward(scope, route, fields, body)
 
+    def _refused(self, status, reason, retry_after_s=None):
+        """An answer of our own to a request that is not forwarded, counted by its reason."""
+        self.refusals[f"not forwarded: {reason}"] += 1
+        return own_response(status, reason, retry_after_s)
+
     def _route(self, scope, fields):
         table = self.proxy.table
         return table.find(fields.get(b"host", b""), scope["raw_path"]) if table else None
@@ -92,7 +100,7 @@
             scope["headers"],
             fields,
             body,
-            context.client_gone,
+            context.departure,
             context.received_at,
         )
         return await self.proxy.forwarder.forward(route, request)
--- a/honeywood/gateway/proxy/forwarding.py
+++ b/honeywood/gateway/proxy/forwarding.py
@@ -2,8 +2,8 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from functools import partial
 
 from honeywood.gateway.proxy.responses import (
     BAD_GATEWAY,
@@ -17,9 +17,10 @@
 from honeywood.gateway.proxy.sender import AttemptSender, Outgoing
 from honeywood.gateway.routing.attempts import PendingRequest
 from honeywood.gateway.routing.balancer import choose
-from honeywood.gateway.routing.outcomes import AttemptOutcome
+from honeywood.gateway.routing.outcomes import FIRST_FAILURE, AttemptOutcome
 from honeywood.gateway.routing.routes import pick_service
 from honeywood.gateway.rpc.connection import end_to_end
+from honeywood.gateway.rpc.departure import ClientDeparture
 
 HEDGE_AFTER = 2.0  # typical latencies after which a repeatable request goes to a second endpoint as well
 HEDGE_LEAST_S = 0.05  # seconds
@@ -32,15 +33,15 @@
 @dataclass(slots=True)
 class ClientRequest:
     """A whole request of a client: `target` with its raw escapes, `fields` a value of each header.
-    `client_gone` tells whether its client has left; `received_at` when it was whole, if that was before it
-    is forwarded."""
+    `departure` tells of its client's leaving; `received_at` when it was whole, if that was before it is
+    forwarded."""
 
     method: bytes
     target: bytes
     headers: list
     fields: dict
     body: bytes
-    client_gone: Callable = lambda: False
+    departure: ClientDeparture = field(default_factory=ClientDeparture)
     received_at: float | None = None
 
     def outgoing(self):
@@ -61,6 +62,7 @@
         self.clock, self.random, self.zone, self.endpoints = clock, random, zone, endpoints
         self.policy, self.stage, self.budget_of = policy, stage, budget_of
         self.counts = Counter()  # since the start: requests, retries, answers by status, why none was free
+        self.open_requests: set[PendingRequest] = set()
         self.sender = AttemptSender(clock, endpoints, policy, stage, pool, self.counts)
 
     async def forward(self, route, client_request):
@@ -70,11 +72,22 @@
         except ValueError:
             return own_response(BAD_REQUEST, "x-deadline-ms is no number")
         request = self._take(route, client_request, min(route.timeout, told_ms / 1000))
-        response = await self._race(request, client_request.outgoing())
-        request.finished = True
+        self.open_requests.add(request)
+        request.departure.subscribe(on_departure := partial(self._client_left, request))
+        try:
+            response = await self._race(request, client_request.outgoing())
+        finally:
+            request.finished = True
+            request.departure.unsubscribe(on_departure)
+            self.open_requests.discard(request)
         self._count(request, response)
         return response
 
+    def _client_left(self, request):
+        """The client of a request that is open has left."""
+        kind, stage = request.route.kind, self.sender.stage_of(request)
+        self.counts[f"client left: {kind} {stage}"] += 1
+
     def _take(self, route, client_request, wait_s):
         """The PendingRequest, which earns its service's budget and its version's trial their parts."""
         now, received_at = self.clock(), client_request.received_at
@@ -82,13 +95,16 @@
         service = pick_service(route.split, self.random.random())
         try_id, deadline = client_request.fields.get(b"x-try-id", b""), received_at + wait_s
         request = PendingRequest(route, service, try_id, received_at, deadline)
-        request.client_gone = client_request.client_gone
+        request.departure = client_request.departure
         self.budget_of(service).record_request(now)
         self.stage.taking(request)
         return request
 
     def _count(self, request, response):
         self.counts["requests"] += 1
+        if response.status < FIRST_FAILURE:
+            late = self.clock() - request.received_at > request.route.target
+            self.counts["served late" if late else "served in time"] += 1
         self.counts["further sends"] += max(0, len(request.attempts) - 1)
         self.counts[f"answered {response.status}"] += 1
 
--- a/honeywood/gateway/proxy/program.py
+++ b/honeywood/gateway/proxy/program.py
@@ -10,6 +10,7 @@
 from honeywood.gateway.dissemination.publisher import HOLD, SMALL, Publisher
 from honeywood.gateway.dissemination.rendezvous import order
 from honeywood.gateway.dissemination.subscriber import Subscriber
+from honeywood.gateway.metrics import Figures
 from honeywood.gateway.program import COUNTS, Program
 from honeywood.gateway.proxy.app import App
 from honeywood.gateway.proxy.connections import ConnectionPool
@@ -233,6 +234,7 @@
         self.say(
             "counts",
             **self.forwarder.counts,
+            **self.app.refusals,
             dialled=self.pool.opened,
             connections=sum(endpoint.connections for endpoint in endpoints),
             machines=len(endpoints),
@@ -242,11 +244,28 @@
             ready=self.ready,
         )
 
+    def figures(self):
+        """Sums since the start, and what stands now."""
+        endpoints = list(self.endpoints.by_id.values())
+        events = self.forwarder.counts + self.app.refusals
+        gauges = {
+            "ready": self.ready,
+            "config_version": self.table.version if self.table else 0,
+            "connections": sum(endpoint.connections for endpoint in endpoints),
+            "machines": len(endpoints),
+            "proxies": self.fronts(),
+            "open_requests": len(self.forwarder.open_requests),
+            "open_attempts": sum(endpoint.in_flight for endpoint in endpoints),
+            "connections_opened": self.pool.opened,
+        }
+        return Figures(events, gauges)
+
     async def run(self):
         """Serves until the platform says to stop; then what is at work ends within the grace."""
         s = self.settings
         self.server = HttpServer(self.app)
         await self.server.open([s.listen["http"], s.listen["ready"], (s.ip, s.proxy_port)])
+        await self.open_metrics(self.server)
         self.say("started", role=s.role)
         self.begin()
         await self.until_stopped()
--- a/honeywood/gateway/proxy/sender.py
+++ b/honeywood/gateway/proxy/sender.py
@@ -2,9 +2,10 @@
 
 import asyncio
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Any
 
-from honeywood.gateway.routing.attempts import connect_by
+from honeywood.gateway.routing.attempts import PendingRequest, connect_by
 from honeywood.gateway.routing.outcomes import AttemptOutcome, classify
 from honeywood.gateway.rpc.connection import ExchangeFailed, Reply
 
@@ -39,6 +40,14 @@
     continued: asyncio.Task | None = None
 
 
+class RequestStage(StrEnum):
+    """How far a request has come, as counts tell of it when its client leaves."""
+
+    WAITING = "before any attempt"
+    AT_ENDPOINT = "at a machine"
+    ATTEMPTED = "between attempts"
+
+
 NOTHING_SENT = AttemptResult(AttemptOutcome.NOT_RUN)
 
 
@@ -63,10 +72,12 @@
         """`counts` is the Counter of what was done."""
         self.clock, self.endpoints, self.policy, self.stage = clock, endpoints, policy, stage
         self.pool, self.counts = pool, counts
+        self.flights: dict[PendingRequest, list[InFlight]] = {}  # attempts under way
 
     async def send(self, request, endpoint, outgoing):
         """The AttemptResult. What the policy refuses once the connection stands is not sent."""
         flight = InFlight(request, endpoint)
+        self.flights.setdefault(request, []).append(flight)
         endpoint.request_began(self.clock())
         try:
             if not await self._exchange(flight, outgoing):
@@ -164,6 +175,8 @@
     def _end(self, flight):
         """An attempt is over, however it ended."""
         reply, connection = flight.reply, flight.connection
+        self._forget(flight)
+        self._count_abandoned_work(flight)
         if flight.attempt is not None and flight.attempt.outcome is None:
             flight.attempt.outcome = AttemptOutcome.NO_ANSWER
         answered = isinstance(reply, Reply)
@@ -171,6 +184,27 @@
         if connection is not None and not (answered and reply.remainder is not None):
             self.pool.release(flight.endpoint, connection)
 
+    def _forget(self, flight):
+        flights = self.flights[flight.request]
+        flights.remove(flight)
+        if not flights:
+            del self.flights[flight.request]
+
+    def _count_abandoned_work(self, flight):
+        """How long an endpoint had an attempt after its client had left."""
+        left_at = flight.request.departure.left_at
+        if left_at is None or flight.attempt is None:
+            return
+        kind = flight.request.route.kind
+        self.counts[f"{kind} attempts ended after their client"] += 1
+        self.counts[f"{kind} ms after their client"] += int(1000 * (self.clock() - left_at))
+
+    def stage_of(self, request):
+        """The RequestStage that a request has reached."""
+        if any(flight.attempt is not None for flight in self.flights.get(request, ())):
+            return RequestStage.AT_ENDPOINT
+        return RequestStage.ATTEMPTED if request.attempts else RequestStage.WAITING
+
 
 def note_load(now, endpoint, told):
     """Takes what an answer tells of its endpoint's load: running and waiting requests, and slots."""
--- a/honeywood/gateway/routing/attempts.py
+++ b/honeywood/gateway/routing/attempts.py
@@ -1,11 +1,11 @@
 """What a request has been through, and the policy on further attempts: every one of them passes here."""
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
 from honeywood.gateway.routing.endpoints import READY
 from honeywood.gateway.routing.outcomes import AttemptOutcome
+from honeywood.gateway.rpc.departure import ClientDeparture
 
 DEFAULT_MAX_CONNECTIONS = 8  # that an endpoint is taken to accept while no configuration says more
 MAX_UNREACHABLE = 4  # endpoints that may prove out of reach to one request
@@ -52,7 +52,7 @@
     attempts: list = field(default_factory=list)
     finished: bool = False
     unreachable: list = field(default_factory=list)  # endpoints to which no connection came up
-    client_gone: Callable = lambda: False
+    departure: ClientDeparture = field(default_factory=ClientDeparture)
 
     @property
     def attempted_endpoints(self):
@@ -113,7 +113,7 @@
         """What keeps a request from all endpoints, or None."""
         if request.finished or request.succeeded:
             return Refusal.FINISHED
-        if request.client_gone():
+        if request.departure.gone:
             return Refusal.CLIENT_GONE
         if self._is_out_of_reach(now, request):
             return Refusal.UNREACHABLE
--- a/honeywood/gateway/rpc/asgi.py
+++ b/honeywood/gateway/rpc/asgi.py
@@ -1,9 +1,11 @@
 """What an ASGI scope asks for, and how it is answered."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
+from honeywood.gateway.rpc.departure import ClientDeparture
+
 CONTEXT = "honeywood.context"  # the scope's key of its RequestContext
 
 
@@ -11,10 +13,11 @@
 class RequestContext:
     """What the server says of a request beside ASGI. `target` has its raw escapes; `received_at` is when the
     request was whole, on the loop's clock; `early_response` is a future where the application has begun with
-    it behind another request of its connection, `others_begun` tells whether any behind it has been."""
+    it behind another request of its connection, `others_begun` tells whether any behind it has been;
+    `departure` tells of its client's leaving."""
 
     target: bytes
-    client_gone: Callable = lambda: False
+    departure: ClientDeparture = field(default_factory=ClientDeparture)
     others_begun: Callable = lambda: False
     received_at: float | None = None
     early_response: Any = None
--- a/honeywood/gateway/rpc/server.py
+++ b/honeywood/gateway/rpc/server.py
@@ -1,6 +1,7 @@
 """Listening, by uvicorn: one server for all of a program's addresses."""
 
 import asyncio
+import select
 import socket
 
 from uvicorn.config import Config
@@ -8,6 +9,7 @@
 from uvicorn.server import Server
 
 from honeywood.gateway.rpc.asgi import CONTEXT, RequestContext
+from honeywood.gateway.rpc.departure import ClientDeparture
 
 BACKLOG = 1024
 PIPELINED_MOST = 16  # requests of one connection that are at work before the first is answered
@@ -30,13 +32,19 @@
         """A client has come."""
         super().connection_made(transport)
         self.head_bytes, self.refusal = 0, BAD_REQUEST
+        self.departure = ClientDeparture(lambda: hung_up(transport.get_extra_info("socket")))
         self.timer = self.loop.call_later(self.config.app.limits.idle_s, self.on_timeout)
 
     def connection_lost(self, exc):
         """The client has gone."""
         self.timer.cancel()
+        self.departure.announce(self.loop.time())
         super().connection_lost(exc)
 
+    def eof_received(self):
+        """The client sends no more: it has left, and the connection ends."""
+        self.departure.announce(self.loop.time())
+
     @property
     def idle(self):
         """Whether no request is at work."""
@@ -134,7 +142,7 @@
         self.timer.cancel()
         self.head_bytes = 0
         self.refuse_ambiguous()
-        self.scope[CONTEXT] = RequestContext(self.url, self.transport.is_closing, self.any_early_begun)
+        self.scope[CONTEXT] = RequestContext(self.url, self.departure, self.any_early_begun)
         super().on_headers_complete()
         self.repeat_call_id()
         if self.pipeline and self.pipeline[0][0] is self.cycle:
@@ -171,6 +179,15 @@
             self.flow.resume_reading()
 
 
+def hung_up(sock):
+    """Whether the peer of a socket has ended its side, read or not."""
+    if sock is None or sock.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def listen(ip, port):
     """A listening socket."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -201,10 +218,14 @@
         self.server = Server(config)
 
     async def open(self, places):
-        """Listens on [(ip, port)]. uvicorn's own loop only keeps dates and limits that are off here."""
-        self.server.config.load()
+        """Listens on [(ip, port)], besides those of earlier calls; OSError where one is taken. uvicorn's own
+        loop only keeps dates and limits that are off here."""
+        sockets, before = [listen(ip, port) for ip, port in places], getattr(self.server, "servers", [])
+        if not self.server.config.loaded:
+            self.server.config.load()
         self.server.lifespan = self.server.config.lifespan_class(self.server.config)
-        await self.server.startup(sockets=[listen(ip, port) for ip, port in places])
+        await self.server.startup(sockets=sockets)
+        self.server.servers = [*before, *self.server.servers]
 
     async def close(self, within_s):
         """Takes no more, ends idle connections, and waits for what is at work and until its answers have
--- a/honeywood/gateway/startup.py
+++ b/honeywood/gateway/startup.py
@@ -44,4 +44,6 @@
     """Imports `program` of `module` and runs it until it ends."""
     lighten()
     asyncio = importlib.import_module("asyncio")
-    asyncio.run(getattr(importlib.import_module(module), program)().run())
+    started = getattr(importlib.import_module(module), program)()
+    started.metrics_port = importlib.import_module("honeywood.gateway.metrics").port_of(sys.argv[1:])
+    asyncio.run(started.run())
--- a/tests/gateway/test_architecture.py
+++ b/tests/gateway/test_architecture.py
@@ -18,6 +18,7 @@
     "dissemination": 2,
     "routing": 2,
     "rollout": 2,
+    "metrics": 1,
     "program": 3,
     "startup": 3,
     "proxy": 4,
--- a/tests/gateway/test_sockets.py
+++ b/tests/gateway/test_sockets.py
@@ -1,208 +1,32 @@
 """What only sockets show: a real proxy on loopback between a raw client and a scripted machine."""
 
 import asyncio
-import json
 
-from ports import free_port
-from timeline import config
-from ward import each, test
-
-from honeywood.gateway.configuration.settings import read
-from honeywood.gateway.proxy.program import Proxy
-from honeywood.gateway.rpc.server import HttpServer
-from honeywood.lab.emulator.boot import boot
-
-HEAD = b"HTTP/1.1 200 OK\r\nX-Try-Id: %s\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\n"
-GET = b"GET /p0/a%%2Fb?c HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: %s\r\nX-Deadline-Ms: 600\r\n\r\n"
-
-
-class Machine:
-    """Answers by a script: one function of (try id, writer) a request, the last for all that follow."""
-
-    def __init__(self, *script):
-        self.script, self.seen, self.accepted = list(script), [], 0
-
-    async def open(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
-        return self
-
-    async def serve(self, reader, writer):
-        self.accepted += 1
-        try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                fields = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:] if line)
-                body = await reader.readexactly(int(fields.get(b"content-length", b"0")))
-                self.seen.append((head, fields, body))
-                step = self.script.pop(0) if len(self.script) > 1 else self.script[0]
-                await step(fields[b"x-try-id"], writer)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            writer.close()
-
-
-async def ok(id, writer):
-    writer.write(HEAD % id + b"ok")
-
-
-async def cut(id, writer):
-    writer.write(HEAD % id + b"o")
-    writer.close()
-
-
-async def close(id, writer):
-    writer.close()
-
-
-async def stranger(id, writer):
-    writer.write(HEAD % b"other" + b"no")
-
-
-async def twice(id, writer):
-    writer.write(HEAD % id + b"ok" + HEAD % id + b"no")
-
-
-CHUNKED = (
-    b"HTTP/1.1 200 OK\r\nX-Try-Id: %s\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n%s\r\n0\r\n\r\n"
+from socket_scene import (
+    GET,
+    HEAD,
+    Scene,
+    chunked,
+    chunked_twice,
+    close,
+    cut,
+    endless,
+    full,
+    full_late,
+    long,
+    noise,
+    ok,
+    other,
+    other_late,
+    play,
+    sealless,
+    sick,
+    silent_503,
+    status,
+    stranger,
+    twice,
 )
-
-
-async def chunked(id, writer):
-    writer.write(CHUNKED % (id, b"ok"))
-
-
-async def chunked_twice(id, writer):
-    writer.write(CHUNKED % (id, b"ok") + CHUNKED % (id, b"no"))
-
-
-async def sealless(id, writer):
-    writer.write(b"HTTP/1.1 200 OK\r\nX-Try-Id: %s\r\nContent-Length: 2\r\n\r\nno" % id)
-
-
-async def noise(id, writer):
-    writer.write(b"\x00\x01 this is no answer\r\n\r\n")
-
-
-async def full(id, writer):
-    writer.write(b"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nX-Try-Id: %s\r\nContent-Length: 0\r\n\r\n" % id)
-
-
-async def other(id, writer):
-    writer.write(
-        b"HTTP/1.1 421 Misdirected\r\nX-Try-Id: %s\r\nX-Instance: i-9\r\nContent-Length: 0\r\n\r\n" % id
-    )
-
-
-async def full_late(id, writer):
-    await full(b"other", writer)
-
-
-async def other_late(id, writer):
-    await other(b"other", writer)
-
-
-async def endless(id, writer):
-    writer.write(b"HTTP/1.1 200 OK\r\nX-Try-Id: %s\r\nX-Seal: s\r\n\r\nno" % id)
-    writer.close()
-
-
-async def sick(id, writer):
-    writer.write(b"HTTP/1.1 500 Error\r\nX-Try-Id: %s\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nno" % id)
-
-
-async def silent_503(id, writer):
-    writer.write(b"HTTP/1.1 503 Busy\r\nX-Try-Id: %s\r\nContent-Length: 0\r\n\r\n" % id)
-
-
-async def long(id, writer):
-    writer.write(b"HTTP/1.1 200 OK\r\nX-Try-Id: %s\r\nX-Seal: s\r\nContent-Length: 1000000\r\n\r\n" % id)
-    writer.write(b"x" * 500000)
-    await writer.drain()
-    writer.close()
-
-
-class Scene:
-    """A proxy with a configuration of one `kind`, and machines that know their scripts."""
-
-    def __init__(self, *scripts, kind="safe", timeout=0.6):
-        self.scripts, self.kind, self.timeout = scripts, kind, timeout
-
-    async def __aenter__(self):
-        text = boot("127.0.0.1", bear=0, ports=(free_port(), free_port(), free_port(), 7000, 7010))
-        quiet = type("Quiet", (Proxy,), {"say": lambda *said, **more: None})
-        self.proxy = quiet(read(text))
-        sent = config(5, kind=self.kind)
-        sent["res"][0]["spec"]["timeout_s"] = self.timeout
-        self.proxy.hear("config", json.dumps(sent))
-        self.machines = []
-        for n, script in enumerate(self.scripts):
-            machine = await Machine(*script).open()
-            self.machines.append(machine)
-            self.note(n, "ready")
-        self.port = self.proxy.settings.listen["http"][1]
-        self.server = self.proxy.server = HttpServer(self.proxy.app)
-        await self.server.open([("127.0.0.1", self.port)])
-        return self
-
-    def note(self, n, state):
-        value = {
-            "svc": "s",
-            "ip": "127.0.0.1",
-            "port": self.machines[n].port,
-            "zone": "z",
-            "ver": "v1",
-            "slots": 4,
-        }
-        self.proxy.hear(f"machine/i-{n}", {**value, "state": state, "cold": 0})
-
-    async def __aexit__(self, *wrong):
-        await self.server.close(0.1)
-        for machine in self.machines:
-            machine.server.close()
-
-    async def raw(self, sent):
-        """All that comes back on one connection until it closes or nothing more is to come."""
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-        writer.write(sent)
-        writer.write_eof() if not sent.endswith(b"\r\n\r\n") else None
-        found = b""
-        while True:
-            try:
-                async with asyncio.timeout(1.0):
-                    part = await reader.read(65536)
-            except (TimeoutError, ConnectionError):
-                break
-            found += part
-            if not part or found.count(b"HTTP/1.1 ") >= sent.count(b" HTTP/1.1") and whole(found):
-                break
-        writer.close()
-        return found
-
-    async def get(self, id=b"id1"):
-        return await self.raw(GET % id)
-
-    async def post(self, id=b"id1"):
-        head = b"POST /p0/x HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: %s\r\nContent-Length: 4\r\n\r\n" % id
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-        writer.write(head + b"body")
-        found = await reader.readuntil(b"\r\n\r\n")
-        writer.close()
-        return found
-
-
-def whole(found):
-    head, _, body = found.rpartition(b"HTTP/1.1 ")[2].partition(b"\r\n\r\n")
-    length = [line for line in head.lower().split(b"\r\n") if line.startswith(b"content-length")]
-    return bool(length) and len(body) >= int(length[0].split(b":")[1])
-
-
-def status(found):
-    return int(found[9:12]) if found.startswith(b"HTTP/1.1 ") else None
-
-
-def play(work):
-    return asyncio.run(work())
-
+from ward import each, test
 
 @test("method, path with its escapes, query, id and body go on unchanged; the machine's answer comes back")
 def _():
