--- a/tests/gateway/socket_scene.py
+++ b/tests/gateway/socket_scene.py
@@ -130,12 +130,10 @@
         text = boot("127.0.0.1", bear=0, ports=(free_port(), free_port(), free_port(), 7000, 7010))
         quiet = type("Quiet", (Proxy,), {"say": lambda *said, **more: None})
         self.proxy = quiet(read(text))
-        sent = config(5, kind=self.kind)
-        sent["res"][0]["spec"]["timeout_s"] = self.timeout
-        self.proxy.hear("config", json.dumps(sent))
+        self.configure(self.configuration())
         self.machines = []
         for n, script in enumerate(self.scripts):
-            machine = await Machine(*script).open()
+            machine = await self.machine(script).open()
             self.machines.append(machine)
             self.note(n, "ready")
         self.port = self.proxy.settings.listen["http"][1]
@@ -143,6 +141,20 @@
         await self.server.open([("127.0.0.1", self.port)])
         return self
 
+    def configuration(self):
+        """What operators send before anything else."""
+        sent = config(5, kind=self.kind)
+        sent["res"][0]["spec"]["timeout_s"] = self.timeout
+        return sent
+
+    def configure(self, sent):
+        """Brings a configuration into force as operators send it."""
+        self.proxy.hear("config", json.dumps(sent))
+
+    def machine(self, script):
+        """The machine that plays a script."""
+        return Machine(*script)
+
     def note(self, n, state):
         value = {
             "svc": "s",
--- /dev/null
+++ b/tests/gateway/test_departures.py
@@ -0,0 +1,212 @@
+"""Clients that leave, at each moment of a request's way: work ends where it may, and nothing is left open."""
+
+import asyncio
+import socket
+import struct
+
+from socket_scene import GET, HEAD, Machine, Scene, play
+from ward import each, test
+
+CUT_WITHIN_S = 0.3  # after a client's leaving in which machines must be rid of what may be repeated
+POST = (
+    b"POST /p0/x HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: %s\r\nX-Deadline-Ms: 3000\r\n"
+    b"Content-Length: %d\r\n\r\n"
+)
+LONG_GET = GET.replace(b"600", b"3000")
+LONG_HEAD = HEAD.replace(b"Content-Length: 2", b"Content-Length: 9000000")
+LONG_BODY = b"x" * 400_000  # more than is held until an answer is whole
+
+
+class HoldingMachine(Machine):
+    """Keeps each request until its connection ends or `release` is set; says `first(id)` at once."""
+
+    def __init__(self, first=lambda id: b""):
+        super().__init__()
+        self.first, self.release = first, asyncio.Event()
+        self.started, self.cut = [], []  # ids of requests begun, and of those whose connection ended
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                fields = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:] if line)
+                await reader.readexactly(int(fields.get(b"content-length", b"0")))
+                id = fields[b"x-try-id"]
+                self.started.append(id)
+                writer.write(self.first(id))
+                if await self._was_cut(reader):
+                    self.cut.append(id)
+                    return writer.close()
+                writer.write(HEAD % id + b"ok")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def _was_cut(self, reader):
+        """Waits until the connection has ended (True) or the request is released."""
+        ended = asyncio.ensure_future(reader.read(1))
+        released = asyncio.ensure_future(self.release.wait())
+        await asyncio.wait((ended, released), return_when=asyncio.FIRST_COMPLETED)
+        released.cancel()
+        if not ended.done():
+            ended.cancel()
+            return False
+        ended.exception()
+        return True
+
+
+class HoldingScene(Scene):
+    """A scene of `count` HoldingMachines."""
+
+    def __init__(self, count, first=lambda id: b"", kind="safe"):
+        super().__init__(*[()] * count, kind=kind, timeout=3.0)
+        self.first = first
+
+    def machine(self, script):
+        return HoldingMachine(self.first)
+
+    async def connect(self):
+        """A client's (reader, writer)."""
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+    async def until(self, holds, within_s=1.0):
+        """Whether `holds()` comes true in time."""
+        until = asyncio.get_running_loop().time() + within_s
+        while not holds() and asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(0.005)
+        return holds()
+
+    def started(self):
+        return sum(len(machine.started) for machine in self.machines)
+
+    def cut(self):
+        return sum(len(machine.cut) for machine in self.machines)
+
+    def is_quiet(self):
+        """Whether nothing of any request is open at the proxy."""
+        endpoints = self.proxy.endpoints.by_id.values()
+        forwarder = self.proxy.forwarder
+        open_attempts = sum(endpoint.in_flight + endpoint.connecting for endpoint in endpoints)
+        return not (forwarder.open_requests or forwarder.sender.flights or open_attempts)
+
+
+def reset(writer):
+    """Ends a client's connection by a reset."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+async def at_one_machine(scene):
+    _, writer = await scene.connect()
+    writer.write(LONG_GET % b"a")
+    await scene.until(lambda: scene.started() == 1)
+    return writer.close
+
+
+async def by_reset(scene):
+    _, writer = await scene.connect()
+    writer.write(LONG_GET % b"a")
+    await scene.until(lambda: scene.started() == 1)
+    return lambda: reset(writer)
+
+
+async def by_its_last_word(scene):
+    _, writer = await scene.connect()
+    writer.write(LONG_GET % b"a")
+    await scene.until(lambda: scene.started() == 1)
+    return writer.write_eof
+
+
+async def at_two_machines(scene):
+    for service in scene.proxy.table.services:
+        scene.proxy.endpoints.latencies[service] = 0.02  # so that a second attempt comes soon
+    _, writer = await scene.connect()
+    writer.write(LONG_GET % b"a")
+    await scene.until(lambda: scene.started() == 2)
+    return writer.close
+
+
+async def behind_another(scene):
+    _, writer = await scene.connect()
+    writer.write(LONG_GET % b"a" + LONG_GET % b"b")
+    await scene.until(lambda: scene.started() == 2)
+    return writer.close
+
+
+async def with_reading_paused(scene):
+    """What can't be begun behind another stops the reading of the connection: its end lies unread."""
+    _, writer = await scene.connect()
+    writer.write(LONG_GET % b"a" + POST % (b"b", 300_000) + b"x" * 150_000)
+    await scene.until(lambda: scene.started() == 1)
+    await asyncio.sleep(0.05)
+    return writer.close
+
+
+async def after_anothers_answer(scene):
+    _, writer = await scene.connect()
+    writer.write(LONG_GET % b"a")
+    await scene.until(lambda: scene.proxy.forwarder.counts["surplus answers"] and scene.started())
+    return writer.close
+
+
+async def in_the_midst_of_its_answer(scene):
+    reader, writer = await scene.connect()
+    writer.write(LONG_GET % b"a")
+    await reader.readuntil(b"\r\n\r\n")
+    return writer.close
+
+
+def strangers_answer(id):
+    return HEAD % b"other" + b"no"
+
+
+def half_an_answer(id):
+    return LONG_HEAD % id + LONG_BODY
+
+
+def nothing(id):
+    return b""
+
+
+@test("a client leaves {leave.__name__}: machines are rid of its repeatable requests, and nothing stays open")
+def _(
+    leave=each(
+        at_one_machine,
+        by_reset,
+        by_its_last_word,
+        at_two_machines,
+        behind_another,
+        with_reading_paused,
+        after_anothers_answer,
+        in_the_midst_of_its_answer,
+    ),
+    machines=each(1, 1, 1, 2, 2, 1, 1, 1),
+    first=each(*[nothing] * 6, strangers_answer, half_an_answer),
+):
+    async def work():
+        async with HoldingScene(machines, first) as scene:
+            go = await leave(scene)
+            begun = scene.started()
+            assert begun and not scene.cut()
+            go()
+            assert await scene.until(lambda: scene.cut() == begun, CUT_WITHIN_S)
+            assert await scene.until(scene.is_quiet, CUT_WITHIN_S)
+            assert scene.started() == begun  # nothing is begun for who has left
+
+    play(work)
+
+
+@test("a client leaves while a machine has its request that may not be repeated: it is done whole, once")
+def _():
+    async def work():
+        async with HoldingScene(1, kind="unsafe") as scene:
+            _, writer = await scene.connect()
+            writer.write(POST % (b"a", 4) + b"body")
+            await scene.until(lambda: scene.started() == 1)
+            writer.close()
+            assert not await scene.until(scene.cut, CUT_WITHIN_S)
+            scene.machines[0].release.set()
+            assert await scene.until(scene.is_quiet) and scene.machines[0].started == [b"a"]
+            assert len(scene.proxy.endpoints.by_id["i-0"].idle_connections) == 1
+
+    play(work)
