A client's leaving ends its repeatable requests at machines, wherever they are

Cause: the end of a client's connection was noticed and only looked at before the next attempt; one at a machine was awaited to its answer or deadline. While reading was paused the end lay unread. Change: leaving is announced to each request; attempts of repeatable ones at machines are ended (outcome ABANDONED: no failure of the endpoint, no outcome of a rollout, a lower bound of its latency), also the one beside an answer taken, the reading after a surplus answer and a long answer's rest. What may not be repeated is finished, but not begun for one whose end lies unread. Paused connections are looked at every 0.1 s. Attempts' tasks are held. The emulator has clients that leave, slow machines and the rule gone.

--- a/honeywood/gateway/proxy/app.py
+++ b/honeywood/gateway/proxy/app.py
@@ -3,6 +3,8 @@
 import json
 from collections import Counter
 
+import httpcore
+
 from honeywood.gateway.configuration.check import read_json
 from honeywood.gateway.configuration.outcome import Wrong
 from honeywood.gateway.dissemination.messages import Ask
@@ -53,7 +55,19 @@
             headers = [*headers, (b"connection", b"close")]  # what has begun behind is answered first
         if response.remainder is None:
             return await answer(send, response.status, headers, response.body)
-        await stream(send, response.status, headers, _chunks(response))
+        await self._relay(send, response, headers, context.departure)
+
+    async def _relay(self, send, response, headers, departure):
+        """Passes a long answer on as it comes."""
+        if response.ends_with_client:
+            departure.subscribe(response.remainder.abandon)
+        try:
+            await stream(send, response.status, headers, _chunks(response))
+        except httpcore.ReadTimeout:  # what `abandon` makes of the reading
+            if not departure.gone:
+                raise
+        finally:
+            departure.unsubscribe(response.remainder.abandon)
 
     def early(self, scope):
         """Begins with a request that stands behind another, where it may be repeated and has no body: a task
@@ -79,6 +93,8 @@
         if route is None:
             return self._refused(NOT_FOUND, "no route")
         body = await body_of(receive, self.proxy.limits.body_bytes)
+        if body is None and scope[CONTEXT].departure.gone:
+            return self._refused(BAD_REQUEST, "its client left before its end")
         if body is None:
             return self._refused(BODY_TOO_LONG, "the body is too long")
         return await self._forward(scope, route, fields, body)
--- a/honeywood/gateway/proxy/forwarding.py
+++ b/honeywood/gateway/proxy/forwarding.py
@@ -63,7 +63,7 @@
         self.policy, self.stage, self.budget_of = policy, stage, budget_of
         self.counts = Counter()  # since the start: requests, retries, answers by status, why none was free
         self.open_requests: set[PendingRequest] = set()
-        self.sender = AttemptSender(clock, endpoints, policy, stage, pool, self.counts)
+        self.sender = AttemptSender(clock, endpoints, policy, stage, pool, self.counts, self._unsubscribe)
 
     async def forward(self, route, client_request):
         """The ClientResponse to a request on `route`."""
@@ -73,20 +73,31 @@
             return own_response(BAD_REQUEST, "x-deadline-ms is no number")
         request = self._take(route, client_request, min(route.timeout, told_ms / 1000))
         self.open_requests.add(request)
-        request.departure.subscribe(on_departure := partial(self._client_left, request))
+        request.on_departure = partial(self._client_left, request)
+        request.departure.subscribe(request.on_departure)
         try:
             response = await self._race(request, client_request.outgoing())
         finally:
             request.finished = True
-            request.departure.unsubscribe(on_departure)
             self.open_requests.discard(request)
+            self._unsubscribe(request)
+        response.ends_with_client = route.safe
         self._count(request, response)
         return response
 
     def _client_left(self, request):
-        """The client of a request that is open has left."""
-        kind, stage = request.route.kind, self.sender.stage_of(request)
-        self.counts[f"client left: {kind} {stage}"] += 1
+        """The client of a request has left: what may be repeated is ended, also an attempt beside the one
+        whose answer was taken. What may not be repeated is finished: whoever asked may rely on it."""
+        if not request.finished:
+            kind, stage = request.route.kind, self.sender.stage_of(request)
+            self.counts[f"client left: {kind} {stage}"] += 1
+        if request.route.safe:
+            self.sender.abandon(request)
+
+    def _unsubscribe(self, request):
+        """Nothing of a request that is finished and has no attempts under way depends on its client."""
+        if request.finished and request not in self.sender.flights:
+            request.departure.unsubscribe(request.on_departure)
 
     def _take(self, route, client_request, wait_s):
         """The PendingRequest, which earns its service's budget and its version's trial their parts."""
@@ -102,6 +113,8 @@
 
     def _count(self, request, response):
         self.counts["requests"] += 1
+        if request.departure.gone:
+            return
         if response.status < FIRST_FAILURE:
             late = self.clock() - request.received_at > request.route.target
             self.counts["served late" if late else "served in time"] += 1
@@ -111,11 +124,11 @@
     async def _race(self, request, outgoing):
         """The answer of whichever attempt succeeds first; one is begun after the other, and for repeatable
         requests beside one that is slow."""
-        failure, running, loop = None, set(), asyncio.get_running_loop()
+        failure, running = None, set()
         while True:
             endpoint = self._choose(request)
             if endpoint is not None:
-                running.add(loop.create_task(self.sender.send(request, endpoint, outgoing)))
+                running.add(self.sender.start(request, endpoint, outgoing))
             if not running:
                 return self._give_up(request, failure)
             wait_s, is_hedge = self._patience(request, len(running))
@@ -163,6 +176,8 @@
 
     def _give_up(self, request, failure):
         """The final answer where no endpoint may be asked any more."""
+        if request.departure.gone:
+            return own_response(BAD_GATEWAY, "its client has left")  # nobody reads it
         if failure is not None:
             return relayed(failure)
         if self._is_time_up(request):
--- a/honeywood/gateway/proxy/responses.py
+++ b/honeywood/gateway/proxy/responses.py
@@ -1,10 +1,9 @@
 """What a client gets: an endpoint's answer, or one of the gateway's own."""
 
 from dataclasses import dataclass
-from typing import Any
 
 from honeywood.gateway.routing.outcomes import FIRST_FAILURE, may_relay
-from honeywood.gateway.rpc.connection import end_to_end
+from honeywood.gateway.rpc.connection import Remainder, end_to_end
 
 RETRY_AFTER_S = 0.1  # after which a refused client may come again
 BAD_REQUEST, NOT_FOUND, BODY_TOO_LONG = 400, 404, 413
@@ -13,12 +12,14 @@
 
 @dataclass(slots=True)
 class ClientResponse:
-    """What a client gets; `remainder` is what follows a long body's start."""
+    """What a client gets; `remainder` is what follows a long body's start. `ends_with_client` says that the
+    reading of it ends once the client has left."""
 
     status: int
     headers: list
     body: bytes = b""
-    remainder: Any = None
+    remainder: Remainder | None = None
+    ends_with_client: bool = False
 
 
 def own_response(status, reason, retry_after_s=None):
--- a/honeywood/gateway/proxy/sender.py
+++ b/honeywood/gateway/proxy/sender.py
@@ -68,12 +68,33 @@
 class AttemptSender:
     """Makes attempts, and tells the endpoint, the pool and the rollout's stage what came of them."""
 
-    def __init__(self, clock, endpoints, policy, stage, pool, counts):
-        """`counts` is the Counter of what was done."""
+    def __init__(self, clock, endpoints, policy, stage, pool, counts, on_idle=lambda request: None):
+        """`counts` is the Counter of what was done; `on_idle` is told of a request without attempts under
+        way."""
+        self.on_idle, self.tasks = on_idle, set()  # a task that nobody held could be collected at work
         self.clock, self.endpoints, self.policy, self.stage = clock, endpoints, policy, stage
         self.pool, self.counts = pool, counts
         self.flights: dict[PendingRequest, list[InFlight]] = {}  # attempts under way
 
+    def start(self, request, endpoint, outgoing):
+        """A task of `send`."""
+        return self._hold(self.send(request, endpoint, outgoing))
+
+    def _hold(self, work):
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    def abandon(self, request):
+        """The client of a request that may be repeated has left: ends its attempts at endpoints. An attempt
+        whose connection is still to come up ends by the policy, and the connection is kept."""
+        for flight in self.flights.get(request, ()):
+            if flight.attempt is not None and flight.attempt.outcome is None:
+                flight.attempt.outcome = AttemptOutcome.ABANDONED
+                flight.connection.close()
+                self.counts["attempts abandoned"] += 1
+
     async def send(self, request, endpoint, outgoing):
         """The AttemptResult. What the policy refuses once the connection stands is not sent."""
         flight = InFlight(request, endpoint)
@@ -95,6 +116,8 @@
         request, endpoint = flight.request, flight.endpoint
         while await self._connect(flight):
             now = self.clock()
+            if not request.route.safe:  # it couldn't be taken back
+                request.departure.check(now)
             if self.policy.refusal(now, request, endpoint, True) is not None:
                 return False  # what changed while the connection came up counts
             flight.attempt = self.policy.record_attempt(now, request, endpoint)
@@ -134,7 +157,7 @@
         flight.continued = True
         self.counts["surplus answers"] += 1
         flight.endpoint.avoid(self.clock())
-        return AttemptResult(None, None, asyncio.get_running_loop().create_task(self._read_on(flight)))
+        return AttemptResult(None, None, self._hold(self._read_on(flight)))
 
     async def _read_on(self, flight):
         """The AttemptResult of what follows surplus answers."""
@@ -151,10 +174,15 @@
     def _conclude(self, flight):
         """The AttemptResult of an attempt's last answer, or of its lack."""
         now = self.clock()
+        if flight.attempt.outcome is AttemptOutcome.ABANDONED:
+            self.endpoints.record_abandoned(now, flight.endpoint, now - flight.sent_at)
+            return AttemptResult(AttemptOutcome.ABANDONED)
         flight.attempt.outcome = outcome = self._outcome(flight, now)
         self.stage.ended(now, flight.request, flight.endpoint, outcome, now - flight.sent_at)
         if outcome is AttemptOutcome.INVALID:  # what belongs to this request may still come: it ends there
             flight.connection.close()
+        if flight.request.finished and isinstance(flight.reply, Reply) and flight.reply.remainder is not None:
+            flight.reply.remainder.abandon()  # another attempt's answer was taken
         return AttemptResult(outcome, flight.reply)
 
     def _outcome(self, flight, now):
@@ -189,6 +217,7 @@
         flights.remove(flight)
         if not flights:
             del self.flights[flight.request]
+            self.on_idle(flight.request)
 
     def _count_abandoned_work(self, flight):
         """How long an endpoint had an attempt after its client had left."""
--- a/honeywood/gateway/rollout/stage.py
+++ b/honeywood/gateway/rollout/stage.py
@@ -19,6 +19,7 @@
 LEASE = 3.0  # seconds a stage holds at a proxy that hears no controller; then the earlier version alone
 UNLIKE = 1.5  # times that a slow machine of a service takes beside the usual one, whatever its version
 ESTABLISHED, ON_TRIAL, CLOSED = "established", "trial", "closed"
+UNCOUNTED = (AttemptOutcome.NOT_RUN, AttemptOutcome.ABANDONED)  # outcomes that say nothing of a version
 
 
 class Stage:
@@ -146,12 +147,7 @@
     def ended(self, now, ask, machine, outcome, took):
         """Counts how a send ended, by class and version, while a rollout is under way."""
         rollout = self.rollouts.get(ask.service)
-        if (
-            rollout is None
-            or not rollout.active
-            or outcome is AttemptOutcome.NOT_RUN
-            or now < machine.warm_at
-        ):
+        if rollout is None or not rollout.active or outcome in UNCOUNTED or now < machine.warm_at:
             return
         # few are tried, and these may be the slow ones of the service; in full service all are asked
         if machine.version == rollout.version and rollout.stage == TRIAL:
--- a/honeywood/gateway/routing/attempts.py
+++ b/honeywood/gateway/routing/attempts.py
@@ -1,5 +1,6 @@
 """What a request has been through, and the policy on further attempts: every one of them passes here."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -53,6 +54,7 @@
     finished: bool = False
     unreachable: list = field(default_factory=list)  # endpoints to which no connection came up
     departure: ClientDeparture = field(default_factory=ClientDeparture)
+    on_departure: Callable[[], None] | None = None  # what `departure` calls; None: nothing
 
     @property
     def attempted_endpoints(self):
--- a/honeywood/gateway/routing/endpoints.py
+++ b/honeywood/gateway/routing/endpoints.py
@@ -134,6 +134,13 @@
         endpoint.state = state
         return endpoint, True
 
+    def record_abandoned(self, now, endpoint, waited_s):
+        """An attempt was ended by us after `waited_s` without an answer. Its latency would have been more: so
+        an endpoint that is slower than known is learnt of even where no client stays for its answers."""
+        typical_s = self.latencies.get(endpoint.service)
+        if typical_s is not None and waited_s > typical_s * endpoint.slowness:
+            endpoint.record_latency(now, waited_s, typical_s)
+
     def record_latency(self, now, endpoint, latency_s):
         """A whole answer has come: what is typical for the service, and the endpoint's speed."""
         typical_s = self.latencies.get(endpoint.service, latency_s)
--- a/honeywood/gateway/routing/outcomes.py
+++ b/honeywood/gateway/routing/outcomes.py
@@ -8,13 +8,15 @@
 
 class AttemptOutcome(StrEnum):
     """How an attempt ended. INVALID is no answer to this request, or one that must not reach its client; so
-    it may have run, as with NO_ANSWER."""
+    it may have run, as with NO_ANSWER. ABANDONED was ended by us, since its client had left: it may have run,
+    and says nothing of its endpoint."""
 
     SUCCESS = "success"
     FAILURE = "failure"
     NOT_RUN = "not run"
     INVALID = "invalid"
     NO_ANSWER = "no answer"
+    ABANDONED = "abandoned"
 
 
 def classify(status, fields, try_id):
--- a/honeywood/gateway/rpc/connection.py
+++ b/honeywood/gateway/rpc/connection.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from typing import Any
 
 import httpcore
 
@@ -36,6 +35,24 @@
     return [(name, value) for name, value in headers if name not in HOP_BY_HOP and name not in named]
 
 
+class Remainder:
+    """What follows the start of a long answer, as an asynchronous iterator of bytes that is read once."""
+
+    __slots__ = ("connection", "chunks")
+
+    def __init__(self, connection, chunks):
+        """`chunks` are read from `connection`."""
+        self.connection, self.chunks = connection, chunks
+
+    def __aiter__(self):
+        """The chunks; reading raises where the answer ends early."""
+        return self.chunks
+
+    def abandon(self):
+        """Nobody wants the rest: ends the connection, and with it the reading."""
+        self.connection.close()
+
+
 @dataclass(slots=True)
 class Reply:
     """A whole answer, or with `remainder` the start of a long one. `headers` are in lower case, as they came;
@@ -44,7 +61,7 @@
     status: int
     headers: list
     body: bytes
-    remainder: Any = None
+    remainder: Remainder | None = None
     fields: dict = field(default_factory=dict)
     surplus: bool = False  # it answers another request, and `Connection.read_on` may find the right one
 
@@ -162,7 +179,7 @@
             parts.append(chunk)
             size += len(chunk)
             if size > hold:
-                remainder = self._remainder(response, chunks, fields, timer)
+                remainder = Remainder(self, self._remainder(response, chunks, fields, timer))
                 return Reply(response.status, headers, b"".join(parts), remainder, fields)
         reply = Reply(response.status, headers, b"".join(parts), None, fields, self._may_read_on(fields))
         if reply.surplus:
--- a/honeywood/gateway/rpc/server.py
+++ b/honeywood/gateway/rpc/server.py
@@ -5,6 +5,7 @@
 import socket
 
 from uvicorn.config import Config
+from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 from uvicorn.server import Server
 
@@ -13,6 +14,7 @@
 
 BACKLOG = 1024
 PIPELINED_MOST = 16  # requests of one connection that are at work before the first is answered
+HANG_UP_LOOK_S = 0.1  # seconds between looks at whether a client has left whose connection isn't read
 CLOSE_LOOK_S = 0.05  # seconds between looks at what is left while listening ends
 LINE_BYTES = 4  # of a header's line beside its name and value
 CALL_ID = b"x-call-id"  # the id that one of our own calls carries, and its answer repeats
@@ -32,19 +34,47 @@
         """A client has come."""
         super().connection_made(transport)
         self.head_bytes, self.refusal = 0, BAD_REQUEST
+        self.flow = WatchedFlow(transport, self.watch_for_hang_up)
         self.departure = ClientDeparture(lambda: hung_up(transport.get_extra_info("socket")))
+        self.hang_up_timer, self.open_cycles = None, []
         self.timer = self.loop.call_later(self.config.app.limits.idle_s, self.on_timeout)
 
     def connection_lost(self, exc):
         """The client has gone."""
         self.timer.cancel()
-        self.departure.announce(self.loop.time())
+        self.client_left()
         super().connection_lost(exc)
 
     def eof_received(self):
         """The client sends no more: it has left, and the connection ends."""
+        self.client_left()
+
+    def client_left(self):
+        """Nobody waits for the answers to what is open on this connection."""
+        if self.hang_up_timer is not None:
+            self.hang_up_timer.cancel()
+        for cycle in self.open_cycles:
+            cycle.disconnected = True
+            cycle.message_event.set()
+        self.open_cycles.clear()
         self.departure.announce(self.loop.time())
 
+    def watch_for_hang_up(self):
+        """Reading has been paused: the client's leaving would lie unread behind what it has sent, so it is
+        looked for until reading goes on."""
+        if self.hang_up_timer is None:
+            self.hang_up_timer = self.loop.call_later(HANG_UP_LOOK_S, self.look_for_hang_up)
+
+    def look_for_hang_up(self):
+        """Ends the connection of a client that has left."""
+        self.hang_up_timer = None
+        if not self.flow.read_paused or self.transport.is_closing():
+            return
+        if self.departure.check(self.loop.time()):
+            self.transport.abort()
+        else:
+            self.watch_for_hang_up()
+
     @property
     def idle(self):
         """Whether no request is at work."""
@@ -113,6 +143,7 @@
         if alone and not self.transport.is_closing():
             self.transport.write(STATUS_LINE[status] + b"content-length: 0\r\nconnection: close\r\n\r\n")
         self.transport.close()
+        self.client_left()  # no answer of what is at work reaches it any more
 
     def on_message_complete(self):
         """A request is whole. It may stand behind another for long, while its client's time goes on."""
@@ -144,6 +175,8 @@
         self.refuse_ambiguous()
         self.scope[CONTEXT] = RequestContext(self.url, self.departure, self.any_early_begun)
         super().on_headers_complete()
+        self.open_cycles = [cycle for cycle in self.open_cycles if not cycle.response_complete]
+        self.open_cycles.append(self.cycle)
         self.repeat_call_id()
         if self.pipeline and self.pipeline[0][0] is self.cycle:
             self.begin_early()
@@ -179,6 +212,19 @@
             self.flow.resume_reading()
 
 
+class WatchedFlow(FlowControl):
+    """uvicorn's control of reading and writing, which tells of each pause of the reading."""
+
+    def __init__(self, transport, on_pause):
+        super().__init__(transport)
+        self.on_pause = on_pause
+
+    def pause_reading(self):
+        """Reads no more for now."""
+        super().pause_reading()
+        self.on_pause()
+
+
 def hung_up(sock):
     """Whether the peer of a socket has ended its side, read or not."""
     if sock is None or sock.fileno() < 0:
--- a/honeywood/lab/emulator/clients.py
+++ b/honeywood/lab/emulator/clients.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 from dataclasses import dataclass
+from math import inf
 
 from honeywood.gateway.rpc.asgi import CONTEXT, RequestContext
 from honeywood.lab.emulator.boot import AIM_S, DEADLINE_S
@@ -17,7 +18,7 @@
 LATER_SHARE = 0.2  # of these are on routes that were added later
 NO_ROUTE = 404
 READINESS_S, MISSES = 1.0, 2  # seconds between the platform's looks; after so many bad ones nothing new comes
-SILENCE, REFUSED, CUT = "silence", "refused", "cut"  # how a try ends without an answer
+SILENCE, REFUSED, CUT, LEFT = "silence", "refused", "cut", "left"  # how a try ends without an answer
 
 
 @dataclass(slots=True)
@@ -29,15 +30,18 @@
     service: str
     safe: bool
     path: bytes
+    stays_s: float = inf  # after which its client leaves
 
 
 class Clients:
-    """All clients of a day. `deaf` is the share that doesn't heed what it is told."""
+    """All clients of a day. `deaf` is the share that doesn't heed what it is told, `leaving` the share that
+    leaves, `leaves_within_s` after it asked at the latest."""
 
     def __init__(self, world):
         """`world` is an EmulatedDay."""
         self.world, self.chance, self.now = world, world.chance, world.loop.time
         self.deaf, self.tries, self.ready = 0.0, 0, set(world.fronts)
+        self.leaving, self.leaves_within_s = 0.0, AIM_S
 
     async def run(self, until):
         """Requests at the day's rate."""
@@ -47,8 +51,9 @@
 
     async def _request(self, safe):
         begun, deaf = self.now(), self.chance.random() < self.deaf
+        stays_s = self._stays_s()
         zone, path = self.chance.choice(self.world.zone_names), self._path(safe)
-        request = Request(begun, zone, "s" if safe else "u", safe, path)
+        request = Request(begun, zone, "s" if safe else "u", safe, path, stays_s)
         end, outcome = SILENCE, self.world.outcome
         outcome.owed += 1
         for _ in range(DEAF_TRIES if deaf else TRIES):
@@ -56,6 +61,9 @@
             if left_s <= SHORTEST_TRY_S:
                 break
             end, pause_s = await self._try(request, left_s)
+            if end == LEFT:
+                outcome.owed -= 1  # it wanted no answer in the end
+                return
             if end == "200" or not _may_be_tried_again(end, safe):
                 break
             await asyncio.sleep(0.0 if deaf else min(pause_s, left_s / 3))
@@ -64,6 +72,21 @@
             worth = 1.0 if self.now() - begun <= AIM_S else LATE_WORTH
         outcome.earned(int(begun), worth, end)
 
+    def _stays_s(self):
+        """For how long a client stays."""
+        if not self.leaving or self.chance.random() >= self.leaving:
+            return inf
+        return self.chance.uniform(0.0, self.leaves_within_s)
+
+    def _leave(self, proxy, process, id, context):
+        """The client closes its connection, and the proxy hears of it."""
+        self.world.monitor.requests.client_left(self.now(), id, proxy)
+
+        async def hear():
+            context.departure.announce(self.now())
+
+        process.run(hear())
+
     def _path(self, safe):
         """A path on a route that all proxies in touch must know by now."""
         if not safe:
@@ -92,13 +115,15 @@
             await asyncio.sleep(left_s)
             return SILENCE, 0.0
         self.world.monitor.requests.asked(self.now(), id, request.service, request.safe)
-        work = process.run(program.app.client(_scope(id, left_s, request.path), _no_body))
-        await asyncio.wait((work,), timeout=left_s)
+        scope = _scope(id, left_s, request.path)
+        work = process.run(program.app.client(scope, _no_body))
+        until_it_leaves_s = max(0.0, request.begun + request.stays_s - self.now())
+        await asyncio.wait((work,), timeout=min(left_s, until_it_leaves_s))
         if work.cancelled():
             return CUT, 0.0
         if not work.done():
-            work.cancel()  # the connection is closed by its client
-            return SILENCE, 0.0
+            self._leave(proxy, process, id, scope[CONTEXT])
+            return LEFT if until_it_leaves_s < left_s else SILENCE, 0.0
         answer = work.result()
         if answer.status == NO_ROUTE:
             self.world.monitor.proxies.knows_no_route(self.now(), proxy, request.path)
--- a/honeywood/lab/emulator/faults/drawing.py
+++ b/honeywood/lab/emulator/faults/drawing.py
@@ -47,6 +47,8 @@
         machines.garble,
         machines.ill,
         machines.deaf,
+        machines.leaving,
+        machines.sluggish,
         orders.configure,
         orders.race,
         orders.orders,
--- a/honeywood/lab/emulator/faults/machines.py
+++ b/honeywood/lab/emulator/faults/machines.py
@@ -31,15 +31,15 @@
     return alive[int(fault.target * len(alive))] if len(alive) > 2 else None
 
 
-async def _touch(world, fault, share_of, value):
-    """Sets the share `share_of` of some machines for a while."""
+async def _touch(world, fault, attribute, value, usual=0.0):
+    """Sets an attribute of some machines for a while; it is `usual` before and after."""
     machines = sorted(world.machines.alive(), key=lambda machine: machine.id)
     touched = [one for at, one in enumerate(machines) if (at * 0.37 + fault.target) % 1 < SHARE]
     for machine in touched:
-        setattr(machine, share_of, value)
+        setattr(machine, attribute, value)
     await asyncio.sleep(fault.for_s)
     for machine in touched:
-        setattr(machine, share_of, 0.0)
+        setattr(machine, attribute, usual)
 
 
 async def answers_lost(world, fault):
@@ -57,6 +57,19 @@
     await _touch(world, fault, "bad", 0.1 + 0.5 * fault.variant)
 
 
+async def sluggish(world, fault):
+    """Machines take many times as long as usual."""
+    await _touch(world, fault, "pace", 5.0 + 20.0 * fault.variant, usual=1.0)
+
+
+async def leaving(world, fault):
+    """Clients leave, soon or only just before their time is up, and ask nothing again."""
+    clients = world.clients
+    clients.leaving, clients.leaves_within_s = 0.2 + 0.6 * fault.variant, 0.02 + 0.6 * fault.target
+    await asyncio.sleep(fault.for_s)
+    clients.leaving = 0.0
+
+
 async def deaf(world, fault):
     """Clients don't heed what they are told."""
     world.clients.deaf = 0.3 + 0.6 * fault.variant
--- a/honeywood/lab/emulator/machines.py
+++ b/honeywood/lab/emulator/machines.py
@@ -71,13 +71,21 @@
                 return False
             turn = asyncio.get_running_loop().create_future()
             self.waiting.append(turn)
-            await turn
+            try:
+                await turn
+            except asyncio.CancelledError:
+                if not turn.cancelled():  # its turn had come: the next one has it
+                    self._next()
+                raise
         self.running += 1
         return True
 
     def free(self):
         """A request has left its slot; the next one that waits has it."""
         self.running -= 1
+        self._next()
+
+    def _next(self):
         while self.waiting:
             turn = self.waiting.pop(0)
             if not turn.done():
@@ -93,6 +101,7 @@
         self.machines, self.front, self.machine, self.up = machines, front, machine, up
         self.reusable, self.idle_since, self.keep_alive_s, self.broke = True, 0.0, None, None
         self.own = None  # a future of the answer behind a surplus one
+        self.work = None  # the task of the machine that serves the request on it
         machine.links[self] = None
         up(1)
 
@@ -104,6 +113,8 @@
             self.up(-1)
             if self.broke is not None and not self.broke.done():
                 self.broke.set_result(None)
+            if self.work is not None and not self.machine.gone:
+                asyncio.get_running_loop().create_task(self.machines.drop(self), context=Context())
 
     async def exchange(self, method, target, headers, body, until, expected=None):
         """Reply or ExchangeFailed, as over a real connection."""
@@ -112,6 +123,7 @@
             return ExchangeFailed("the connection had ended", False)
         self.broke = loop.create_future()
         work = loop.create_task(self.machines.serve(self, dict(headers), target), context=Context())
+        self.work = work
         return await self._outcome(work, until, expected)
 
     async def read_on(self, until):
@@ -125,7 +137,7 @@
         loop = asyncio.get_running_loop()
         left = max(0.0, until - loop.time())
         await asyncio.wait((work, self.broke), timeout=left, return_when="FIRST_COMPLETED")
-        if work.done() and work.result() is not None:
+        if work.done() and not work.cancelled() and work.result() is not None:
             self.idle_since, reply = loop.time(), work.result()
             if expected is not None and reply.fields.get(expected[0], expected[1]) != expected[1]:
                 reply.surplus, self.reusable = True, False
@@ -206,6 +218,7 @@
             await asyncio.sleep(min(work * machine.pace * cold * much, max(0.0, until - loop.time())))
         finally:
             machine.free()
+            self.requests.run_ended(loop.time(), id)
         if machine.gone:
             await asyncio.sleep(FOREVER_S)
         if self.random.random() < machine.cuts:
@@ -218,6 +231,12 @@
         status = 504 if loop.time() >= until else 500 if failed else 200
         return await self._reply(link, status, {b"x-try-id": id, b"x-seal": b"s"}, id)
 
+    async def drop(self, link):
+        """The machine hears that a connection has ended, and stops its work for it."""
+        await asyncio.sleep(self.delay(link.front, link.machine))
+        if not self.cut(link.front, link.machine):
+            link.work.cancel()
+
     async def _reply(self, link, status, fields, body=b""):
         machine = link.machine
         await asyncio.sleep(self.delay(link.front, machine))
--- a/honeywood/lab/emulator/rules/__init__.py
+++ b/honeywood/lab/emulator/rules/__init__.py
@@ -10,6 +10,8 @@
 back      within one incarnation no proxy goes back to an older version
 ready     a proxy in touch is ready for seven eighths of that time
 budget    further arrivals at a service stay within the ratio and the slack
+gone      half a second after its client has left no machine works on a repeatable request any more, where the
+          proxy was in touch
 exposure  a bad version gets its share and no more, and nothing rollback_s after its 50th bad answer
 one end   a rollout is told one end
 kept      what was acknowledged is there in the end
--- a/honeywood/lab/emulator/rules/requests.py
+++ b/honeywood/lab/emulator/rules/requests.py
@@ -1,8 +1,9 @@
-"""Rules of requests: `once`, `promise`, `own`, `drain` and `budget`."""
+"""Rules of requests: `once`, `promise`, `own`, `drain`, `budget` and `gone`."""
 
 from bisect import bisect_left
 from collections import Counter, defaultdict
 
+GONE_WITHIN_S = 0.5  # seconds after a client's leaving in which machines must be rid of what may be repeated
 PROMISES = (408, 421, 429, 503)  # answers that promise that nothing has run
 
 
@@ -18,6 +19,7 @@
         self.further = defaultdict(list)  # times of further arrivals at machines, by service
         self.leaving = {}  # when a machine's leaving was acknowledged
         self.resets = 0
+        self.left_at, self.running = {}, {}  # by a try's id: when and where its client left; runs at work
 
     def asked(self, now, id, service, safe):
         """A client sends a try."""
@@ -37,6 +39,7 @@
     def ran(self, now, id, machine, proxy, failed):
         """A machine begins to work on a try."""
         self.runs[id] += 1
+        self.running[id] = self.running.get(id, 0) + 1
         if not self.safe[id]:
             if self.runs[id] > 1:
                 self.core.breach("once", now, f"{id.decode()} runs again at {machine.id}")
@@ -44,6 +47,23 @@
                 self.core.breach("promise", now, f"{id.decode()} runs after its promise")
         self.trials.ran(now, machine, proxy, self.sent_at[id], failed)
 
+    def client_left(self, now, id, proxy):
+        """A client closes its connection before its answer."""
+        self.left_at[id] = now, proxy
+
+    def run_ended(self, now, id):
+        """A machine is rid of a try, done or dropped."""
+        if id in self.running:
+            self.running[id] -= 1
+        self._went_on(now, id)
+
+    def _went_on(self, now, id):
+        """Notes a breach where a repeatable run outlasted its client, at a proxy in touch all the while."""
+        left_at, proxy = self.left_at.get(id, (now, ""))
+        late = self.safe.get(id) and now - left_at > GONE_WITHIN_S
+        if late and self.core.in_touch(left_at, proxy) and self.core.in_touch(now, proxy):
+            self.core.breach("gone", now, f"{id.decode()} ran {now - left_at:.2f} s after its client left")
+
     def answered(self, now, id, status, body):
         """A client has its answer."""
         if status in PROMISES:
--- a/tests/gateway/test_emulator.py
+++ b/tests/gateway/test_emulator.py
@@ -19,6 +19,7 @@
 from honeywood.gateway.proxy.forwarding import Forwarder
 from honeywood.gateway.proxy.program import Proxy
 from honeywood.gateway.proxy.responses import own_response
+from honeywood.gateway.proxy.sender import AttemptSender
 from honeywood.gateway.register import membership as members
 from honeywood.gateway.register.storage import Storage
 from honeywood.gateway.rollout import record
@@ -218,7 +219,7 @@
     rule=each(
         *("once", "promise", "own", "drain", "apply", "back", "budget", "exposure", "kept"),
         *("number", "refused", "reads", "reads", "acks", "raised", "reads"),
-        *("kept", "kept", "reads", "drain", "acks", "ready", "left", "routes"),
+        *("kept", "kept", "reads", "drain", "acks", "ready", "left", "routes", "gone"),
     ),
     patch=each(
         lambda: unrefused("may have run"),
@@ -245,6 +246,7 @@
         lambda: [(Proxy, "listen", gives_up), (Proxy, "poll", idle)],
         lambda: [(App, "leave", unheeded), (machines, "beat", always_ready)],
         lambda: [(RouteTable, "__init__", three_routes)],
+        lambda: [(AttemptSender, "abandon", lambda self, request: None)],
     ),
     faults=each(
         (fault("answers_lost", variant=1.0),),
@@ -271,8 +273,9 @@
         (),
         (fault("drain", 1.0, target=0.1), fault("drain", 1.5, target=0.9), fault("drain", 2.0)),
         (fault("configure", 1.0),),
+        (fault("sluggish", 2.0, 5.0, variant=0.9), fault("leaving", 3.0, 4.0, variant=1.0)),
     ),
-    shape=each(*[{}] * 6, POOR, {"per_s": 150.0}, *[{}] * 16),
+    shape=each(*[{}] * 6, POOR, {"per_s": 150.0}, *[{}] * 17),
 ):
     patches = [(place, name, place.__dict__[name], without) for place, name, without in patch()]
     for place, name, _, without in patches:
@@ -308,7 +311,7 @@
 
 
 @test("{kind}: what it adds to a day breaks nothing")
-def _(kind=each("kill_many", "lost_after_order", "disk_refuses")):
+def _(kind=each("kill_many", "lost_after_order", "disk_refuses", "leaving", "sluggish")):
     for seed, at in enumerate((0.12, 0.37, 0.62, 0.87)):
         told = play(Day(seed, (fault(kind, target=(0.87, 0.32, 0.57, 0.22)[seed], variant=at),)))
         assert not told.breaches, f"seed {seed}: {told.breaches}"
