Tenants and their keys: read, kept by hash, 401 without one, X-Tenant set by the gateway

Cause: the kind of item tenants was not known, so every configuration of the duties sites was refused and no request was served. Change: tenants (name, apikeys, prio) and public routes are read and checked; two tenants with one key are refused without telling it. Register and config.read keep the text as sent; proxies are told a form with hashes in place of keys. A request on a route that isn't public needs one known key, else 401; machines get X-Tenant from the key's owner and neither the key nor what the client said. Keys are found in a compact table by hash; a configuration that comes while a body is read doesn't change whose request it is. Without a configuration clients are told to come again after 1 s.

--- a/honeywood/gateway/configuration/config.py
+++ b/honeywood/gateway/configuration/config.py
@@ -9,6 +9,14 @@
 
 from honeywood.gateway.configuration.check import need, read_json
 from honeywood.gateway.configuration.outcome import Wrong
+from honeywood.gateway.configuration.tenants import (
+    TENANTS,
+    Tenant,
+    check_keys_differ,
+    read_hashed_tenant,
+    read_tenant,
+    with_hashed_keys,
+)
 
 STEP = "config.replace"
 SAFE, UNSAFE = "safe", "unsafe"
@@ -28,9 +36,10 @@
     kind: str
     timeout: float
     target: float
-    prio: int
+    priority: int  # 0 the highest
     tries: int
     split: tuple
+    public: bool = False  # whether its requests need no tenant's key
 
     @property
     def safe(self):
@@ -59,12 +68,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Config:
-    """A whole configuration: routes, services by name, and what clients may do."""
+    """A whole configuration: routes, services by name, what clients may do, and the tenants: where there are
+    any, each request on a route that isn't public shows the key of one."""
 
     version: int
     routes: tuple
     services: dict
     limits: Limits
+    tenants: tuple[Tenant, ...] = ()
 
 
 def pack(raw):
@@ -87,6 +98,13 @@
     return raw
 
 
+def for_proxies(text):
+    """A packed configuration as proxies are told it: packed, with hashes in place of keys."""
+    raw = unpack(text)
+    told = with_hashed_keys(raw)
+    return text if told is raw else pack(told)
+
+
 def version(text, peer=""):
     """Eight hexadecimal digits as a number."""
     if not (isinstance(text, str) and len(text) == 8 and all(c in "0123456789abcdef" for c in text.lower())):
@@ -130,6 +148,7 @@
         need(spec, "prio", int, where, 0, least=0),
         need(spec, "tries", int, where, 1, least=1),
         _split(spec, where),
+        need(spec, "public", bool, where, False),
     )
 
 
@@ -149,24 +168,26 @@
     )
 
 
-READERS = {"routes": _route, "svcs": _service, "limits": _limits}
+READERS = {"routes": _route, "svcs": _service, "limits": _limits, TENANTS: read_tenant}
+HASHED_READERS = {**READERS, TENANTS: read_hashed_tenant}
 
 
-def read(raw, peer=""):
-    """A Config out of the bytes of config.replace; raises outcome.Wrong naming entry and key."""
-    table = read_json(raw, STEP, peer)
-    number, found = version(table.get("ver"), peer), {kind: {} for kind in READERS}
+def read(raw, peer="", hashed=False):
+    """A Config out of the bytes of config.replace, or with `hashed` of what proxies are told of one; raises
+    outcome.Wrong naming entry and key."""
+    table, readers = read_json(raw, STEP, peer), HASHED_READERS if hashed else READERS
+    number, found = version(table.get("ver"), peer), {kind: {} for kind in readers}
     for at, entry in enumerate(need(table, "res", list, STEP)):
         where = f"{STEP}: res[{at}]"
         if not isinstance(entry, dict):
             raise Wrong(where, "must be an object", peer)
         kind, header = need(entry, "type", str, where), need(entry, "hdr", dict, where)
-        if kind not in READERS:
+        if kind not in readers:
             raise Wrong(where, f"type {kind!r} is not known", peer)
         name = need(header, "name", str, where, "" if kind == "limits" else None)
         if name is None or name in found[kind]:
             raise Wrong(where, f"name {name!r} is missing or stands twice", peer)
-        found[kind][name] = READERS[kind](name, need(entry, "spec", dict, where), f"{where} {name}")
+        found[kind][name] = readers[kind](name, need(entry, "spec", dict, where), f"{where} {name}")
     return _whole(number, found, peer)
 
 
@@ -181,5 +202,6 @@
         if (route.host, route.prefix) in places:
             raise Wrong(STEP, f"route {route.name}: {route.host}{route.prefix} is taken by another", peer)
         places.add((route.host, route.prefix))
-    limits = next(iter(found["limits"].values()), Limits())
-    return Config(number, tuple(routes), services, limits)
+    limits, tenants = next(iter(found["limits"].values()), Limits()), tuple(found[TENANTS].values())
+    check_keys_differ(tenants, STEP, peer)
+    return Config(number, tuple(routes), services, limits, tenants)
--- a/honeywood/gateway/proxy/app.py
+++ b/honeywood/gateway/proxy/app.py
@@ -13,11 +13,13 @@
 from honeywood.gateway.proxy.responses import (
     BAD_REQUEST,
     BODY_TOO_LONG,
+    NO_CONFIGURATION_RETRY_S,
     NOT_FOUND,
-    RETRY_AFTER_S,
+    UNAUTHORIZED,
     UNAVAILABLE,
     own_response,
 )
+from honeywood.gateway.routing.tenants import WITHOUT_TENANTS
 from honeywood.gateway.rpc.asgi import CONTEXT, answer, body_of, stream
 
 NEWS_MOST = 8 << 20  # bytes of one ask or answer of news
@@ -80,24 +82,28 @@
         if fields.get(b"content-length", b"0") != b"0" or b"transfer-encoding" in fields:
             return None
         route = self._route(scope, fields)
-        if route is None or not route.safe:
+        admission = self._admit(route, scope["headers"]) if route is not None and route.safe else None
+        if admission is None:
             return None
-        return self.proxy.start(self._forward(scope, route, fields, b""))
+        return self.proxy.start(self._forward(scope, route, admission, fields, b""))
 
     async def client(self, scope, receive):
         """The ClientResponse to a client's request."""
         fields = dict(scope["headers"])
         if self.proxy.table is None:
-            return self._refused(UNAVAILABLE, "no configuration yet", RETRY_AFTER_S)
+            return self._refused(UNAVAILABLE, "no configuration yet", NO_CONFIGURATION_RETRY_S)
         route = self._route(scope, fields)
         if route is None:
             return self._refused(NOT_FOUND, "no route")
+        admission = self._admit(route, scope["headers"])
+        if admission is None:
+            return self._refused(UNAUTHORIZED, "no known key")
         body = await body_of(receive, self.proxy.limits.body_bytes)
         if body is None and scope[CONTEXT].departure.gone:
             return self._refused(BAD_REQUEST, "its client left before its end")
         if body is None:
             return self._refused(BODY_TOO_LONG, "the body is too long")
-        return await self._forward(scope, route, fields, body)
+        return await self._forward(scope, route, admission, fields, body)
 
     def _refused(self, status, reason, retry_after_s=None):
         """An answer of our own to a request that is not forwarded, counted by its reason."""
@@ -108,7 +114,12 @@
         table = self.proxy.table
         return table.find(fields.get(b"host", b""), scope["raw_path"]) if table else None
 
-    async def _forward(self, scope, route, fields, body):
+    def _admit(self, route, headers):
+        """The Admission of a request on `route`; None where its key is not known."""
+        tenants = self.proxy.table.tenants
+        return WITHOUT_TENANTS if tenants is None else tenants.admit(headers, route.public)
+
+    async def _forward(self, scope, route, admission, fields, body):
         context = scope[CONTEXT]
         request = ClientRequest(
             scope["method"].encode(),
@@ -118,6 +129,7 @@
             body,
             context.departure,
             context.received_at,
+            admission,
         )
         return await self.proxy.forwarder.forward(route, request)
 
--- a/honeywood/gateway/proxy/forwarding.py
+++ b/honeywood/gateway/proxy/forwarding.py
@@ -19,6 +19,7 @@
 from honeywood.gateway.routing.balancer import choose
 from honeywood.gateway.routing.outcomes import FIRST_FAILURE, AttemptOutcome
 from honeywood.gateway.routing.routes import pick_service
+from honeywood.gateway.routing.tenants import WITHOUT_TENANTS, Admission
 from honeywood.gateway.rpc.connection import end_to_end
 from honeywood.gateway.rpc.departure import ClientDeparture
 
@@ -34,7 +35,7 @@
 class ClientRequest:
     """A whole request of a client: `target` with its raw escapes, `fields` a value of each header.
     `departure` tells of its client's leaving; `received_at` when it was whole, if that was before it is
-    forwarded."""
+    forwarded; `admission` says for which tenant."""
 
     method: bytes
     target: bytes
@@ -43,10 +44,12 @@
     body: bytes
     departure: ClientDeparture = field(default_factory=ClientDeparture)
     received_at: float | None = None
+    admission: Admission = WITHOUT_TENANTS
 
     def outgoing(self):
         """As endpoints get it: without what concerns this connection or is written anew."""
         headers = [one for one in end_to_end(self.headers) if one[0] not in OWN_HEADERS]
+        headers = self.admission.own_headers(headers)
         if self.body or self.method not in BODILESS:
             headers.append((b"content-length", str(len(self.body)).encode()))
         else:
@@ -105,8 +108,11 @@
         received_at = now if received_at is None else received_at
         service = pick_service(route.split, self.random.random())
         try_id, deadline = client_request.fields.get(b"x-try-id", b""), received_at + wait_s
-        request = PendingRequest(route, service, try_id, received_at, deadline)
+        request = PendingRequest(route, service, try_id, received_at, deadline, priority=route.priority)
         request.departure = client_request.departure
+        tenant = client_request.admission.tenant
+        if tenant is not None and tenant.priority is not None:
+            request.priority = tenant.priority
         self.budget_of(service).record_request(now)
         self.stage.taking(request)
         return request
@@ -186,6 +192,7 @@
             return own_response(BAD_GATEWAY, "no whole answer came")
         reason = self._commonest_refusal(request)
         self.counts[f"no machine: {reason}"] += 1
+        self.counts[f"no machine, priority {request.priority}"] += 1
         return own_response(UNAVAILABLE, f"no machine free: {reason}", RETRY_AFTER_S)
 
     def _commonest_refusal(self, request):
--- a/honeywood/gateway/proxy/program.py
+++ b/honeywood/gateway/proxy/program.py
@@ -111,7 +111,7 @@
         """A record has come, or has changed."""
         kind, _, name = key.partition("/")
         if kind == "config":
-            self.hear_config(config.read(config.unpack(value)))
+            self.hear_config(config.read(config.unpack(value), hashed=True))
         elif kind == "machine":
             self.hear_endpoint(name, value)
         elif kind == "rollout":
--- a/honeywood/gateway/proxy/responses.py
+++ b/honeywood/gateway/proxy/responses.py
@@ -6,7 +6,10 @@
 from honeywood.gateway.rpc.connection import Remainder, end_to_end
 
 RETRY_AFTER_S = 0.1  # after which a refused client may come again
-BAD_REQUEST, NOT_FOUND, BODY_TOO_LONG = 400, 404, 413
+# after which one may come again that met a proxy without a configuration: that comes within seconds, not at
+# once, and each further refusal costs a try
+NO_CONFIGURATION_RETRY_S = 1.0
+BAD_REQUEST, UNAUTHORIZED, NOT_FOUND, BODY_TOO_LONG = 400, 401, 404, 413
 BAD_GATEWAY, UNAVAILABLE, GATEWAY_TIMEOUT = 502, 503, 504
 
 
--- a/honeywood/gateway/routing/attempts.py
+++ b/honeywood/gateway/routing/attempts.py
@@ -43,7 +43,7 @@
 @dataclass(slots=True, eq=False)
 class PendingRequest:
     """A client's request on its way. Times are seconds on the caller's clock; `deadline` is when its client
-    or its route gives up."""
+    or its route gives up; `priority`, 0 the highest, is its tenant's or else its route's."""
 
     route: object
     service: str
@@ -55,6 +55,7 @@
     unreachable: list = field(default_factory=list)  # endpoints to which no connection came up
     departure: ClientDeparture = field(default_factory=ClientDeparture)
     on_departure: Callable[[], None] | None = None  # what `departure` calls; None: nothing
+    priority: int = 0
 
     @property
     def attempted_endpoints(self):
--- a/honeywood/gateway/routing/routes.py
+++ b/honeywood/gateway/routing/routes.py
@@ -1,14 +1,17 @@
 """Host and path to a route: of the host's routes the one with the longest prefix of the path."""
 
+from honeywood.gateway.routing.tenants import TenantTable
+
 
 class RouteTable:
-    """The routes of one configuration."""
+    """The routes of one configuration, and its tenants by their keys: None where it has no tenants."""
 
     def __init__(self, config):
         """The routes and services of a configuration.Config."""
         self.version, self.hosts = config.version, {}
         for route in config.routes:
             self.hosts.setdefault(route.host.encode(), {})[route.prefix.encode()] = route
+        self.tenants = TenantTable(config.tenants) if config.tenants else None
         self.services = {service for route in config.routes for service, _ in route.split}
 
     def find(self, host, path):
