Invariants that run in the proxy, count their violations and are on in tests

Cause: nothing in a running proxy said that work went on for nobody, or that its sums didn't balance. Change: proxy/invariants.py checks at each attempt and twice a second: no work for a client that left, none begun, no unsafe repeat, attempts and connections in balance, the newest configuration in force.

--- a/honeywood/gateway/proxy/app.py
+++ b/honeywood/gateway/proxy/app.py
@@ -32,6 +32,7 @@
     def __init__(self, proxy):
         """`proxy` is the program."""
         self.proxy, self.refusals = proxy, Counter()  # refusals by reason
+        self.relaying = 0  # long answers that are being passed on
         self.ready_port = proxy.settings.listen["ready"][1]
         self.news_port = proxy.settings.proxy_port
 
@@ -63,12 +64,14 @@
         """Passes a long answer on as it comes."""
         if response.ends_with_client:
             departure.subscribe(response.remainder.abandon)
+        self.relaying += 1
         try:
             await stream(send, response.status, headers, _chunks(response))
         except httpcore.ReadTimeout:  # what `abandon` makes of the reading
             if not departure.gone:
                 raise
         finally:
+            self.relaying -= 1
             departure.unsubscribe(response.remainder.abandon)
 
     def early(self, scope):
--- a/honeywood/gateway/proxy/forwarding.py
+++ b/honeywood/gateway/proxy/forwarding.py
@@ -60,13 +60,16 @@
 class Forwarder:
     """Forwards requests. Its parts are handed in: the program's state, its attempt policy and its pool."""
 
-    def __init__(self, clock, random, zone, endpoints, policy, stage, pool, budget_of):
-        """`zone` is the own one; `budget_of` gives a service's RetryBudget."""
+    def __init__(self, clock, random, zone, endpoints, policy, stage, pool, budget_of, on_attempt):
+        """`zone` is the own one; `budget_of` gives a service's RetryBudget; `on_attempt` is told of a request
+        whose next attempt begins."""
         self.clock, self.random, self.zone, self.endpoints = clock, random, zone, endpoints
         self.policy, self.stage, self.budget_of = policy, stage, budget_of
         self.counts = Counter()  # since the start: requests, retries, answers by status, why none was free
         self.open_requests: set[PendingRequest] = set()
-        self.sender = AttemptSender(clock, endpoints, policy, stage, pool, self.counts, self._unsubscribe)
+        self.sender = AttemptSender(
+            clock, endpoints, policy, stage, pool, self.counts, self._unsubscribe, on_attempt
+        )
 
     async def forward(self, route, client_request):
         """The ClientResponse to a request on `route`."""
--- a/honeywood/gateway/proxy/program.py
+++ b/honeywood/gateway/proxy/program.py
@@ -17,6 +17,7 @@
 from honeywood.gateway.proxy.count_records import CountRecords
 from honeywood.gateway.proxy.fleet import FleetSize
 from honeywood.gateway.proxy.forwarding import Forwarder
+from honeywood.gateway.proxy.invariants import InvariantChecks
 from honeywood.gateway.proxy.polling import poll_pause
 from honeywood.gateway.rollout import record
 from honeywood.gateway.rollout.stage import Stage
@@ -52,7 +53,8 @@
         self.pool, self.tasks = ConnectionPool(self.clock, connect), set()
         self.policy = AttemptPolicy(self.budget_of, self.fronts, self.stage, self.endpoints.max_connections)
         parts = self.endpoints, self.policy, self.stage, self.pool, self.budget_of
-        self.forwarder = Forwarder(self.clock, self.random, s.zone, *parts)
+        self.invariants = InvariantChecks(self, self.on_violation)
+        self.forwarder = Forwarder(self.clock, self.random, s.zone, *parts, self.invariants.attempt_begins)
         self.publisher = Publisher(self.store_incarnation(), self.hear, rate=s.link)
         store, backoff = self.publisher.store, Backoff(self.random, BACKOFF_MOST_S)
         self.history, self.doubted_at = History(store), None
@@ -220,6 +222,7 @@
     async def tidy(self):
         """Ends what is too old, and what nobody told of again after a doubt."""
         now, store = self.clock(), self.publisher.store
+        self.invariants.look(now)
         self.pool.close_expired(self.endpoints.by_id.values())
         self.history.look(now)
         self.lose(key for key in store.prune() if key.startswith("bourse/"))
@@ -235,6 +238,7 @@
             "counts",
             **self.forwarder.counts,
             **self.app.refusals,
+            **self.violations(),
             dialled=self.pool.opened,
             connections=sum(endpoint.connections for endpoint in endpoints),
             machines=len(endpoints),
@@ -244,10 +248,18 @@
             ready=self.ready,
         )
 
+    def on_violation(self, violation, details):
+        """What must always hold didn't: a fault of ours, which has to be seen."""
+        self.say("invariant violated", SAY_AGAIN_S, what=violation.value, details=details)
+
+    def violations(self):
+        """Violated invariants by name, for counts and metrics."""
+        return {f"violated: {one.value}": count for one, count in self.invariants.violations.items()}
+
     def figures(self):
         """Sums since the start, and what stands now."""
         endpoints = list(self.endpoints.by_id.values())
-        events = self.forwarder.counts + self.app.refusals
+        events = {**self.forwarder.counts, **self.app.refusals, **self.violations()}
         gauges = {
             "ready": self.ready,
             "config_version": self.table.version if self.table else 0,
--- a/honeywood/gateway/proxy/sender.py
+++ b/honeywood/gateway/proxy/sender.py
@@ -68,9 +68,10 @@
 class AttemptSender:
     """Makes attempts, and tells the endpoint, the pool and the rollout's stage what came of them."""
 
-    def __init__(self, clock, endpoints, policy, stage, pool, counts, on_idle=lambda request: None):
+    def __init__(self, clock, endpoints, policy, stage, pool, counts, on_idle, on_attempt):
         """`counts` is the Counter of what was done; `on_idle` is told of a request without attempts under
-        way."""
+        way, `on_attempt` of one whose next attempt begins."""
+        self.on_attempt = on_attempt
         self.on_idle, self.tasks = on_idle, set()  # a task that nobody held could be collected at work
         self.clock, self.endpoints, self.policy, self.stage = clock, endpoints, policy, stage
         self.pool, self.counts = pool, counts
@@ -120,6 +121,7 @@
                 request.departure.check(now)
             if self.policy.refusal(now, request, endpoint, True) is not None:
                 return False  # what changed while the connection came up counts
+            self.on_attempt(request)
             flight.attempt = self.policy.record_attempt(now, request, endpoint)
             flight.sent_at, rested_s = now, now - flight.connection.idle_since
             flight.reply = await flight.connection.exchange(
--- a/honeywood/gateway/rpc/connection.py
+++ b/honeywood/gateway/rpc/connection.py
@@ -235,6 +235,11 @@
         """Whether another exchange may begin on it."""
         return self.stream.usable and self.http.is_idle()
 
+    @property
+    def ended(self):
+        """Whether it has ended, or is about to."""
+        return self.stream.eof
+
     def close(self):
         """Ends it; what is out on it fails."""
         self.stream.abort("closed")
--- a/honeywood/lab/emulator/day.py
+++ b/honeywood/lab/emulator/day.py
@@ -155,6 +155,8 @@
             program = self.nodes.get(name)
             self.monitor.proxies.answers_ready(now, name, program is not None and program.ready)
             if program is not None:
+                for violation in program.invariants.violations:
+                    self.monitor.core.breach("invariant", now, f"{name}: {violation}")
                 if self.monitor.proxies.left_at:
                     ready = {one.id for one in program.endpoints.by_id.values() if one.state == READY}
                     self.monitor.proxies.knows(now, name, ready)
--- a/honeywood/lab/emulator/machines.py
+++ b/honeywood/lab/emulator/machines.py
@@ -105,6 +105,11 @@
         machine.links[self] = None
         up(1)
 
+    @property
+    def ended(self):
+        """Whether it has ended."""
+        return self not in self.machine.links
+
     def close(self):
         """Ends the connection; what is under way on it breaks off."""
         if self.reusable or self in self.machine.links:
--- a/honeywood/lab/emulator/rules/__init__.py
+++ b/honeywood/lab/emulator/rules/__init__.py
@@ -22,6 +22,7 @@
 acks      an order is acknowledged ack_s after it was sent, or after the core settled and all links were sound
 reads     a read that begins after an acknowledgement, or after another read ended, shows nothing older, at
           any controller: of configurations the number, of rollouts the order and its end
+invariant no proxy counts a violation of its own invariants
 raised    no handler raises what it should not
 
 Start reading at monitor.py.
--- a/tests/gateway/socket_scene.py
+++ b/tests/gateway/socket_scene.py
@@ -168,6 +168,10 @@
         self.proxy.hear(f"machine/i-{n}", {**value, "state": state, "cold": 0})
 
     async def __aexit__(self, *wrong):
+        for _ in range(2):
+            self.proxy.invariants.look(self.proxy.clock())
+            await asyncio.sleep(0.01)
+        assert not self.proxy.invariants.violations, self.proxy.invariants.violations
         await self.server.close(0.1)
         for machine in self.machines:
             machine.server.close()
--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -180,7 +180,8 @@
 
     def broken(self):
         """What doesn't hold of TWICE, MIXED, REFUSED, and of what was given up."""
-        found = []
+        self.proxy.invariants.look(self.loop.time())
+        found = [f"{count} x {what}" for what, count in self.proxy.invariants.violations.items()]
         for id, (status, body, took) in self.answers.items():
             if self.kind == "unsafe" and self.ran[id] > 1:
                 found.append(f"{id} ran {self.ran[id]} times")
