--- a/honeywood/cli/lab.py
+++ b/honeywood/cli/lab.py
@@ -104,3 +104,12 @@
     from honeywood.cli.emulator import command as group
 
     group.main(list(words), prog_name="honeywood lab emulator")
+
+
+@command.command("soak", context_settings={"ignore_unknown_options": True, "help_option_names": []})
+@click.argument("words", nargs=-1, type=click.UNPROCESSED)
+def soak(words):
+    """The system's own processes on this machine, under troubles that overlap."""
+    from honeywood.cli.soak import command as played
+
+    played.main(list(words), prog_name="honeywood lab soak")
--- /dev/null
+++ b/honeywood/cli/soak.py
@@ -0,0 +1,24 @@
+"""`honeywood lab soak`: the system's own processes on this machine, under troubles that overlap."""
+
+import sys
+from pathlib import Path
+
+import click
+
+
+@click.command("soak")
+@click.option("--seeds", type=click.IntRange(1), default=20, show_default=True, help="How many.")
+@click.option("--first", type=int, default=1, show_default=True, help="The first seed.")
+@click.option("--seconds", type=click.FloatRange(3), default=12.0, show_default=True, help="Of traffic each.")
+@click.option("--jobs", type=click.IntRange(1), default=2, show_default=True, help="Soaks at once.")
+@click.option("--keep", type=click.Path(path_type=Path), help="Where logs and disks stay.")
+def command(seeds, first, seconds, jobs, keep):
+    """Real processes and sockets on loopback, killed, stopped, paused and cut off at random, with clients
+    that leave and keys that move; ends with 1 where a rule was broken."""
+    from honeywood.lab.soak.series import line, series
+
+    found = series(first, seeds, seconds, jobs, keep, lambda outcome: click.echo(line(outcome)))
+    broken = sum(bool(outcome.breaches) for outcome in found)
+    tries, left = sum(outcome.tries for outcome in found), sum(outcome.left for outcome in found)
+    click.echo(f"{len(found)} soaks, {tries} requests, {left} left by their clients; {broken} broken")
+    sys.exit(bool(broken))
--- a/tests/gateway/test_invariants.py
+++ b/tests/gateway/test_invariants.py
@@ -107,7 +107,8 @@
             for _ in range(2):
                 invariants.look(scene.proxy.clock())
             assert invariants.violations[violation] and violation in told
-            scene.proxy.invariants = SimpleNamespace(look=lambda now: None, violations={})  # the scene's looks
+            # for the scene's own looks
+            scene.proxy.invariants = SimpleNamespace(look=lambda now: None, violations={})
 
     try:
         play(work)
