--- a/honeywood/gateway/controller/app.py
+++ b/honeywood/gateway/controller/app.py
@@ -48,10 +48,11 @@
             body = await body_of(receive, MOST)
             if body is None:
                 raise Wrong(named, "the body is too long or broken off", peer, 413)
-            # an order begins nothing for a caller that has gone
+            # an order begins nothing for a caller that has gone, nor is it told what others wait for
             departure = scope[CONTEXT].departure
             clock = self.controller.clock
-            more = {"left": lambda: departure.check(clock())} if call == self.start else {}
+            heeds_departure = call in (self.start, self.news)
+            more = {"left": lambda: departure.check(clock())} if heeds_departure else {}
             found = await call(of, body, peer, **more)
         except Wrong as wrong:
             failed = wrong.failed
@@ -98,9 +99,9 @@
         return {"state": rollout.state, "to_ver": rollout.version}
 
     # our own
-    async def news(self, of, body, peer):
+    async def news(self, of, body, peer, left=lambda: False):
         ask = Ask.decode(read_json(body, PATH, peer), peer)
-        answer = await self.controller.publisher.serve(ask)
+        answer = await self.controller.publisher.serve(ask, left)
         return replace(answer, **self.controller.beside(ask.who)).encode()
 
     async def register(self, of, body, peer):
--- a/honeywood/gateway/dissemination/publisher.py
+++ b/honeywood/gateway/dissemination/publisher.py
@@ -70,8 +70,9 @@
         if whole:
             self.store.hear([whole])
 
-    async def serve(self, ask):
-        """The Answer to another's Ask."""
+    async def serve(self, ask, has_left=lambda: False):
+        """The Answer to another's Ask; `has_left` tells whether the asker has gone, which then takes no part
+        of the link from others."""
         rev = ask.rev if ask.life == self.store.life else 0
         self.store.learn(ask.who.epoch)
         self.met(ask.who, rev)
@@ -79,6 +80,9 @@
         if not ask.who.controller and ask.digest == f"{self.store.digest:x}":
             rev = self.store.rev  # it has heard the same from others
         found = await self._found(rev, ask)
+        if has_left():
+            self.told["asker left"] += 1
+            return Answer(self.store.life, rev)
         return await self._answer(found, rev, ask)
 
     async def _found(self, rev, ask):
--- a/honeywood/gateway/proxy/app.py
+++ b/honeywood/gateway/proxy/app.py
@@ -136,10 +136,10 @@
         )
         return await self.proxy.forwarder.forward(route, request)
 
-    async def hear(self, raw, peer):
-        """The answer to another front's ask for news."""
+    async def hear(self, raw, peer, has_left=lambda: False):
+        """The answer to another program's ask for news."""
         ask = Ask.decode(read_json(raw, PATH, peer), peer)
-        return (await self.proxy.publisher.serve(ask)).encode()
+        return (await self.proxy.publisher.serve(ask, has_left)).encode()
 
     async def news(self, scope, receive, send):
         """Another proxy's ask for news."""
@@ -150,7 +150,8 @@
             raw = await body_of(receive, NEWS_MOST)
             if raw is None:
                 return await answer(send, BODY_TOO_LONG)
-            found = await self.hear(raw, peer)
+            departure = scope[CONTEXT].departure
+            found = await self.hear(raw, peer, lambda: departure.gone)
         except Wrong as wrong:
             return await answer(send, BAD_REQUEST, (), str(wrong).encode())
         await answer(
--- a/honeywood/lab/soak/series.py
+++ b/honeywood/lab/soak/series.py
@@ -35,7 +35,7 @@
     kinds = ", ".join(trouble.kind.value for trouble in outcome.troubles)
     head = (
         f"seed {outcome.seed}: {outcome.tries} requests, {outcome.served} served,"
-        f" {outcome.left} left by their clients, {outcome.runs} runs, observer late by {outcome.observer_lag_s:.2f} s,"
-        f" {len(outcome.breaches)} broken ({kinds})"
+        f" {outcome.left} left by their clients, {outcome.runs} runs,"
+        f" observer late by {outcome.observer_lag_s:.2f} s, {len(outcome.breaches)} broken ({kinds})"
     )
     return "\n".join([head, *(f"  {breach.rule}: {breach.why}" for breach in outcome.breaches)])
--- a/tests/gateway/test_departures.py
+++ b/tests/gateway/test_departures.py
@@ -7,6 +7,9 @@
 from socket_scene import GET, HEAD, Machine, Scene, play
 from ward import each, test
 
+from honeywood.gateway.dissemination.messages import Ask, Asker
+from honeywood.gateway.dissemination.publisher import Publisher
+
 CUT_WITHIN_S = 0.3  # after a client's leaving in which machines must be rid of what may be repeated
 POST = (
     b"POST /p0/x HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: %s\r\nX-Deadline-Ms: 3000\r\n"
@@ -210,3 +213,104 @@
             assert len(scene.proxy.endpoints.by_id["i-0"].idle_connections) == 1
 
     play(work)
+
+
+async def before_its_body_is_whole(scene):
+    _, writer = await scene.connect()
+    writer.write(POST % (b"a", 1000) + b"half")
+    await asyncio.sleep(0.05)
+    return writer
+
+
+async def while_a_connection_comes_up(scene):
+    opened = scene.proxy.pool.open
+
+    async def late(endpoint, until):
+        connection = await opened(endpoint, until)
+        await asyncio.sleep(0.1)
+        return connection
+
+    scene.proxy.pool.open = late
+    _, writer = await scene.connect()
+    writer.write(LONG_GET % b"a")
+    await scene.until(lambda: scene.proxy.forwarder.open_requests)
+    return writer
+
+
+@test("a client leaves {leave.__name__}: no machine hears of its {kind} request, and nothing stays open")
+def _(
+    leave=each(*[before_its_body_is_whole, while_a_connection_comes_up] * 2),
+    kind=each("safe", "safe", "unsafe", "unsafe"),
+):
+    async def work():
+        async with HoldingScene(1, kind=kind) as scene:
+            writer = await leave(scene)
+            writer.close()
+            await asyncio.sleep(0.15)
+            assert await scene.until(scene.is_quiet, CUT_WITHIN_S) and not scene.started()
+            endpoint = scene.proxy.endpoints.by_id["i-0"]
+            assert len(endpoint.idle_connections) == endpoint.connected  # what came up is kept
+
+    play(work)
+
+
+@test("a client leaves while its long body is written to a machine that doesn't read: nothing stays open")
+def _():
+    async def deaf(id, writer):
+        await asyncio.sleep(3.0)
+
+    class DeafMachine(Machine):
+        async def serve(self, reader, writer):
+            self.accepted += 1
+            await asyncio.sleep(3.0)
+
+    async def work():
+        async with HoldingScene(0) as scene:
+            machine = await DeafMachine().open()
+            scene.machines.append(machine)
+            scene.note(0, "ready")
+            _, writer = await scene.connect()
+            writer.write(POST % (b"a", 20_000_000) + bytes(20_000_000))
+            await scene.until(lambda: scene.proxy.forwarder.sender.flights, 3.0)
+            await asyncio.sleep(0.05)
+            writer.close()
+            assert await scene.until(scene.is_quiet, CUT_WITHIN_S)
+
+    play(work)
+
+
+@test("an unsafe request whose client's end lies unread while the proxy is busy is not begun")
+def _():
+    async def work():
+        async with HoldingScene(1, kind="unsafe") as scene:
+            opened, client = scene.proxy.pool.open, socket.create_connection(("127.0.0.1", scene.port))
+
+            async def open_then_leave(endpoint, until):
+                connection = await opened(endpoint, until)
+                client.close()  # nothing is read between this and the send
+                return connection
+
+            scene.proxy.pool.open = open_then_leave
+            client.sendall(POST % (b"a", 4) + b"body")
+            assert await scene.until(lambda: scene.proxy.forwarder.counts["requests"])
+            assert not scene.started()
+
+    play(work)
+
+
+@test("one that asked for news and has left takes no part of the link, and the next one is told")
+def _():
+    async def work():
+        publisher, left = Publisher("l", lambda key, value: None), []
+        held = asyncio.ensure_future(
+            publisher.serve(Ask(Asker(proxy=True), hold_s=0.5), has_left=lambda: bool(left))
+        )
+        await asyncio.sleep(0.01)
+        left.append(True)
+        publisher.store.put("config", [1], "x" * 5000)
+        assert not (await held).records and publisher.pacer.free_at == 0.0
+        assert publisher.told["asker left"] == 1
+        told = await publisher.serve(Ask(Asker(proxy=True)))
+        assert [record.key for record in told.records] == ["config"]
+
+    play(work)
