--- a/honeywood/gateway/routing/tenants.py
+++ b/honeywood/gateway/routing/tenants.py
@@ -1,7 +1,7 @@
 """Whose request it is: the tenant that holds a client's key, found in flat time in a compact table. Pure.
 
-The table is one run of records, a key's hash and its tenant's number, in the order of hashes; the hash's
-first bits lead to the few records that begin with them.
+The table is one run of records, a key's hash and its tenant's number; those whose hashes begin with the same
+bits stand together, a few in each such bucket.
 """
 
 from array import array
@@ -52,26 +52,44 @@
 
     def __init__(self, tenants: Iterable[Tenant]):
         tenants = tuple(tenants)
-        names = [tenant.name.encode() for tenant in tenants]
-        self._names = b"".join(names)
-        self._name_ends = array("I", accumulate(map(len, names)))
+        self._names, self._name_ends = bytearray(), array("I")
+        for tenant in tenants:
+            self._names += tenant.name.encode()
+            self._name_ends.append(len(self._names))
         self._priorities = array(
             "i", (NO_PRIORITY if tenant.priority is None else tenant.priority for tenant in tenants)
         )
-        records = sorted(
-            one + number.to_bytes(NUMBER_BYTES, "big")
-            for number, tenant in enumerate(tenants)
-            for one in tenant.key_hashes
-        )
-        self._records = b"".join(records)
-        self._shift, self._bucket_starts = _buckets(records)
+        self._place_keys(tenants)
+
+    def _place_keys(self, tenants):
+        """Counts how many hashes begin with the same bits, then puts each record into its bucket: no list of
+        all records stands beside the table meanwhile."""
+        keys = sum(len(tenant.key_hashes) for tenant in tenants)
+        bits = max(0, (keys // BUCKET_KEYS).bit_length())
+        self._shift = 8 * PREFIX_BYTES - bits
+        counts = array("I", bytes(array("I").itemsize * ((1 << bits) + 1)))
+        for tenant in tenants:
+            for one in tenant.key_hashes:
+                counts[self._bucket_of(one) + 1] += 1
+        self._bucket_starts = array("I", accumulate(counts))
+        self._records, free = bytearray(keys * RECORD_BYTES), array("I", self._bucket_starts)
+        for number, tenant in enumerate(tenants):
+            owner = number.to_bytes(NUMBER_BYTES, "big")
+            for one in tenant.key_hashes:
+                bucket = self._bucket_of(one)
+                at = free[bucket] * RECORD_BYTES
+                self._records[at : at + RECORD_BYTES] = one + owner
+                free[bucket] += 1
+
+    def _bucket_of(self, one):
+        return int.from_bytes(one[:PREFIX_BYTES], "big") >> self._shift
 
     def find(self, key: bytes) -> TenantMatch | None:
         """The tenant that holds `key`, if any does."""
         return self._find_hash(hash_key(key))
 
     def _find_hash(self, wanted):
-        bucket = int.from_bytes(wanted[:PREFIX_BYTES], "big") >> self._shift
+        bucket = self._bucket_of(wanted)
         for number in range(self._bucket_starts[bucket], self._bucket_starts[bucket + 1]):
             at = number * RECORD_BYTES
             if self._records[at : at + HASH_BYTES] == wanted:
@@ -81,7 +99,7 @@
     def _match(self, number):
         begin = self._name_ends[number - 1] if number else 0
         priority = self._priorities[number]
-        name = self._names[begin : self._name_ends[number]]
+        name = bytes(self._names[begin : self._name_ends[number]])
         return TenantMatch(name, None if priority == NO_PRIORITY else priority)
 
     def admit(self, headers: Iterable[tuple[bytes, bytes]], public: bool) -> Admission | None:
@@ -90,13 +108,3 @@
         keys = [value for name, value in headers if name == KEY_HEADER]
         tenant = self.find(keys[0]) if len(keys) == 1 else None
         return Admission(tenant, True) if public or tenant is not None else None
-
-
-def _buckets(records):
-    """(how far a hash's first bits are shifted, the number of each bucket's first record, and the end)."""
-    bits = max(0, (len(records) // BUCKET_KEYS).bit_length())
-    shift = 8 * PREFIX_BYTES - bits
-    counts = array("I", bytes(4 * ((1 << bits) + 1)))
-    for record in records:
-        counts[(int.from_bytes(record[:PREFIX_BYTES], "big") >> shift) + 1] += 1
-    return shift, array("I", accumulate(counts))
