--- a/honeywood/gateway/configuration/tenants.py
+++ b/honeywood/gateway/configuration/tenants.py
@@ -13,6 +13,7 @@
 from honeywood.gateway.configuration.outcome import Wrong
 
 TENANTS = "tenants"  # the kind of item
+QUOTED_TENANTS, ESCAPE = b'"tenants"', b"\\u"  # as it stands in a text, unless its letters are escaped
 KEYS, KEY_HASHES, PRIORITY = "apikeys", "key_hashes", "prio"  # of an item's `spec`
 HASH_BYTES = 16  # keys are drawn at random by their issuer: two with one hash of 128 bits don't occur
 PRIORITY_MOST = 1 << 30
@@ -76,6 +77,8 @@
 def with_hashed_keys(raw: bytes) -> bytes:
     """A configuration that has been read without fault, as proxies are told it; the same bytes where it has
     no tenants."""
+    if QUOTED_TENANTS not in raw and ESCAPE not in raw:  # most are told as they are, without being read again
+        return raw
     table = json.loads(raw)
     items = [item for item in table["res"] if item["type"] == TENANTS]
     if not items:
--- a/honeywood/gateway/proxy/app.py
+++ b/honeywood/gateway/proxy/app.py
@@ -24,6 +24,7 @@
 
 NEWS_MOST = 8 << 20  # bytes of one ask or answer of news
 OK = 200
+CHALLENGE = (b"www-authenticate", b"ApiKey")  # 401 must name how to authenticate (RFC 9110, 15.5.2)
 
 
 class App:
@@ -62,8 +63,6 @@
 
     async def _relay(self, send, response, headers, departure):
         """Passes a long answer on as it comes."""
-        if response.ends_with_client:
-            departure.subscribe(response.remainder.abandon)
         self.relaying += 1
         try:
             await stream(send, response.status, headers, _chunks(response))
@@ -100,7 +99,9 @@
             return self._refused(NOT_FOUND, "no route")
         admission = self._admit(route, scope["headers"])
         if admission is None:
-            return self._refused(UNAUTHORIZED, "no known key")
+            refused = self._refused(UNAUTHORIZED, "no known key")
+            refused.headers.append(CHALLENGE)
+            return refused
         body = await body_of(receive, self.proxy.limits.body_bytes)
         if body is None and scope[CONTEXT].departure.gone:
             return self._refused(BAD_REQUEST, "its client left before its end")
@@ -134,7 +135,10 @@
             context.received_at,
             admission,
         )
-        return await self.proxy.forwarder.forward(route, request)
+        response = await self.proxy.forwarder.forward(route, request)
+        if response.remainder is not None and route.safe:  # it may wait long for its turn to be passed on
+            context.departure.subscribe(response.remainder.abandon)
+        return response
 
     async def hear(self, raw, peer, has_left=lambda: False):
         """The answer to another program's ask for news."""
--- a/honeywood/gateway/proxy/forwarding.py
+++ b/honeywood/gateway/proxy/forwarding.py
@@ -87,7 +87,6 @@
             request.finished = True
             self.open_requests.discard(request)
             self._unsubscribe(request)
-        response.ends_with_client = route.safe
         self._count(request, response)
         return response
 
--- a/honeywood/gateway/proxy/responses.py
+++ b/honeywood/gateway/proxy/responses.py
@@ -15,14 +15,12 @@
 
 @dataclass(slots=True)
 class ClientResponse:
-    """What a client gets; `remainder` is what follows a long body's start. `ends_with_client` says that the
-    reading of it ends once the client has left."""
+    """What a client gets; `remainder` is what follows a long body's start."""
 
     status: int
     headers: list
     body: bytes = b""
     remainder: Remainder | None = None
-    ends_with_client: bool = False
 
 
 def own_response(status, reason, retry_after_s=None):
--- a/honeywood/gateway/rpc/connection.py
+++ b/honeywood/gateway/rpc/connection.py
@@ -38,19 +38,24 @@
 class Remainder:
     """What follows the start of a long answer, as an asynchronous iterator of bytes that is read once."""
 
-    __slots__ = ("connection", "chunks")
+    __slots__ = ("connection", "chunks", "whole")
 
     def __init__(self, connection, chunks):
         """`chunks` are read from `connection`."""
-        self.connection, self.chunks = connection, chunks
+        self.connection, self.chunks, self.whole = connection, chunks, False
 
-    def __aiter__(self):
-        """The chunks; reading raises where the answer ends early."""
-        return self.chunks
+    async def __aiter__(self):
+        """The chunks; reading raises where the answer ends early. The connection is given back at the end."""
+        async for chunk in self.chunks:
+            yield chunk
+        self.whole = True
+        self.connection.on_release(self.connection)
 
     def abandon(self):
-        """Nobody wants the rest: ends the connection, and with it the reading."""
-        self.connection.close()
+        """Nobody wants the rest: ends the connection, and with it the reading. What has been read whole has
+        given its connection back, and others may use it."""
+        if not self.whole:
+            self.connection.close()
 
 
 @dataclass(slots=True)
@@ -223,7 +228,6 @@
             async for chunk in chunks:
                 yield chunk
             await self._end(response, fields)
-            self.on_release(self)
         except BaseException:
             self.close()
             raise
--- a/honeywood/gateway/rpc/departure.py
+++ b/honeywood/gateway/rpc/departure.py
@@ -38,10 +38,10 @@
         return self.gone
 
     def subscribe(self, listener: Callable[[], None]) -> None:
-        """Calls `listener` when the client leaves: at once where it has."""
+        """Calls `listener` when the client leaves, once however often it subscribes: at once where it has."""
         if self.gone:
             listener()
-        else:
+        elif listener not in self._listeners:
             self._listeners.append(listener)
 
     def unsubscribe(self, listener: Callable[[], None]) -> None:
--- a/tests/gateway/test_departures.py
+++ b/tests/gateway/test_departures.py
@@ -215,6 +215,45 @@
     play(work)
 
 
+@test("a client leaves while a long answer waits behind another request: its machine is rid of it")
+def _():
+    async def work():
+        async with HoldingScene(2) as scene:
+            _, writer = await scene.connect()
+            scene.machines[0].first = scene.machines[1].first = lambda id: (
+                LONG_HEAD % id + LONG_BODY if id == b"b" else b""
+            )
+            writer.write(LONG_GET % b"a" + LONG_GET % b"b")
+            forwarder = scene.proxy.forwarder
+            assert await scene.until(lambda: forwarder.counts["requests"] == 1)
+            writer.close()
+            assert await scene.until(lambda: scene.cut() == 2, CUT_WITHIN_S)
+            assert await scene.until(scene.is_quiet, CUT_WITHIN_S)
+
+    play(work)
+
+
+@test("a client leaves after a long answer was read whole: the connection it came on is kept for others")
+def _():
+    async def work():
+        async def long(id, writer):
+            writer.write(HEAD.replace(b"Content-Length: 2", b"Content-Length: 400000") % id + LONG_BODY)
+
+        async with Scene([long]) as scene:
+            reader, writer = await asyncio.open_connection("127.0.0.1", scene.port)
+            writer.write(GET % b"a")
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(400_000)
+            await asyncio.sleep(0.05)
+            writer.close()
+            await asyncio.sleep(0.05)
+            kept = scene.proxy.endpoints.by_id["i-0"].idle_connections
+            assert [connection.reusable for connection in kept] == [True]
+            assert not scene.proxy.forwarder.counts["attempts abandoned"]
+
+    play(work)
+
+
 async def before_its_body_is_whole(scene):
     _, writer = await scene.connect()
     writer.write(POST % (b"a", 1000) + b"half")
--- a/tests/gateway/test_tenants.py
+++ b/tests/gateway/test_tenants.py
@@ -299,3 +299,11 @@
     table = TenantTable([Tenant(f"t{n}", (one,)) for n, one in enumerate(alike)])
     for n, one in enumerate(alike):
         assert table._find_hash(one).name == b"t%d" % n
+
+
+@test("a kind of item whose letters are escaped is told to proxies without its keys too")
+def _():
+    escaped = json.dumps(with_tenants()).replace('"tenants"', '"\\u0074enants"')
+    told = configuration.unpack(configuration.for_proxies(configuration.pack(escaped.encode())))
+    assert not any(key.encode() in told for keys in KEYS.values() for key in keys)
+    assert {tenant.name for tenant in configuration.read(told, hashed=True).tenants} == set(KEYS)
