--- a/honeywood/lab/soak/nodes.py
+++ b/honeywood/lab/soak/nodes.py
@@ -6,6 +6,7 @@
 import re
 import signal
 import sys
+from collections import defaultdict
 from pathlib import Path
 
 from honeywood.lab.emulator.boot import boot
@@ -26,6 +27,7 @@
         self.controllers = [f"127.{slot}.0.{11 + at}" for at in range(CONTROLLERS)]
         self.proxies = [f"127.{slot}.0.{21 + at}" for at in range(PROXIES)]
         self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.starting: dict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
         self.cuts: dict[str, set[str]] = {ip: set() for ip in (*self.controllers, *self.proxies)}
         self.fresh = True
 
@@ -36,10 +38,13 @@
         self.fresh = False
 
     async def start(self, ip: str):
-        """Starts a process, unless it runs."""
-        held = self.processes.get(ip)
-        if held is not None and held.returncode is None:
-            return
+        """Starts a process, unless it runs: two troubles may want to start one node again at once."""
+        async with self.starting[ip]:
+            held = self.processes.get(ip)
+            if held is None or held.returncode is not None:
+                await self._start(ip)
+
+    async def _start(self, ip):
         seeds = [f"{one}:{CTL}" for one in self.controllers]
         ports, data = (HTTP, READY, CTL, FIRST, LAST), str(self.folder / ip)
         settings = self.folder / f"{ip}.toml"
--- a/honeywood/lab/soak/run.py
+++ b/honeywood/lab/soak/run.py
@@ -225,9 +225,10 @@
 
 
 def play(seed: int, seconds: float, slot: int = 1, folder: str | None = None) -> Outcome:
-    """Plays one soak; logs and disks go to `folder`, or to one that is removed afterwards."""
+    """Plays one soak; logs and disks go to `folder`, which must not be there yet, or to one that is removed
+    afterwards."""
     if folder is not None:
-        Path(folder).mkdir(parents=True, exist_ok=True)
+        Path(folder).mkdir(parents=True)  # an earlier run's disks and logs must not be taken for this one's
         return asyncio.run(Soak(seed, seconds, slot, Path(folder)).play())
     with tempfile.TemporaryDirectory(prefix="honeywood-soak-") as made:
         return asyncio.run(Soak(seed, seconds, slot, Path(made)).play())
