--- a/honeywood/lab/soak/peers.py
+++ b/honeywood/lab/soak/peers.py
@@ -6,6 +6,7 @@
 import struct
 
 from honeywood.lab.soak.rules import Record, Run, Try
+from standins.requests import read_request
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Try-Id: %s\r\nX-Seal: s\r\nX-Load: %d,0,%d\r\nContent-Length: %d\r\n\r\n%s"
 MISDIRECTED = b"HTTP/1.1 421 No\r\nX-Try-Id: %s\r\nX-Instance: %s\r\nContent-Length: 0\r\n\r\n"
@@ -51,9 +52,7 @@
     async def _serve(self, reader, writer):
         try:
             while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                fields = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:] if line)
-                await reader.readexactly(int(fields.get(b"content-length", b"0")))
+                _, fields, _ = await read_request(reader)
                 if not await self._answer(fields, reader, writer):
                     break
         except (asyncio.IncompleteReadError, ConnectionError):
--- /dev/null
+++ b/standins/requests.py
@@ -0,0 +1,9 @@
+"""Reading a request, for all stand-in machines."""
+
+
+async def read_request(reader):
+    """(head, fields in lower case, body) of the next request; IncompleteReadError where there is none."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    fields = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:] if line)
+    body = await reader.readexactly(int(fields.get(b"content-length", b"0")))
+    return head, fields, body
--- a/standins/sorting.py
+++ b/standins/sorting.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+from standins.requests import read_request
+
 WORK_S = 0.03  # mean seconds of work a request
 SLOTS = 6
 
@@ -38,9 +40,7 @@
     async def serve(self, reader, writer):
         try:
             while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                fields = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:] if line)
-                await reader.readexactly(int(fields.get(b"content-length", b"0")))
+                _, fields, _ = await read_request(reader)
                 writer.write(await self.answer(fields))
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
--- a/tests/gateway/socket_scene.py
+++ b/tests/gateway/socket_scene.py
@@ -11,6 +11,7 @@
 from honeywood.gateway.proxy.program import Proxy
 from honeywood.gateway.rpc.server import HttpServer
 from honeywood.lab.emulator.boot import boot
+from standins.requests import read_request
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Try-Id: %s\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\n"
 GET = b"GET /p0/a%%2Fb?c HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: %s\r\nX-Deadline-Ms: 600\r\n\r\n"
@@ -31,9 +32,7 @@
         self.accepted += 1
         try:
             while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                fields = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:] if line)
-                body = await reader.readexactly(int(fields.get(b"content-length", b"0")))
+                head, fields, body = await read_request(reader)
                 self.seen.append((head, fields, body))
                 step = self.script.pop(0) if len(self.script) > 1 else self.script[0]
                 await step(fields[b"x-try-id"], writer)
--- a/tests/gateway/test_departures.py
+++ b/tests/gateway/test_departures.py
@@ -9,6 +9,7 @@
 
 from honeywood.gateway.dissemination.messages import Ask, Asker
 from honeywood.gateway.dissemination.publisher import Publisher
+from standins.requests import read_request
 
 CUT_WITHIN_S = 0.3  # after a client's leaving in which machines must be rid of what may be repeated
 POST = (
@@ -31,9 +32,7 @@
     async def serve(self, reader, writer):
         try:
             while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                fields = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:] if line)
-                await reader.readexactly(int(fields.get(b"content-length", b"0")))
+                _, fields, _ = await read_request(reader)
                 id = fields[b"x-try-id"]
                 self.started.append(id)
                 writer.write(self.first(id))
@@ -99,34 +98,31 @@
     writer.transport.abort()
 
 
-async def at_one_machine(scene):
+async def asked(scene, started=1):
+    """The writer of a client whose requests so many machines have."""
     _, writer = await scene.connect()
     writer.write(LONG_GET % b"a")
-    await scene.until(lambda: scene.started() == 1)
-    return writer.close
+    await scene.until(lambda: scene.started() == started)
+    return writer
+
+
+async def at_one_machine(scene):
+    return (await asked(scene)).close
 
 
 async def by_reset(scene):
-    _, writer = await scene.connect()
-    writer.write(LONG_GET % b"a")
-    await scene.until(lambda: scene.started() == 1)
+    writer = await asked(scene)
     return lambda: reset(writer)
 
 
 async def by_its_last_word(scene):
-    _, writer = await scene.connect()
-    writer.write(LONG_GET % b"a")
-    await scene.until(lambda: scene.started() == 1)
-    return writer.write_eof
+    return (await asked(scene)).write_eof
 
 
 async def at_two_machines(scene):
     for service in scene.proxy.table.services:
         scene.proxy.endpoints.latencies[service] = 0.02  # so that a second attempt comes soon
-    _, writer = await scene.connect()
-    writer.write(LONG_GET % b"a")
-    await scene.until(lambda: scene.started() == 2)
-    return writer.close
+    return (await asked(scene, 2)).close
 
 
 async def behind_another(scene):
