Soak: clients that keep connections, machines that refuse, close, reset, pause and move, signals in series

Change: persistent clients send behind unanswered requests, in parts, and again after promises; machines have slots, X-Not-Run, second copies of answers, closing and reset connections, pauses and new lives at each other's address; processes get SIGHUP, SIGTERM, SIGSTOP and SIGCONT in series and are killed while they stop; idle_s changes. A request behind a closing answer counts as not read, an operation may run once over all its requests; a violation prints its requests' course.

--- a/honeywood/cli/soak.py
+++ b/honeywood/cli/soak.py
@@ -19,8 +19,11 @@
 @click.option(
     "--jobs", type=click.IntRange(1), default=2, show_default=True, help="Number of parallel soaks."
 )
+@click.option(
+    "--proxies", type=click.IntRange(1, 200), default=3, show_default=True, help="Proxies per soak."
+)
 @click.option("--keep", type=click.Path(path_type=Path), help="Folder in which logs and data are kept.")
-def command(seeds, first, seconds, jobs, keep):
+def command(seeds, first, seconds, jobs, proxies, keep):
     """Run real proxies and controllers on loopback, and kill, stop, pause and partition them at random.
 
     Some clients disconnect before their response, and API keys move between tenants. The exit status is 1 if
@@ -28,7 +31,10 @@
     """
     from honeywood.lab.soak.series import run_series, summary
 
-    outcomes = run_series(first, seeds, seconds, jobs, keep, lambda outcome: click.echo(summary(outcome)))
+    def report(outcome):
+        click.echo(summary(outcome))
+
+    outcomes = run_series(first, seeds, seconds, jobs, keep, report, proxies)
     failed = sum(bool(outcome.violations) for outcome in outcomes)
     requests = sum(outcome.requests for outcome in outcomes)
     disconnected = sum(outcome.disconnected for outcome in outcomes)
--- a/honeywood/lab/soak/clients.py
+++ b/honeywood/lab/soak/clients.py
@@ -8,9 +8,9 @@
 import struct
 from collections.abc import Callable, Mapping, Sequence
 
+from honeywood.lab.soak.client_messages import DEADLINE_S, encode_request, read_response
 from honeywood.lab.soak.record import ClientRequest, Record
 
-DEADLINE_S = 1.5
 MAX_DISCONNECT_DELAY_S = 0.4
 """The maximum time after which a disconnecting client leaves."""
 IDEMPOTENT_SHARE = 0.7  # of the clients; the others send requests that are not idempotent
@@ -78,13 +78,14 @@
 
     def _new_request(self, proxy: str, idempotent: bool) -> ClientRequest:
         self._last_id += 1
+        request_id = b"%016x" % self._last_id
         key = self._random.choice(self._known_keys())
-        return ClientRequest(b"%016x" % self._last_id, idempotent, proxy, key, self._clock())
+        return ClientRequest(request_id, idempotent, proxy, key, self._clock(), operation=request_id)
 
     def _send(self, requests: Sequence[ClientRequest], writer: asyncio.StreamWriter) -> None:
         for request in requests:
             self._record.requests[request.id] = request
-        writer.write(b"".join(_encode(request) for request in requests))
+        writer.write(b"".join(encode_request(request) for request in requests))
 
     async def _read_responses(
         self,
@@ -96,7 +97,8 @@
         try:
             async with asyncio.timeout(DEADLINE_S if disconnect_delay_s is None else disconnect_delay_s):
                 for request in requests:
-                    await _read_response(reader, request)
+                    response = await read_response(reader)
+                    request.status, request.body = response.status, response.body
         except TimeoutError:  # caught before OSError, its base class
             for request in requests:
                 if disconnect_delay_s is not None and request.status is None:
@@ -112,21 +114,3 @@
             writer.transport.abort()
         else:
             writer.close()
-
-
-def _encode(request: ClientRequest) -> bytes:
-    method, path = (b"GET", b"/safe/x") if request.idempotent else (b"POST", b"/unsafe/x")
-    body = b"" if request.idempotent else b"body"
-    length = b"" if request.idempotent else b"Content-Length: 4\r\n"
-    return (
-        b"%s %s HTTP/1.1\r\nHost: soak.example\r\nX-Try-Id: %s\r\nX-Api-Key: %s\r\n"
-        b"X-Deadline-Ms: %d\r\n%s\r\n%s"
-        % (method, path, request.id, request.key.encode(), DEADLINE_S * 1000, length, body)
-    )
-
-
-async def _read_response(reader: asyncio.StreamReader, request: ClientRequest) -> None:
-    head = (await reader.readuntil(b"\r\n\r\n")).lower()
-    length = next(line for line in head.split(b"\r\n") if line.startswith(b"content-length:"))
-    body = await reader.readexactly(int(length.partition(b":")[2]))
-    request.status, request.body = int(head[9:12]), body
--- a/honeywood/lab/soak/cluster.py
+++ b/honeywood/lab/soak/cluster.py
@@ -26,10 +26,10 @@
 class Cluster:
     """All processes of one soak, by IP address 127.`slot`.0.x, so that several soaks can run in parallel."""
 
-    def __init__(self, folder: Path, slot: int) -> None:
+    def __init__(self, folder: Path, slot: int, proxies: int = PROXIES) -> None:
         """`folder` is where the processes keep their settings, logs and data."""
         self.controllers = [f"127.{slot}.0.{11 + index}" for index in range(CONTROLLERS)]
-        self.proxies = [f"127.{slot}.0.{21 + index}" for index in range(PROXIES)]
+        self.proxies = [f"127.{slot}.0.{21 + index}" for index in range(proxies)]
         self._folder = folder
         self._processes: dict[str, asyncio.subprocess.Process] = {}
         self._start_locks: dict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
@@ -81,8 +81,10 @@
         return path
 
     def send_signal(self, ip: str, number: signal.Signals) -> None:
-        """Send a signal to a process if it is running."""
+        """Send a signal to a process if it is running; its settings file is rewritten before SIGHUP."""
         process = self._processes[ip]
+        if number == signal.SIGHUP:
+            self._write_settings(ip)
         if process.returncode is None:
             process.send_signal(number)
 
--- a/honeywood/lab/soak/fault_injector.py
+++ b/honeywood/lab/soak/fault_injector.py
@@ -10,12 +10,16 @@
 from honeywood.lab.soak.clients import SoakClients
 from honeywood.lab.soak.cluster import Cluster
 from honeywood.lab.soak.faults import Fault, FaultKind
-from honeywood.lab.soak.machine import MachineFaults, SoakMachine
+from honeywood.lab.soak.machine import SoakMachine
+from honeywood.lab.soak.machine_faults import SLOTS, MachineFaults
 from honeywood.lab.soak.operator_client import OperatorClient
 from honeywood.lab.soak.record import Record
 
 FAULTY_SHARE = 0.4
 """Of the requests of the affected machines, or of the clients."""
+SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGSTOP, signal.SIGCONT)
+MAX_SIGNALS = 6
+MAX_SIGNAL_INTERVAL_S = 0.6
 
 
 class FaultInjector:
@@ -37,6 +41,7 @@
         self._clients = clients
         self._operator = operator
         self._clock = clock
+        self._restart_lock = asyncio.Lock()
         self._handlers: dict[FaultKind, Callable[[Fault], Awaitable[Collection[str]]]] = {
             FaultKind.KILL: self._kill,
             FaultKind.STOP: self._stop,
@@ -48,6 +53,15 @@
             FaultKind.SLOW_MACHINES: self._slow_machines,
             FaultKind.DISCONNECTING_CLIENTS: self._disconnect_clients,
             FaultKind.CONFIGURATION_CHANGE: self._change_configuration,
+            FaultKind.SIGNAL_SERIES: self._send_signals,
+            FaultKind.KILL_WHILE_STOPPING: self._kill_while_stopping,
+            FaultKind.FULL_MACHINES: self._fill_machines,
+            FaultKind.REJECTING_MACHINES: self._reject_requests,
+            FaultKind.REPEATED_RESPONSES: self._repeat_responses,
+            FaultKind.CLOSING_MACHINES: self._close_connections,
+            FaultKind.RESETTING_MACHINES: self._reset_connections,
+            FaultKind.PAUSED_MACHINES: self._pause_machines,
+            FaultKind.RESTARTED_MACHINES: self._restart_machines,
         }
 
     async def inject(self, fault: Fault) -> None:
@@ -79,6 +93,27 @@
         self._cluster.send_signal(ip, signal.SIGCONT)
         return [ip]
 
+    async def _send_signals(self, fault: Fault) -> Collection[str]:
+        ip = self._target_node(fault)
+        rng = random.Random(fault.target)
+        numbers = rng.choices(SIGNALS, k=rng.randint(2, MAX_SIGNALS))
+        for number in numbers:
+            self._cluster.send_signal(ip, number)
+            await asyncio.sleep(rng.uniform(0.0, MAX_SIGNAL_INTERVAL_S))
+        self._cluster.send_signal(ip, signal.SIGCONT)
+        if signal.SIGTERM in numbers:
+            await self._cluster.stop(ip)
+            await self._cluster.start(ip)
+        return [ip]
+
+    async def _kill_while_stopping(self, fault: Fault) -> Collection[str]:
+        ip = self._target_node(fault)
+        self._cluster.send_signal(ip, signal.SIGTERM)
+        await asyncio.sleep(fault.duration_s * 2)
+        await self._cluster.kill(ip)
+        await self._cluster.start(ip)
+        return [ip]
+
     async def _partition(self, fault: Fault) -> Collection[str]:
         ip, nodes = self._target_node(fault), self._cluster.nodes
         candidates = sorted({*nodes} - {ip})
@@ -116,6 +151,59 @@
 
         return await self._disturb_machines(fault, set_share)
 
+    async def _fill_machines(self, fault: Fault) -> Collection[str]:
+        def set_share(faults: MachineFaults, share: float) -> None:
+            faults.slots = 1 if share else SLOTS
+
+        return await self._disturb_machines(fault, set_share)
+
+    async def _reject_requests(self, fault: Fault) -> Collection[str]:
+        def set_share(faults: MachineFaults, share: float) -> None:
+            faults.rejected_share = share
+
+        return await self._disturb_machines(fault, set_share)
+
+    async def _repeat_responses(self, fault: Fault) -> Collection[str]:
+        def set_share(faults: MachineFaults, share: float) -> None:
+            faults.rejected_share = faults.repeated_share = share
+
+        return await self._disturb_machines(fault, set_share)
+
+    async def _close_connections(self, fault: Fault) -> Collection[str]:
+        def set_share(faults: MachineFaults, share: float) -> None:
+            faults.closing_share = share
+
+        return await self._disturb_machines(fault, set_share)
+
+    async def _reset_connections(self, fault: Fault) -> Collection[str]:
+        def set_share(faults: MachineFaults, share: float) -> None:
+            faults.reset_share = share
+
+        return await self._disturb_machines(fault, set_share)
+
+    async def _pause_machines(self, fault: Fault) -> Collection[str]:
+        def set_share(faults: MachineFaults, share: float) -> None:
+            if share:
+                faults.running.clear()
+            else:
+                faults.running.set()
+
+        return await self._disturb_machines(fault, set_share)
+
+    async def _restart_machines(self, fault: Fault) -> Collection[str]:
+        """End a machine of each service, then restart each at the address of the other."""
+        half = len(self._machines) // 2
+        index = int(fault.target * half)
+        pair = self._machines[index], self._machines[half + index]
+        async with self._restart_lock:
+            for machine in pair:
+                machine.end()
+            await asyncio.sleep(fault.duration_s)
+            ports = [machine.port for machine in pair]
+            for machine, port in zip(pair, reversed(ports), strict=True):
+                await machine.restart(port)
+        return []
+
     async def _disturb_machines(
         self, fault: Fault, set_share: Callable[[MachineFaults, float], None]
     ) -> Collection[str]:
--- a/honeywood/lab/soak/machine.py
+++ b/honeywood/lab/soak/machine.py
@@ -4,30 +4,34 @@
 
 import asyncio
 import random
+import socket
+import struct
 from collections.abc import Callable
-from dataclasses import dataclass
 
+from honeywood.lab.soak.machine_faults import MAX_QUEUED, MachineFaults
 from honeywood.lab.soak.record import Execution, Record
 from honeywood.standins.requests import read_request
 
-RESPONSE = b"HTTP/1.1 200 OK\r\nX-Try-Id: %s\r\nX-Seal: s\r\nX-Load: %d,0,%d\r\nContent-Length: %d\r\n\r\n%s"
+RESPONSE = (
+    b"HTTP/1.1 200 OK\r\nX-Try-Id: %s\r\nX-Seal: s\r\nX-Load: %d,0,%d\r\n%sContent-Length: %d\r\n\r\n%s"
+)
 MISDIRECTED = b"HTTP/1.1 421 No\r\nX-Try-Id: %s\r\nX-Instance: %s\r\nContent-Length: 0\r\n\r\n"
+REJECTED = b"HTTP/1.1 %d No\r\nX-Try-Id: %s\r\nX-Not-Run: %s\r\nX-Load: %d,0,%d\r\nContent-Length: 0\r\n\r\n"
+CLOSE = b"Connection: close\r\n"
 STRAY_BODY = b"stray"
-SLOTS = 20
 MEAN_WORK_S, MEAN_SLOW_WORK_S = 0.05, 0.9
-
-
-@dataclass(slots=True)
-class MachineFaults:
-    """The shares of requests whose response is lost, is preceded by a stray response, or is slow."""
-
-    lost_share: float = 0.0
-    stray_share: float = 0.0
-    slow_share: float = 0.0
+MAX_CONNECTIONS = 60
+MIN_IDLE_S, MAX_IDLE_S = 0.3, 4.0
+MAX_REPEAT_DELAY_S = 0.05
+HOST = "127.0.0.1"
+NO_LINGER = struct.pack("ii", 1, 0)  # the value of SO_LINGER with which closing a connection resets it
 
 
 class SoakMachine:
-    """One service machine on loopback; `faults` may be changed at any time."""
+    """One service machine on loopback; `faults` may be changed at any time.
+
+    A machine may be restarted: it then has another id, and its address may be that of an earlier machine.
+    """
 
     def __init__(
         self,
@@ -40,28 +44,54 @@
         """Record each execution in `record`."""
         self.id = machine_id
         self.faults = MachineFaults()
+        self.state = "ready"
+        self._name = machine_id
+        self._restarts = 0
         self._record = record
         self._service = service
         self._random = random
         self._clock = clock
         self._running = 0
+        self._queued = 0
         self._heartbeats = 0
+        self._idle_s = random.uniform(MIN_IDLE_S, MAX_IDLE_S)
+        self._port = 0
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
-    async def open(self) -> None:
-        """Start listening on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def open(self, port: int = 0) -> None:
+        """Start listening on `port`, by default on a free one."""
+        self._server = await asyncio.start_server(self._serve, HOST, port, reuse_address=True)
+        self._port = self._server.sockets[0].getsockname()[1]
 
     def close(self) -> None:
         """Stop listening."""
         if self._server is not None:
             self._server.close()
 
+    def end(self) -> None:
+        """End the machine's incarnation: stop listening and reset all connections."""
+        self.close()
+        for writer in list(self._writers):
+            _reset(writer)
+
+    async def restart(self, port: int) -> None:
+        """Begin the next incarnation, at the address of an earlier machine."""
+        self._restarts += 1
+        self.id = f"{self._name}.{self._restarts}"
+        self._heartbeats, self.state = 0, "ready"
+        await self.open(port)
+
+    @property
+    def port(self) -> int:
+        """The port of this incarnation or the last one."""
+        return self._port
+
     @property
     def address(self) -> str:
         """The address as ip:port; available once the machine is open."""
-        assert self._server is not None, "the machine is not open"
-        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        assert self._port, "the machine is not open"
+        return f"{HOST}:{self._port}"
 
     def next_heartbeat(self) -> dict[str, object]:
         """Return the body of the next heartbeat."""
@@ -71,41 +101,107 @@
             "addr": self.address,
             "zone": "hall",
             "ver": "v1",
-            "slots": SLOTS,
-            "state": "ready",
+            "slots": self.faults.slots,
+            "state": self.state,
             "cold_left_s": 0,
             "seq": self._heartbeats,
         }
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        incarnation = self.id
+        if len(self._writers) >= MAX_CONNECTIONS:
+            _reset(writer)
+            return
+        self._writers.add(writer)
         try:
-            while True:
-                _, fields, _ = await read_request(reader)
+            while self.id == incarnation:
+                await self.faults.running.wait()
+                async with asyncio.timeout(self._idle_s):
+                    _, fields, _ = await read_request(reader)
+                await self.faults.running.wait()
                 if not await self._respond(fields, reader, writer):
                     break
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError, TimeoutError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _respond(
         self, fields: dict[bytes, bytes], reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
-        """Execute a request and respond; return whether the connection stays open."""
+        """Execute or reject a request and respond; return whether the connection stays open."""
         request_id = fields[b"x-try-id"]
         if fields[b"x-want-instance"] != self.id.encode():
+            self._note(request_id, writer, "misdirected")
             writer.write(MISDIRECTED % (request_id, self.id.encode()))
             return True
-        disconnected = await self._execute(request_id, fields, reader)
-        if disconnected or self._random.random() < self.faults.lost_share:
+        if self._draws(self.faults.reset_share / 2):
+            self._note(request_id, writer, "reset before execution")
+            _reset(writer)
             return False
-        if self._random.random() < self.faults.stray_share:
-            self._write_response(writer, STRAY_BODY)
-        self._write_response(writer, request_id)
-        return True
+        deadline = self._clock() + int(fields[b"x-deadline-ms"]) / 1000
+        reason = await self._admit(deadline)
+        if reason:
+            self._reject(writer, request_id, reason)
+            return True
+        return await self._execute_and_respond(request_id, fields, reader, writer)
+
+    async def _admit(self, deadline: float) -> str:
+        """Wait for a slot; return why the request is rejected, "" if it is executed now."""
+        if self._draws(self.faults.rejected_share):
+            return "busy"
+        if self._running < self.faults.slots:
+            return ""
+        if self._queued >= MAX_QUEUED:
+            return "full"
+        self._queued += 1
+        try:
+            while self._running >= self.faults.slots:
+                if self._clock() >= deadline:
+                    return "late"
+                await asyncio.sleep(0.005)
+            return ""
+        finally:
+            self._queued -= 1
 
-    def _write_response(self, writer: asyncio.StreamWriter, request_id: bytes) -> None:
-        writer.write(RESPONSE % (request_id, self._running, SLOTS, len(request_id), request_id))
+    def _reject(self, writer: asyncio.StreamWriter, request_id: bytes, reason: str) -> None:
+        self._note(request_id, writer, f"rejected: {reason}")
+        status = self._random.choice((429, 503))
+        self._write(
+            writer, REJECTED % (status, request_id, reason.encode(), self._running, self.faults.slots)
+        )
+
+    async def _execute_and_respond(
+        self,
+        request_id: bytes,
+        fields: dict[bytes, bytes],
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        self._note(request_id, writer, "execution begins")
+        disconnected = await self._execute(request_id, fields, reader)
+        await self.faults.running.wait()
+        if disconnected or self._draws(self.faults.lost_share):
+            return False
+        if self._draws(self.faults.reset_share):
+            _reset(writer)
+            return False
+        if self._draws(self.faults.stray_share):
+            writer.write(self._response(STRAY_BODY, b""))
+        closes = self._draws(self.faults.closing_share)
+        self._write(writer, self._response(request_id, CLOSE if closes else b""))
+        return not closes
+
+    def _response(self, request_id: bytes, header: bytes) -> bytes:
+        return RESPONSE % (request_id, self._running, self.faults.slots, header, len(request_id), request_id)
+
+    def _write(self, writer: asyncio.StreamWriter, response: bytes) -> None:
+        """Write a response, some of them twice; the second one comes at once or late."""
+        writer.write(response)
+        if self._draws(self.faults.repeated_share):
+            delay_s = self._random.choice((0.0, self._random.uniform(0.0, MAX_REPEAT_DELAY_S)))
+            asyncio.get_running_loop().call_later(delay_s, _write_if_open, writer, response)
 
     async def _execute(
         self, request_id: bytes, fields: dict[bytes, bytes], reader: asyncio.StreamReader
@@ -122,7 +218,7 @@
 
     async def _work(self, reader: asyncio.StreamReader, max_s: float) -> bool:
         """Work for a random time; stop early and return True if the client disconnects meanwhile."""
-        mean_s = MEAN_SLOW_WORK_S if self._random.random() < self.faults.slow_share else MEAN_WORK_S
+        mean_s = MEAN_SLOW_WORK_S if self._draws(self.faults.slow_share) else MEAN_WORK_S
         disconnect = asyncio.ensure_future(reader.read(1))
         work_s = min(max_s, self._random.expovariate(1 / mean_s))
         done, _ = await asyncio.wait((disconnect,), timeout=work_s)
@@ -132,3 +228,23 @@
         disconnect.cancel()
         await asyncio.wait((disconnect,))  # otherwise the next read would find this one still in progress
         return False
+
+    def _draws(self, share: float) -> bool:
+        return self._random.random() < share
+
+    def _note(self, request_id: bytes, writer: asyncio.StreamWriter, what: str) -> None:
+        peer = writer.get_extra_info("peername")
+        where = f"{self.id} from port {peer[1] if peer else '?'}"
+        self._record.add_event(request_id, self._clock(), where, what)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    connection = writer.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    writer.transport.abort()
+
+
+def _write_if_open(writer: asyncio.StreamWriter, data: bytes) -> None:
+    if not writer.is_closing():
+        writer.write(data)
--- a/honeywood/lab/soak/operator_client.py
+++ b/honeywood/lab/soak/operator_client.py
@@ -19,6 +19,8 @@
 MAX_KEYS = 12
 REMOVED_SHARE = 0.2
 """Of the keys, in each configuration after the first."""
+IDLE_RANGE_S = 0.4, 3.0
+"""The range of the time after which proxies close an idle connection of a client."""
 MAX_ATTEMPTS = 60
 RETRY_INTERVAL_S = 0.1
 CALL_TIMEOUT_S = 1.0
@@ -58,7 +60,8 @@
             owners = self._draw_owners()
             for key, owner in owners.items():  # any process may apply it from now on
                 self._record.owners[key].add(owner)
-            response = await self.call("config.replace", configuration(self._version, owners))
+            limits = self._draw_limits()
+            response = await self.call("config.replace", configuration(self._version, owners, limits))
             if response is not None:
                 self._record.acknowledged_version = max(self._record.acknowledged_version, self._version)
                 self.known_keys = sorted(owners)
@@ -72,18 +75,24 @@
         ]
         return {f"key-{number}": f"tenant-{self._random.randrange(TENANTS)}" for number in kept or [0]}
 
+    def _draw_limits(self) -> JsonObject:
+        """Return the limits on clients; the time-outs change with each configuration."""
+        idle_s = self._random.uniform(*IDLE_RANGE_S)
+        return {"hdr_bytes": 16384, "body_bytes": 1 << 26, "hdr_s": 3, "idle_s": idle_s}
+
     async def read_back(self) -> None:
         """Read the newest configuration and record its version."""
         response = await self.call("config.read", {})
         self._record.read_back_version = int(response["ver"], 16) if response is not None else None
 
 
-def configuration(version: int, owners: dict[str, str]) -> JsonObject:
+def configuration(version: int, owners: dict[str, str], limits: JsonObject) -> JsonObject:
     """Return a configuration with two routes to two services, and the tenants that own the given keys."""
     kinds = ("safe", "unsafe")
     items = [_route(kind) for kind in kinds]
     items += [_service(kind) for kind in kinds]
     items += [_tenant(tenant, owners) for tenant in sorted(set(owners.values()))]
+    items.append({"type": "limits", "hdr": {}, "spec": limits})
     return {"ver": f"{version:08x}", "res": items}
 
 
--- a/honeywood/lab/soak/record.py
+++ b/honeywood/lab/soak/record.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 
@@ -11,6 +11,8 @@
     """One request of a client and its outcome.
 
     `disconnected_at` is None unless the client disconnected early; `status` is None without a response.
+    `is_unread` says that the request was sent behind a response that closed its connection, so that it counts
+    as not read. `operation` is the id of the first request by which a client tried the same operation.
     """
 
     id: bytes
@@ -21,6 +23,8 @@
     disconnected_at: float | None = None
     status: int | None = None
     body: bytes = b""
+    is_unread: bool = False
+    operation: bytes = b""
 
 
 @dataclass(slots=True)
@@ -34,6 +38,15 @@
     ended_at: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Event:
+    """What a client or a machine saw of one request; `where` names the connection."""
+
+    at: float
+    where: str
+    what: str
+
+
 @dataclass(slots=True)
 class Record:
     """All observations of a soak.
@@ -42,7 +55,7 @@
     `owners` holds the tenants that owned a key in any configuration. `open_at_end` is the number of requests
     and attempts that a proxy still has open after all clients have left. `errors` are log lines that report
     an error of the system itself; `observer_lag_s` is the longest time by which the soak's own event loop
-    was late.
+    was late. `events` holds the course of each request, `counts` how often something was seen, by name.
     """
 
     requests: dict[bytes, ClientRequest] = field(default_factory=dict)
@@ -54,3 +67,10 @@
     open_at_end: dict[str, float] = field(default_factory=dict)
     errors: list[str] = field(default_factory=list)
     observer_lag_s: float = 0.0
+    events: dict[bytes, list[Event]] = field(default_factory=lambda: defaultdict(list))
+    counts: Counter[str] = field(default_factory=Counter)
+
+    def add_event(self, request_id: bytes, at: float, where: str, what: str) -> None:
+        """Add an event to the course of a request, and count it."""
+        self.events[request_id].append(Event(at, where, what))
+        self.counts[what] += 1
--- a/honeywood/lab/soak/rules.py
+++ b/honeywood/lab/soak/rules.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
-from collections.abc import Iterator, Sequence
+from collections import Counter, defaultdict
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from http import HTTPStatus
@@ -27,9 +27,12 @@
     CANCELLATION = "cancellation"
     """Machines stop an idempotent request within CANCELLATION_TIMEOUT_S of its client's disconnect."""
     AT_MOST_ONCE = "at most once"
-    """A request that is not idempotent is executed at most once."""
+    """A request that is not idempotent is executed at most once, and so is an operation of a client."""
     NOT_EXECUTED = "not executed"
-    """A request that is not idempotent and was answered 408, 421, 429 or 503 is never executed."""
+    """A request that is not idempotent is never executed if its client may send it again.
+
+    It was answered 408, 421, 429 or 503, or stood behind a response that closed the connection.
+    """
     OWN_RESPONSE = "own response"
     """A successful response belongs to the request that the client sent."""
     TENANT = "tenant"
@@ -62,6 +65,7 @@
         executions[execution.request_id].append(execution)
     for request in record.requests.values():
         violations += _check_request(request, executions[request.id], record)
+    violations += _check_operations(record, executions)
     violations += _check_end(record)
     return violations
 
@@ -86,6 +90,19 @@
         yield Violation(Rule.AT_MOST_ONCE, f"{name} was executed {count} times")
     if request.status in NOT_EXECUTED_STATUSES and count:
         yield Violation(Rule.NOT_EXECUTED, f"{name} was answered {request.status} and executed")
+    if request.is_unread and count:
+        yield Violation(Rule.NOT_EXECUTED, f"{name} stood behind a closing response and was executed")
+
+
+def _check_operations(record: Record, executions: Mapping[bytes, Sequence[Execution]]) -> Iterator[Violation]:
+    """Check that operations that several requests stand for are executed at most once."""
+    counts: Counter[bytes] = Counter()
+    for request in record.requests.values():
+        if not request.idempotent:
+            counts[request.operation or request.id] += min(1, len(executions[request.id]))
+    for operation, count in counts.items():
+        if count > 1:
+            yield Violation(Rule.AT_MOST_ONCE, f"{count} requests of operation {operation.decode()} executed")
 
 
 def _check_identity(request: ClientRequest, execution: Execution, record: Record) -> Iterator[Violation]:
--- a/honeywood/lab/soak/series.py
+++ b/honeywood/lab/soak/series.py
@@ -8,6 +8,7 @@
 from multiprocessing import get_context
 from pathlib import Path
 
+from honeywood.lab.soak.cluster import PROXIES
 from honeywood.lab.soak.soak import Outcome, run_soak
 
 SLOTS = 200
@@ -22,10 +23,11 @@
     traffic_s: float
     slot: int
     folder: Path | None
+    proxies: int
 
 
 def _run(job: SoakJob) -> Outcome:
-    return run_soak(job.seed, job.traffic_s, job.slot, job.folder)
+    return run_soak(job.seed, job.traffic_s, job.slot, job.folder, job.proxies)
 
 
 def run_series(
@@ -35,6 +37,7 @@
     concurrency: int,
     folder: Path | None,
     on_outcome: Callable[[Outcome], None],
+    proxies: int = PROXIES,
 ) -> list[Outcome]:
     """Run `count` soaks of consecutive seeds, `concurrency` at a time.
 
@@ -42,7 +45,7 @@
     a subfolder for each seed, if it is given.
     """
     jobs = [
-        SoakJob(seed, traffic_s, slot_of_process(index), folder / str(seed) if folder else None)
+        SoakJob(seed, traffic_s, slot_of_process(index), folder / str(seed) if folder else None, proxies)
         for index, seed in enumerate(range(first_seed, first_seed + count))
     ]
     outcomes = []
@@ -59,13 +62,15 @@
 
 
 def summary(outcome: Outcome) -> str:
-    """Return a line that describes one soak, followed by a line for each violation."""
+    """Return lines that describe one soak, its counts, and each violation with the requests' course."""
     kinds = ", ".join(fault.kind.value for fault in outcome.faults)
     head = (
         f"seed {outcome.seed}: {outcome.requests} requests, {outcome.served} served,"
         f" {outcome.disconnected} abandoned by clients, {outcome.executions} executions,"
         f" observer lag {outcome.observer_lag_s:.2f} s, {len(outcome.violations)} violations ({kinds})"
     )
-    return "\n".join(
-        [head, *(f"  {violation.rule}: {violation.details}" for violation in outcome.violations)]
-    )
+    lines = [head, "  " + ", ".join(f"{name} {count}" for name, count in sorted(outcome.counts.items()))]
+    for violation in outcome.violations:
+        lines.append(f"  {violation.rule}: {violation.details}")
+        lines += [f"    {line}" for line in outcome.courses[violation.details]]
+    return "\n".join(lines)
--- a/honeywood/lab/soak/soak.py
+++ b/honeywood/lab/soak/soak.py
@@ -10,7 +10,8 @@
 import random
 import tempfile
 import time
-from collections.abc import Sequence
+from collections import Counter
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
 from pathlib import Path
@@ -18,11 +19,12 @@
 
 from honeywood.lab.soak import http_probe
 from honeywood.lab.soak.clients import SoakClients
-from honeywood.lab.soak.cluster import HTTP_PORT, METRICS_PORT, READY_PORT, Cluster
+from honeywood.lab.soak.cluster import HTTP_PORT, METRICS_PORT, PROXIES, READY_PORT, Cluster
 from honeywood.lab.soak.fault_injector import FaultInjector
 from honeywood.lab.soak.faults import Fault, draw_faults
 from honeywood.lab.soak.machine import SoakMachine
 from honeywood.lab.soak.operator_client import OperatorClient
+from honeywood.lab.soak.persistent_clients import PersistentClients
 from honeywood.lab.soak.record import Record
 from honeywood.lab.soak.rules import Violation, find_violations
 
@@ -32,6 +34,8 @@
 SERVICES = ("safe", "unsafe")
 MACHINES_PER_SERVICE = 4
 REQUESTS_PER_S = 60.0
+"""Of all clients that open a connection for each request."""
+PERSISTENT_CLIENTS_PER_PROXY = 4
 HEARTBEAT_INTERVAL_S = 0.5
 READY_TIMEOUT_S = 20.0
 READY_POLL_INTERVAL_S = 0.05
@@ -53,12 +57,15 @@
     disconnected: int
     executions: int
     observer_lag_s: float
+    counts: Counter[str]
+    courses: dict[str, list[str]]
+    """The course of each request that violated a rule, in lines, by the violation's details."""
 
 
 class Soak:
     """One soak test, with its processes, machines, clients and operator."""
 
-    def __init__(self, seed: int, traffic_s: float, slot: int, folder: Path) -> None:
+    def __init__(self, seed: int, traffic_s: float, slot: int, folder: Path, proxies: int = PROXIES) -> None:
         """`slot` selects the addresses of the processes, which keep their files in `folder`."""
         self._seed = seed
         self._traffic_s = traffic_s
@@ -66,23 +73,32 @@
         self._record = Record()
         self._faults = draw_faults(seed, traffic_s)
         rng = random.Random(seed)
-        self._cluster = Cluster(folder, slot)
+        self._cluster = Cluster(folder, slot, proxies)
         self._operator = OperatorClient(self._record, self._cluster.controllers, rng)
         self._machines = [
             SoakMachine(self._record, f"i-{service}-{index}", service, rng, self._clock)
             for service in SERVICES
             for index in range(MACHINES_PER_SERVICE)
         ]
-        self._clients = self._make_clients(rng)
+        self._clients = SoakClients(*self._client_arguments(rng))
+        self._persistent_clients = PersistentClients(*self._client_arguments(rng))
         self._injector = FaultInjector(
             self._record, self._cluster, self._machines, self._clients, self._operator, self._clock
         )
         self._heartbeats: set[asyncio.Future[JsonObject | None]] = set()
 
-    def _make_clients(self, random: random.Random) -> SoakClients:
+    def _client_arguments(
+        self, rng: random.Random
+    ) -> tuple[
+        Record,
+        dict[str, tuple[str, int]],
+        random.Random,
+        Callable[[], float],
+        Callable[[], Sequence[str]],
+    ]:
         addresses = {ip: (ip, HTTP_PORT) for ip in self._cluster.proxies}
         operator = self._operator
-        return SoakClients(self._record, addresses, random, self._clock, lambda: operator.known_keys)
+        return self._record, addresses, rng, self._clock, lambda: operator.known_keys
 
     async def run(self) -> Outcome:
         """Run the soak to its end."""
@@ -104,8 +120,12 @@
         await self._operator.replace_configuration()
         await self._wait_until_ready()
         injected = [asyncio.ensure_future(self._injector.inject(fault)) for fault in self._faults]
-        await self._clients.run(self._traffic_s, REQUESTS_PER_S)
-        await asyncio.gather(*injected)
+        persistent = PERSISTENT_CLIENTS_PER_PROXY * len(self._cluster.proxies)
+        await asyncio.gather(
+            self._clients.run(self._traffic_s, REQUESTS_PER_S),
+            self._persistent_clients.run(self._traffic_s, persistent),
+            *injected,
+        )
 
     async def _observe_end(self) -> None:
         await self._wait_until_ready()
@@ -124,15 +144,18 @@
 
     def _outcome(self) -> Outcome:
         requests = self._record.requests.values()
+        violations = find_violations(self._record)
         return Outcome(
             self._seed,
             self._faults,
-            find_violations(self._record),
+            violations,
             len(requests),
             sum(request.status == HTTPStatus.OK for request in requests),
             sum(request.disconnected_at is not None for request in requests),
             len(self._record.executions),
             self._record.observer_lag_s,
+            self._record.counts,
+            {violation.details: describe_course(self._record, violation) for violation in violations},
         )
 
     async def _send_heartbeats(self) -> None:
@@ -169,13 +192,23 @@
         self._record.open_at_end[ip] = sum(float(value) for value in gauges.values())
 
 
-def run_soak(seed: int, traffic_s: float, slot: int = 1, folder: Path | None = None) -> Outcome:
-    """Run one soak.
+def describe_course(record: Record, violation: Violation) -> list[str]:
+    """Return what clients and machines saw of the requests that a violation names, in the order of time."""
+    named = {word.encode() for word in violation.details.split()}
+    requests = [one for one in record.requests.values() if {one.id, one.operation} & named]
+    events = sorted((event.at, one.id, event) for one in requests for event in record.events[one.id])
+    return [f"{at:.4f} {name.decode()} {event.where}: {event.what}" for at, name, event in events]
+
+
+def run_soak(
+    seed: int, traffic_s: float, slot: int = 1, folder: Path | None = None, proxies: int = PROXIES
+) -> Outcome:
+    """Run one soak with a number of proxies.
 
     Logs and data are kept in `folder`, which must not exist yet, or else in a temporary folder.
     """
     if folder is not None:
         folder.mkdir(parents=True)  # fails if it exists, so that data and logs of an earlier run are not used
-        return asyncio.run(Soak(seed, traffic_s, slot, folder).run())
+        return asyncio.run(Soak(seed, traffic_s, slot, folder, proxies).run())
     with tempfile.TemporaryDirectory(prefix="honeywood-soak-") as temporary:
-        return asyncio.run(Soak(seed, traffic_s, slot, Path(temporary)).run())
+        return asyncio.run(Soak(seed, traffic_s, slot, Path(temporary), proxies).run())
