--- a/tests/gateway/proxy/test_attempt_sender.py
+++ b/tests/gateway/proxy/test_attempt_sender.py
@@ -1,6 +1,8 @@
 """Responses to other requests that arrive while an attempt is in flight."""
 
-from call_scenario import CallScenario, good
+from collections import Counter
+
+from call_scenario import FULL, CallScenario, good
 from scripted_transport import STEP
 from ward import each, test
 
@@ -49,3 +51,26 @@
 def _(method=each(b"HEAD", b"GET")):
     _, status, *_ = play_surplus("unsafe", 1, 9, method)
     assert status == (200 if method == b"GET" else 502)
+
+
+@test("the second copy of a rejection, {late} steps late, doesn't reject another attempt of its request")
+def _(late=each(*(n / 2 for n in range(1, 16)))):
+    # An unsafe request was answered 503 or sent to another machine while its third attempt ran: the copy came
+    # on that attempt's connection and carried the id that all attempts of a request share.
+    received = Counter()
+
+    def reject_twice_then_execute(transport, id):
+        received[id] += 1
+        if id != b"a1":
+            transport.say(good(id))
+        elif received[id] > 2:
+            transport.loop.call_later(9 * STEP, transport.say, good(id))
+        else:
+            scenario.runs[id] -= 1
+            transport.say(FULL % id)
+            transport.loop.call_later(late * STEP, transport.say, FULL % id)
+
+    scenario = CallScenario("unsafe", reject_twice_then_execute, scripts_all=True)
+    earlier = [b"b%d" % n for n in range(30)]  # which earn the retry budget for three attempts
+    assert not scenario.play(*earlier, b"a1")
+    assert received[b"a1"] >= 3
