--- a/honeywood/gateway/proxy/attempt_sender.py
+++ b/honeywood/gateway/proxy/attempt_sender.py
@@ -200,6 +200,8 @@
             return AttemptResult(AttemptOutcome.ABANDONED)
         outcome = self._evaluate(attempt, now)
         attempt.record_outcome(outcome)
+        if outcome is AttemptOutcome.NOT_RUN:
+            self.counters.attempt_not_run(_reason_not_run(attempt))
         self.observer.record_outcome(now, attempt.request, attempt.endpoint, outcome, elapsed_s)
         if outcome is AttemptOutcome.INVALID and attempt.connection is not None:
             attempt.connection.close()  # a late response must not be matched to another request
@@ -252,3 +254,8 @@
         if any(attempt.record is not None for attempt in self.in_flight.get(request, ())):
             return RequestProgress.AT_ENDPOINT
         return RequestProgress.ATTEMPTED if request.attempts else RequestProgress.WAITING
+
+
+def _reason_not_run(attempt: AttemptInFlight) -> str:
+    """Returns why an attempt did not run: the status with which it was rejected, or that it was not sent."""
+    return str(attempt.reply.status) if isinstance(attempt.reply, Reply) else "not sent"
--- a/honeywood/gateway/proxy/request_counters.py
+++ b/honeywood/gateway/proxy/request_counters.py
@@ -69,6 +69,10 @@
         self.counts[f"{kind} attempts ended after their client"] += 1
         self.counts[f"{kind} ms after their client"] += int(MS_PER_S * duration_s)
 
+    def attempt_not_run(self, reason: str) -> None:
+        """Counts an attempt that counts as not run: its request may be attempted again or rejected."""
+        self.counts[f"attempts not run: {reason}"] += 1
+
     def surplus_response(self) -> None:
         """Counts a response to another request that arrived while an attempt was in flight."""
         self.counts["surplus answers"] += 1
--- a/tests/gateway/proxy/test_attempt_sender.py
+++ b/tests/gateway/proxy/test_attempt_sender.py
@@ -53,6 +53,31 @@
     assert status == (200 if method == b"GET" else 502)
 
 
+@test("an attempt that {how} is counted as not run, with the reason {reason}")
+def _(
+    how=each("its machine rejects", "is misdirected", "can't be sent"),
+    reason=each("503", "421", "not sent"),
+):
+    def script(transport, id):
+        scenario.runs[id] -= 1
+        rejection = FULL.replace(b"503", reason.encode()) if reason.isdigit() else b""
+        transport.say(rejection % id if rejection else b"")
+
+    scenario = CallScenario("unsafe", script, scripts_all=True)
+    if reason == "not sent":
+        create_connection = scenario.loop.create_connection
+
+        async def connect_to_ended(factory, ip, port):
+            transport, protocol = await create_connection(factory, ip, port)
+            protocol.eof_received()
+            return transport, protocol
+
+        scenario.loop.create_connection = connect_to_ended
+    assert not scenario.play(b"a1")
+    rejections = {name: count for name, count in scenario.proxy.counters.counts.items() if "not run" in name}
+    assert rejections == {f"attempts not run: {reason}": 2}  # one at each machine
+
+
 @test("the second copy of a rejection, {late} steps late, doesn't reject another attempt of its request")
 def _(late=each(*(n / 2 for n in range(1, 16)))):
     # An unsafe request was answered 503 or sent to another machine while its third attempt ran: the copy came
