An unsafe request is not attempted again on a connection on which it was rejected

Cause: all attempts of a request carry its X-Try-Id; a rejected request could be attempted again over the same connection, where a second copy of the rejection, which names the same id, was taken for the answer to the attempt that ran. Class: an answer is matched by an id that isn't unique to the attempt. Change: an attempt of a request that isn't idempotent takes no connection that an earlier attempt used; if there is no other, that connection is closed and a new one replaces it, so that max_conns holds. Why it works: an answer that arrives on the new connection can only be to the attempt sent on it.

--- a/honeywood/gateway/proxy/attempt_sender.py
+++ b/honeywood/gateway/proxy/attempt_sender.py
@@ -137,7 +137,7 @@
             if self.policy.rejection(now, request, endpoint, connected=True) is not None:
                 return False  # the state changed while the connection was established
             self.on_attempt(request)
-            record = attempt.record = self.policy.record_attempt(now, request, endpoint)
+            record = attempt.record = self.policy.record_attempt(now, request, endpoint, connection)
             attempt.sent_at, idle_s = now, now - connection.idle_since
             reply = attempt.reply = await connection.exchange(
                 outgoing.method,
@@ -160,7 +160,7 @@
     async def _connect(self, attempt: AttemptInFlight) -> Connection | None:
         """Returns the attempt's connection, a kept one or a new one; None if the endpoint is unreachable."""
         endpoint = attempt.endpoint
-        attempt.connection, attempt.connection_reused = self.pool.take_idle(endpoint), True
+        attempt.connection, attempt.connection_reused = self.pool.take_idle(endpoint, attempt.request), True
         if attempt.connection is None:
             deadline = connect_deadline(self.clock(), attempt.request)
             attempt.connection, attempt.connection_reused = await self.pool.open(endpoint, deadline), False
--- a/honeywood/gateway/proxy/connection_pool.py
+++ b/honeywood/gateway/proxy/connection_pool.py
@@ -12,6 +12,7 @@
     from collections.abc import Awaitable, Callable, Iterable
 
     from honeywood.gateway.routing.endpoint import Endpoint
+    from honeywood.gateway.routing.pending_request import PendingRequest
     from honeywood.gateway.rpc.connection import Connection
 
     Connect = Callable[[str, int, float, Callable[[int], None]], Awaitable[Connection]]
@@ -32,14 +33,19 @@
         self.opened = 0  # connections opened or attempted since the start
         self.idle_limits = IdleLimits()
 
-    def take_idle(self, endpoint: Endpoint) -> Connection | None:
-        """Takes an idle connection out of the pool; None if none may be used."""
+    def take_idle(self, endpoint: Endpoint, request: PendingRequest) -> Connection | None:
+        """Takes an idle connection out of the pool; None if the request may use none.
+
+        All idle connections are closed then, so that the connection that is opened instead replaces one.
+        """
         now = self.clock()
-        while endpoint.idle_connections:
-            connection = endpoint.idle_connections.pop()
+        idle = endpoint.idle_connections
+        for connection in [one for one in reversed(idle) if request.may_use(one)]:
+            idle.remove(connection)
             if self.is_usable(now, endpoint, connection):
                 return connection
             connection.close()
+        self.close_idle(endpoint)
         return None
 
     def is_usable(self, now: float, endpoint: Endpoint, connection: Connection) -> bool:
@@ -85,7 +91,7 @@
             connection.close()
 
     def close_idle(self, endpoint: Endpoint) -> None:
-        """Closes the idle connections of an endpoint that is out of service."""
+        """Closes the idle connections of an endpoint."""
         for connection in endpoint.idle_connections:
             connection.close()
         endpoint.idle_connections.clear()
--- a/honeywood/gateway/routing/attempt_policy.py
+++ b/honeywood/gateway/routing/attempt_policy.py
@@ -14,6 +14,7 @@
 
     from honeywood.gateway.routing.endpoint import Endpoint
     from honeywood.gateway.routing.retry_budget import RetryBudget
+    from honeywood.gateway.rpc.connection import Connection
 
     class RolloutRules(Protocol):
         """What rollouts permit at this proxy."""
@@ -119,7 +120,7 @@
         if request.attempts and (reason := self._repeat_rejection(request, endpoint)):
             return reason
         if not (connected or endpoint.idle_connections or self._may_connect(endpoint)):
-            return RejectionReason.MAX_CONNECTIONS
+            return RejectionReason.MAX_CONNECTIONS  # an idle one that the request may not use is replaced
         return None
 
     def _repeat_rejection(self, request: PendingRequest, endpoint: Endpoint) -> RejectionReason | None:
@@ -142,12 +143,14 @@
         limit = self.max_connections.get(service, DEFAULT_MAX_CONNECTIONS)
         return max(1, limit // max(1, self.proxy_count()))
 
-    def record_attempt(self, now: float, request: PendingRequest, endpoint: Endpoint) -> Attempt:
-        """Records the start of an attempt that `rejection` has permitted."""
+    def record_attempt(
+        self, now: float, request: PendingRequest, endpoint: Endpoint, connection: Connection | None = None
+    ) -> Attempt:
+        """Records the start of an attempt over `connection` that `rejection` has permitted."""
         if request.attempts:
             self.retry_budget_of(request.service).record_retry(now)
         self.rollout.record_attempt(request, endpoint)
-        attempt = Attempt(endpoint)
+        attempt = Attempt(endpoint, connection=connection)
         request.attempts.append(attempt)
         return attempt
 
--- a/honeywood/gateway/routing/pending_request.py
+++ b/honeywood/gateway/routing/pending_request.py
@@ -13,6 +13,7 @@
 
     from honeywood.gateway.configuration.model import Route
     from honeywood.gateway.routing.endpoint import Endpoint
+    from honeywood.gateway.rpc.connection import Connection
 
 # Fraction of the route's latency target after which a request that no endpoint could take is rejected.
 REJECT_AFTER_FRACTION = 0.25
@@ -22,10 +23,11 @@
 
 @dataclass(slots=True, eq=False)
 class Attempt:
-    """One attempt at one endpoint; `outcome` is None while it is in flight."""
+    """One attempt at one endpoint over `connection`; `outcome` is None while it is in flight."""
 
     endpoint: Endpoint
     outcome: AttemptOutcome | None = None
+    connection: Connection | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -55,6 +57,14 @@
         """The endpoint of each attempt."""
         return [attempt.endpoint for attempt in self.attempts]
 
+    def may_use(self, connection: Connection) -> bool:
+        """Whether an attempt may use the connection: not if it isn't idempotent and used it before.
+
+        All attempts carry the same id, so a second copy of the rejection of the earlier attempt would be
+        taken for the response to the later one, which may be running.
+        """
+        return self.route.idempotent or all(attempt.connection is not connection for attempt in self.attempts)
+
     @property
     def may_have_run(self) -> bool:
         """Whether any attempt is in flight or has ended with an outcome other than NOT_RUN."""
