--- a/honeywood/cli/soak.py
+++ b/honeywood/cli/soak.py
@@ -22,19 +22,26 @@
 @click.option(
     "--proxies", type=click.IntRange(1, 200), default=3, show_default=True, help="Proxies per soak."
 )
+@click.option(
+    "--checkout",
+    type=click.Path(exists=True, file_okay=False, path_type=Path),
+    help="Checkout of another commit whose programs are run.",
+)
 @click.option("--keep", type=click.Path(path_type=Path), help="Folder in which logs and data are kept.")
-def command(seeds, first, seconds, jobs, proxies, keep):
+def command(seeds, first, seconds, jobs, proxies, checkout, keep):
     """Run real proxies and controllers on loopback, and kill, stop, pause and partition them at random.
 
     Some clients disconnect before their response, and API keys move between tenants. The exit status is 1 if
     a rule was violated.
     """
     from honeywood.lab.soak.series import run_series, summary
+    from honeywood.lab.soak.soak import ClusterSize
 
     def report(outcome):
         click.echo(summary(outcome))
 
-    outcomes = run_series(first, seeds, seconds, jobs, keep, report, proxies)
+    size = ClusterSize(proxies, checkout)
+    outcomes = run_series(first, seeds, seconds, jobs, keep, report, size)
     failed = sum(bool(outcome.violations) for outcome in outcomes)
     requests = sum(outcome.requests for outcome in outcomes)
     disconnected = sum(outcome.disconnected for outcome in outcomes)
--- a/honeywood/lab/soak/cluster.py
+++ b/honeywood/lab/soak/cluster.py
@@ -26,11 +26,16 @@
 class Cluster:
     """All processes of one soak, by IP address 127.`slot`.0.x, so that several soaks can run in parallel."""
 
-    def __init__(self, folder: Path, slot: int, proxies: int = PROXIES) -> None:
-        """`folder` is where the processes keep their settings, logs and data."""
+    def __init__(self, folder: Path, slot: int, proxies: int = PROXIES, checkout: Path | None = None) -> None:
+        """`folder` is where the processes keep their settings, logs and data.
+
+        The programs are those of `checkout`, by default those that this process would import.
+        """
         self.controllers = [f"127.{slot}.0.{11 + index}" for index in range(CONTROLLERS)]
         self.proxies = [f"127.{slot}.0.{21 + index}" for index in range(proxies)]
+        self.on_kill: Callable[[str], None] = lambda ip: None
         self._folder = folder
+        self._checkout = checkout
         self._processes: dict[str, asyncio.subprocess.Process] = {}
         self._start_locks: dict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
         self._blocked: dict[str, set[str]] = {ip: set() for ip in self.nodes}
@@ -70,6 +75,7 @@
                 stdout=log,
                 stderr=log,
                 env=environment,
+                cwd=self._checkout,  # the first place where the programs are looked for
             )
 
     def _write_settings(self, ip: str) -> Path:
@@ -90,6 +96,7 @@
 
     async def kill(self, ip: str) -> None:
         """Kill a process."""
+        self.on_kill(ip)
         self.send_signal(ip, signal.SIGKILL)
         await self._processes[ip].wait()
 
--- a/honeywood/lab/soak/machine.py
+++ b/honeywood/lab/soak/machine.py
@@ -208,7 +208,7 @@
     ) -> bool:
         """Execute a request and record it; return whether the client disconnected meanwhile."""
         tenant = fields.get(b"x-tenant", b"").decode()
-        execution = Execution(request_id, tenant, b"x-api-key" in fields, self._clock())
+        execution = Execution(request_id, tenant, b"x-api-key" in fields, self._clock(), machine=self.id)
         self._record.executions.append(execution)
         self._running += 1
         disconnected = await self._work(reader, int(fields[b"x-deadline-ms"]) / 1000)
