Failing test: what stands behind a request ends its connection while it runs

Cause: a time-out or a rejection of a request that stands behind another closes the connection at once, with bytes unread, so that the client of the first one gets a reset, though its request runs.

--- a/tests/gateway/rpc/test_protocol.py
+++ b/tests/gateway/rpc/test_protocol.py
@@ -93,3 +93,35 @@
     client.say(b"GET /else HTTP/1.1\r\nHost: f\r\nX-Call-Id: c-2\r\n\r\n")
     out = client.run(1.0).out
     assert out.startswith(b"HTTP/1.1 400") and out.index(b"x-call-id: c-1") < out.index(b"x-call-id: c-2")
+
+
+PART = REQUEST.replace(b"Content-Length: 0", b"Content-Length: 9") % (b"POST", b"a2", b"") + b"body"
+BEHIND = {
+    "a body that is not complete within idle_s": PART,
+    "a head that is not complete within header_s": PART[:30],
+    "bytes that are no request": b"\x00\r\n\r\n",
+    "a head that is too long": REQUEST % (b"GET", b"a2", b"X-Long: %s\r\n" % (b"x" * 20_000)),
+    "a head that is ambiguous": REQUEST % (b"GET", b"a2", b"Host: other\r\n"),
+    "a chunk that is none": REQUEST.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+    % (b"POST", b"a2", b"")
+    + b"zz\r\n",
+}
+
+
+@test("an unsafe request that runs is answered though {behind} was sent behind it")
+def _(behind=each(*BEHIND)):
+    # The connection was reset while the request ran, so that its client took it for unread and sent it again.
+    def answer_late(transport, id):
+        transport.loop.call_later(0.5, transport.say, good(id))
+
+    scenario = CallScenario("unsafe", answer_late, scripts_all=True)
+    scenario.proxy.configuration.limits = Limits(header_s=0.2, idle_s=0.2)
+    client = ScriptedClient(scenario)
+    client.say(REQUEST % (b"POST", b"a1", b""))
+    client.run(0.1)
+    client.say(BEHIND[behind])
+    client.run(0.4)
+    assert not client.closing
+    client.run(1.5)
+    assert client.ids == [b"a1"] and client.closing
+    assert scenario.runs == {b"a1": 1} and not scenario.find_violations()
