What stands behind a request no longer ends its connection before the answer

Cause: the time-out for the rest of a body ran for a request that stands behind another, though the proxy itself had paused reading; and a rejection of what stands behind closed the connection at once, with bytes unread. Class: a decision about one request of a connection ends others. Change: no time-out runs for a queued request; after a rejection nothing more is read, the complete requests are answered, and the last answer closes the connection. Why it works: no path but the client's end closes a connection with an open request.

--- a/honeywood/gateway/rpc/protocol.py
+++ b/honeywood/gateway/rpc/protocol.py
@@ -50,6 +50,7 @@
         self._disconnect = ClientDisconnect(lambda: peer_has_closed(transport.get_extra_info("socket")))
         self.flow = DisconnectWatchingFlowControl(transport, self.loop, self._disconnect)
         self._open_cycles: list[RequestResponseCycle] = []
+        self._discards_input = False  # the connection is closed after the responses to open requests
         self._idle_since = 0.0
         self._timer = self.loop.call_later(self._application.limits.idle_s, self._on_timeout)
 
@@ -65,12 +66,13 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, and restart the time-out for what is expected next."""
+        if self._discards_input:
+            return
         limits = self._application.limits
         if self._is_idle and not self._head_size.size_bytes:  # the first bytes of a head
             self._restart_timer(limits.header_s)
         super().data_received(data)
-        if self._is_reading_body and not self.transport.is_closing():
-            self._restart_timer(limits.idle_s)
+        self._expect_body()
 
     def _client_disconnected(self) -> None:
         """Notify all open requests of this connection that the client has disconnected."""
@@ -97,16 +99,26 @@
         self._timer.cancel()
         self._timer = self.loop.call_later(timeout_s, self._on_timeout)
 
+    def _expect_body(self) -> None:
+        """Start the time-out for the rest of the current request's body, if that is being read.
+
+        None runs for a request that is queued: the client waits as well, because reading is paused.
+        """
+        if self._is_reading_body and not self.pipeline and not self.transport.is_closing():
+            self._restart_timer(self._application.limits.idle_s)
+
     def _on_timeout(self) -> None:
         """Close the connection: no complete head or no further part of a body was received in time."""
         if self._head_size.size_bytes or self._is_reading_body:
             self._reject(HTTPStatus.REQUEST_TIMEOUT)
-        self.transport.close()
+        else:
+            self.transport.close()
 
     def on_response_complete(self) -> None:
         """Start the idle time-out of the limits in force, unless another pipelined request is waiting."""
         self._idle_since, self.timeout_keep_alive = self.loop.time(), self._application.limits.idle_s
         super().on_response_complete()
+        self._expect_body()
 
     def timeout_keep_alive_handler(self) -> None:
         """Close a connection that has been idle for too long.
@@ -130,13 +142,27 @@
         self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE if too_large else HTTPStatus.BAD_REQUEST)
 
     def _reject(self, status: HTTPStatus) -> None:
-        """Close the connection; send a response only if no response to another request is due before it."""
+        """Reject the latest request and close the connection, after the responses to requests before it."""
         self._timer.cancel()
-        may_respond = self._is_idle or (self._is_reading_body and not self.pipeline)
-        if may_respond and not self.transport.is_closing():
-            self.transport.write(STATUS_LINE[status] + CLOSING_HEADERS)
-        self.transport.close()
-        self._client_disconnected()  # the client can no longer receive the responses to open requests
+        if self._is_idle or (self._is_reading_body and not self.pipeline):
+            if not self.transport.is_closing():
+                self.transport.write(STATUS_LINE[status] + CLOSING_HEADERS)
+            self.transport.close()
+            self._client_disconnected()  # the client can no longer receive a response
+        else:
+            self._close_after_open_requests()
+
+    def _close_after_open_requests(self) -> None:
+        """Read nothing more; close the connection once the complete requests are answered.
+
+        Without its response, a client may take a request that runs for one that was not read.
+        """
+        self._discards_input = True
+        if self.pipeline and self.cycle.more_body:  # the rejected request; the client may send it again
+            self.pipeline.popleft()
+            self._open_cycles.remove(self.cycle)
+            self.cycle = self._open_cycles[-1]
+        self.cycle.keep_alive = False
 
     # Callbacks of the parser; uvicorn calls send_400_response if one raises
     def on_url(self, url: bytes) -> None:
