--- a/honeywood/lab/soak/fault_injector.py
+++ b/honeywood/lab/soak/fault_injector.py
@@ -11,12 +11,12 @@
 from honeywood.lab.soak.cluster import Cluster
 from honeywood.lab.soak.faults import Fault, FaultKind
 from honeywood.lab.soak.machine import SoakMachine
-from honeywood.lab.soak.machine_faults import SLOTS, MachineFaults
+from honeywood.lab.soak.machine_fault_injector import MachineFaultInjector
 from honeywood.lab.soak.operator_client import OperatorClient
 from honeywood.lab.soak.record import Record
 
-FAULTY_SHARE = 0.4
-"""Of the requests of the affected machines, or of the clients."""
+DISCONNECTING_SHARE = 0.4
+"""Of the clients."""
 SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGSTOP, signal.SIGCONT)
 MAX_SIGNALS = 6
 MAX_SIGNAL_INTERVAL_S = 0.6
@@ -41,27 +41,17 @@
         self._clients = clients
         self._operator = operator
         self._clock = clock
-        self._restart_lock = asyncio.Lock()
         self._handlers: dict[FaultKind, Callable[[Fault], Awaitable[Collection[str]]]] = {
             FaultKind.KILL: self._kill,
             FaultKind.STOP: self._stop,
             FaultKind.PAUSE: self._pause,
             FaultKind.PARTITION: self._partition,
             FaultKind.MACHINE_PARTITION: self._partition_from_machines,
-            FaultKind.LOST_RESPONSES: self._lose_responses,
-            FaultKind.STRAY_RESPONSES: self._send_stray_responses,
-            FaultKind.SLOW_MACHINES: self._slow_machines,
             FaultKind.DISCONNECTING_CLIENTS: self._disconnect_clients,
             FaultKind.CONFIGURATION_CHANGE: self._change_configuration,
             FaultKind.SIGNAL_SERIES: self._send_signals,
             FaultKind.KILL_WHILE_STOPPING: self._kill_while_stopping,
-            FaultKind.FULL_MACHINES: self._fill_machines,
-            FaultKind.REJECTING_MACHINES: self._reject_requests,
-            FaultKind.REPEATED_RESPONSES: self._repeat_responses,
-            FaultKind.CLOSING_MACHINES: self._close_connections,
-            FaultKind.RESETTING_MACHINES: self._reset_connections,
-            FaultKind.PAUSED_MACHINES: self._pause_machines,
-            FaultKind.RESTARTED_MACHINES: self._restart_machines,
+            **MachineFaultInjector(machines).handlers,
         }
 
     async def inject(self, fault: Fault) -> None:
@@ -71,7 +61,7 @@
         for ip in await self._handlers[fault.kind](fault):
             self._record.disturbances[ip].append((began_at, self._clock()))
 
-    # Each handler returns the addresses of the processes that the fault affected.
+    # Each handler returns the addresses or ids of the processes or machines that the fault affected.
 
     async def _kill(self, fault: Fault) -> Collection[str]:
         ip = self._target_node(fault)
@@ -133,95 +123,8 @@
         await asyncio.sleep(fault.duration_s)
         self._cluster.heal(ip, others)
 
-    async def _lose_responses(self, fault: Fault) -> Collection[str]:
-        def set_share(faults: MachineFaults, share: float) -> None:
-            faults.lost_share = share
-
-        return await self._disturb_machines(fault, set_share)
-
-    async def _send_stray_responses(self, fault: Fault) -> Collection[str]:
-        def set_share(faults: MachineFaults, share: float) -> None:
-            faults.stray_share = share
-
-        return await self._disturb_machines(fault, set_share)
-
-    async def _slow_machines(self, fault: Fault) -> Collection[str]:
-        def set_share(faults: MachineFaults, share: float) -> None:
-            faults.slow_share = share
-
-        return await self._disturb_machines(fault, set_share)
-
-    async def _fill_machines(self, fault: Fault) -> Collection[str]:
-        def set_share(faults: MachineFaults, share: float) -> None:
-            faults.slots = 1 if share else SLOTS
-
-        return await self._disturb_machines(fault, set_share)
-
-    async def _reject_requests(self, fault: Fault) -> Collection[str]:
-        def set_share(faults: MachineFaults, share: float) -> None:
-            faults.rejected_share = share
-
-        return await self._disturb_machines(fault, set_share)
-
-    async def _repeat_responses(self, fault: Fault) -> Collection[str]:
-        def set_share(faults: MachineFaults, share: float) -> None:
-            faults.rejected_share = faults.repeated_share = share
-
-        return await self._disturb_machines(fault, set_share)
-
-    async def _close_connections(self, fault: Fault) -> Collection[str]:
-        def set_share(faults: MachineFaults, share: float) -> None:
-            faults.closing_share = share
-
-        return await self._disturb_machines(fault, set_share)
-
-    async def _reset_connections(self, fault: Fault) -> Collection[str]:
-        def set_share(faults: MachineFaults, share: float) -> None:
-            faults.reset_share = share
-
-        return await self._disturb_machines(fault, set_share)
-
-    async def _pause_machines(self, fault: Fault) -> Collection[str]:
-        def set_share(faults: MachineFaults, share: float) -> None:
-            if share:
-                faults.running.clear()
-            else:
-                faults.running.set()
-
-        await self._disturb_machines(fault, set_share)
-        return [machine.id for machine in self._affected_machines(fault)]
-
-    async def _restart_machines(self, fault: Fault) -> Collection[str]:
-        """End a machine of each service, then restart each at the address of the other."""
-        half = len(self._machines) // 2
-        index = int(fault.target * half)
-        pair = self._machines[index], self._machines[half + index]
-        async with self._restart_lock:
-            for machine in pair:
-                machine.end()
-            await asyncio.sleep(fault.duration_s)
-            ports = [machine.port for machine in pair]
-            for machine, port in zip(pair, reversed(ports), strict=True):
-                await machine.restart(port)
-        return []
-
-    async def _disturb_machines(
-        self, fault: Fault, set_share: Callable[[MachineFaults, float], None]
-    ) -> Collection[str]:
-        """Set a share of faulty requests on every second machine for the fault's duration."""
-        machines = self._affected_machines(fault)
-        for machine in machines:
-            set_share(machine.faults, FAULTY_SHARE)
-        await asyncio.sleep(fault.duration_s)
-        for machine in machines:
-            set_share(machine.faults, 0.0)
-        return []
-
-    def _affected_machines(self, fault: Fault) -> Sequence[SoakMachine]:
-        return self._machines[int(fault.target * 2) :: 2]
-
     async def _disconnect_clients(self, fault: Fault) -> Collection[str]:
-        self._clients.disconnecting_share = FAULTY_SHARE
+        self._clients.disconnecting_share = DISCONNECTING_SHARE
         await asyncio.sleep(fault.duration_s)
         self._clients.disconnecting_share = 0.0
         return []
--- a/honeywood/lab/soak/machine.py
+++ b/honeywood/lab/soak/machine.py
@@ -8,7 +8,7 @@
 import struct
 from collections.abc import Callable
 
-from honeywood.lab.soak.machine_faults import MAX_QUEUED, MachineFaults
+from honeywood.lab.soak.machine_faults import MachineFaults
 from honeywood.lab.soak.record import Execution, Record
 from honeywood.standins.requests import read_request
 
@@ -21,6 +21,8 @@
 STRAY_BODY = b"stray"
 MEAN_WORK_S, MEAN_SLOW_WORK_S = 0.05, 0.9
 MAX_CONNECTIONS = 60
+MAX_QUEUED = 3
+SLOT_CHECK_S = 0.005
 MIN_IDLE_S, MAX_IDLE_S = 0.3, 4.0
 MAX_REPEAT_DELAY_S = 0.05
 HOST = "127.0.0.1"
@@ -28,9 +30,11 @@
 
 
 class SoakMachine:
-    """One service machine on loopback; `faults` may be changed at any time.
+    """One service machine on loopback; `faults` may be replaced at any time.
 
-    A machine may be restarted: it then has another id, and its address may be that of an earlier machine.
+    While `running` is not set, it neither reads nor executes anything, although its connections can be used:
+    what they carried is read later. A machine may be restarted: it then has another id, and its address may
+    be that of an earlier machine.
     """
 
     def __init__(
@@ -44,6 +48,8 @@
         """Record each execution in `record`."""
         self.id = machine_id
         self.faults = MachineFaults()
+        self.running = asyncio.Event()
+        self.running.set()
         self.state = "ready"
         self._name = machine_id
         self._restarts = 0
@@ -51,7 +57,7 @@
         self._service = service
         self._random = random
         self._clock = clock
-        self._running = 0
+        self._in_progress = 0
         self._queued = 0
         self._heartbeats = 0
         self._idle_s = random.uniform(MIN_IDLE_S, MAX_IDLE_S)
@@ -115,10 +121,10 @@
         self._writers.add(writer)
         try:
             while self.id == incarnation:
-                await self.faults.running.wait()
+                await self.running.wait()
                 async with asyncio.timeout(self._idle_s):
                     _, fields, _ = await read_request(reader)
-                await self.faults.running.wait()
+                await self.running.wait()
                 if not await self._respond(fields, reader, writer):
                     break
         except (asyncio.IncompleteReadError, ConnectionError, TimeoutError):
@@ -151,16 +157,16 @@
         """Wait for a slot; return why the request is rejected, "" if it is executed now."""
         if self._draws(self.faults.rejected_share):
             return "busy"
-        if self._running < self.faults.slots:
+        if self._in_progress < self.faults.slots:
             return ""
         if self._queued >= MAX_QUEUED:
             return "full"
         self._queued += 1
         try:
-            while self._running >= self.faults.slots:
+            while self._in_progress >= self.faults.slots:
                 if self._clock() >= deadline:
                     return "late"
-                await asyncio.sleep(0.005)
+                await asyncio.sleep(SLOT_CHECK_S)
             return ""
         finally:
             self._queued -= 1
@@ -169,7 +175,7 @@
         self._note(request_id, writer, f"rejected: {reason}")
         status = self._random.choice((429, 503))
         self._write(
-            writer, REJECTED % (status, request_id, reason.encode(), self._running, self.faults.slots)
+            writer, REJECTED % (status, request_id, reason.encode(), self._in_progress, self.faults.slots)
         )
 
     async def _execute_and_respond(
@@ -181,7 +187,7 @@
     ) -> bool:
         self._note(request_id, writer, "execution begins")
         disconnected = await self._execute(request_id, fields, reader)
-        await self.faults.running.wait()
+        await self.running.wait()
         if disconnected or self._draws(self.faults.lost_share):
             return False
         if self._draws(self.faults.reset_share):
@@ -194,7 +200,14 @@
         return not closes
 
     def _response(self, request_id: bytes, header: bytes) -> bytes:
-        return RESPONSE % (request_id, self._running, self.faults.slots, header, len(request_id), request_id)
+        return RESPONSE % (
+            request_id,
+            self._in_progress,
+            self.faults.slots,
+            header,
+            len(request_id),
+            request_id,
+        )
 
     def _write(self, writer: asyncio.StreamWriter, response: bytes) -> None:
         """Write a response, some of them twice; the second one comes at once or late."""
@@ -210,9 +223,9 @@
         tenant = fields.get(b"x-tenant", b"").decode()
         execution = Execution(request_id, tenant, b"x-api-key" in fields, self._clock(), machine=self.id)
         self._record.executions.append(execution)
-        self._running += 1
+        self._in_progress += 1
         disconnected = await self._work(reader, int(fields[b"x-deadline-ms"]) / 1000)
-        self._running -= 1
+        self._in_progress -= 1
         execution.ended_at = self._clock()
         return disconnected
 
--- a/honeywood/lab/soak/machine_faults.py
+++ b/honeywood/lab/soak/machine_faults.py
@@ -2,29 +2,20 @@
 
 from __future__ import annotations
 
-import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 SLOTS = 20
-MAX_QUEUED = 3
 
 
-def _set_event() -> asyncio.Event:
-    event = asyncio.Event()
-    event.set()
-    return event
-
-
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class MachineFaults:
-    """Faults of one machine, which may be changed at any time.
+    """Faults of one machine.
 
     The shares are those of its requests: `lost_share` are executed without a response, `stray_share` get the
     response to another request first, `slow_share` are slow, `rejected_share` are rejected without being
     executed, `repeated_share` get their response twice, `closing_share` end their connection, and
     `reset_share` are answered by a reset, some before and some after their execution. A machine executes
-    `slots` requests at a time. While `running` is not set, it neither reads nor executes anything, although
-    its connections can be used.
+    `slots` requests at a time.
     """
 
     lost_share: float = 0.0
@@ -35,4 +26,3 @@
     closing_share: float = 0.0
     reset_share: float = 0.0
     slots: int = SLOTS
-    running: asyncio.Event = field(default_factory=_set_event)
