Soak: machines listen on addresses of their soak's network

Cause: read, not seen: a restarting machine binds the port it had before, one that the kernel may meanwhile have given to an outgoing connection; the soak would end with an error. Change: machines listen on 127.N.1.2 and on, port 18100, outside the kernel's range.

--- a/honeywood/lab/soak/machine.py
+++ b/honeywood/lab/soak/machine.py
@@ -25,7 +25,7 @@
 SLOT_CHECK_S = 0.005
 MIN_IDLE_S, MAX_IDLE_S = 0.3, 4.0
 MAX_REPEAT_DELAY_S = 0.05
-HOST = "127.0.0.1"
+PORT = 18100  # not one that the kernel gives to connections, since a restarting machine needs it again
 NO_LINGER = struct.pack("ii", 1, 0)  # the value of SO_LINGER with which closing a connection resets it
 
 
@@ -42,11 +42,13 @@
         record: Record,
         machine_id: str,
         service: str,
+        ip: str,
         random: random.Random,
         clock: Callable[[], float],
     ) -> None:
-        """Record each execution in `record`."""
+        """Record each execution in `record`; `ip` is the address on which the first incarnation listens."""
         self.id = machine_id
+        self.ip = ip
         self.faults = MachineFaults()
         self.running = asyncio.Event()
         self.running.set()
@@ -61,14 +63,12 @@
         self._queued = 0
         self._heartbeats = 0
         self._idle_s = random.uniform(MIN_IDLE_S, MAX_IDLE_S)
-        self._port = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
-    async def open(self, port: int = 0) -> None:
-        """Start listening on `port`, by default on a free one."""
-        self._server = await asyncio.start_server(self._serve, HOST, port, reuse_address=True)
-        self._port = self._server.sockets[0].getsockname()[1]
+    async def open(self) -> None:
+        """Start listening."""
+        self._server = await asyncio.start_server(self._serve, self.ip, PORT)
 
     def close(self) -> None:
         """Stop listening."""
@@ -81,23 +81,18 @@
         for writer in list(self._writers):
             _reset(writer)
 
-    async def restart(self, port: int) -> None:
+    async def restart(self, ip: str) -> None:
         """Begin the next incarnation, at the address of an earlier machine."""
         self._restarts += 1
         self.id = f"{self._name}.{self._restarts}"
+        self.ip = ip
         self._heartbeats, self.state = 0, "ready"
-        await self.open(port)
-
-    @property
-    def port(self) -> int:
-        """The port of this incarnation or the last one."""
-        return self._port
+        await self.open()
 
     @property
     def address(self) -> str:
-        """The address as ip:port; available once the machine is open."""
-        assert self._port, "the machine is not open"
-        return f"{HOST}:{self._port}"
+        """The address as ip:port."""
+        return f"{self.ip}:{PORT}"
 
     def next_heartbeat(self) -> dict[str, object]:
         """Return the body of the next heartbeat."""
--- a/honeywood/lab/soak/machine_fault_injector.py
+++ b/honeywood/lab/soak/machine_fault_injector.py
@@ -76,7 +76,7 @@
             for machine in pair:
                 machine.end()
             await asyncio.sleep(fault.duration_s)
-            ports = [machine.port for machine in pair]
-            for machine, port in zip(pair, reversed(ports), strict=True):
-                await machine.restart(port)
+            addresses = [machine.ip for machine in pair]
+            for machine, ip in zip(pair, reversed(addresses), strict=True):
+                await machine.restart(ip)
         return []
--- a/honeywood/lab/soak/soak.py
+++ b/honeywood/lab/soak/soak.py
@@ -34,6 +34,7 @@
 
 SERVICES = ("safe", "unsafe")
 MACHINES_PER_SERVICE = 4
+FIRST_MACHINE_NUMBER = 2  # the last number of the first machine's address
 REQUESTS_PER_S = 60.0
 """Of all clients that open a connection for each request."""
 PERSISTENT_CLIENTS_PER_PROXY = 4
@@ -85,10 +86,10 @@
         self._cluster = Cluster(folder, slot, size.proxies, size.checkout)
         self._cluster.on_kill = lambda ip: self._record.kills[ip].append(self._clock())
         self._operator = OperatorClient(self._record, self._cluster.controllers, rng)
+        names = [(service, index) for service in SERVICES for index in range(MACHINES_PER_SERVICE)]
         self._machines = [
-            SoakMachine(self._record, f"i-{service}-{index}", service, rng, self._clock)
-            for service in SERVICES
-            for index in range(MACHINES_PER_SERVICE)
+            SoakMachine(self._record, f"i-{service}-{index}", service, ip, rng, self._clock)
+            for (service, index), ip in zip(names, machine_addresses(slot), strict=True)
         ]
         self._clients = SoakClients(*self._client_arguments(rng))
         self._persistent_clients = PersistentClients(*self._client_arguments(rng))
@@ -202,6 +203,12 @@
         self._record.open_at_end[ip] = sum(float(value) for value in gauges.values())
 
 
+def machine_addresses(slot: int) -> list[str]:
+    """Return an address for each machine of a soak, in a network beside that of its processes."""
+    count = len(SERVICES) * MACHINES_PER_SERVICE
+    return [f"127.{slot}.1.{FIRST_MACHINE_NUMBER + index}" for index in range(count)]
+
+
 def count_unanswered_executions(record: Record) -> Counter[str]:
     """Count the requests that were executed though their connection ended without a response, by its end."""
     executed = {execution.request_id for execution in record.executions}
