A response that closes its connection is followed by the end of the stream, not by a reset

Cause: the connection was closed right after the last response, with bytes of what stood behind unread; the kernel then resets it, and a client that is sending reports the reset before it reads. Change: after the last response the stream is ended, what still comes is read and discarded, and the connection is closed when the client closes, or after 1 s; also after 400, 408 and 431. Idle connections are closed at once as before, so that a request that crosses the close is reset and unread. Why it works: no byte is unread when the connection closes. The scripted transport of the tests answers the end of a stream by closing, as a client does.

--- a/honeywood/gateway/rpc/protocol.py
+++ b/honeywood/gateway/rpc/protocol.py
@@ -21,6 +21,7 @@
 from honeywood.gateway.rpc.headers import CALL_ID
 from honeywood.gateway.rpc.request_context import CONTEXT, RequestContext
 from honeywood.gateway.rpc.request_head import HeadSize, reject_ambiguous
+from honeywood.gateway.rpc.response_transport import ResponseTransport
 from honeywood.gateway.rpc.socket_state import peer_has_closed
 
 TYPE_CHECKING = False
@@ -33,6 +34,7 @@
 
 MAX_PIPELINED_REQUESTS = 16  # of one connection that may wait behind the request being answered
 EARLY_METHODS = ("GET", "HEAD")
+LINGER_S = 1.0  # after the last response of a connection, in which bytes are read and discarded
 CLOSING_HEADERS = b"content-length: 0\r\nconnection: close\r\n\r\n"
 
 
@@ -50,7 +52,9 @@
         self._disconnect = ClientDisconnect(lambda: peer_has_closed(transport.get_extra_info("socket")))
         self.flow = DisconnectWatchingFlowControl(transport, self.loop, self._disconnect)
         self._open_cycles: list[RequestResponseCycle] = []
+        self._response_transport = ResponseTransport(transport, self._close_after_response)
         self._discards_input = False  # the connection is closed after the responses to open requests
+        self._is_lingering = False  # the last response has been written
         self._idle_since = 0.0
         self._timer = self.loop.call_later(self._application.limits.idle_s, self._on_timeout)
 
@@ -116,6 +120,8 @@
 
     def on_response_complete(self) -> None:
         """Start the idle time-out of the limits in force, unless another pipelined request is waiting."""
+        if self._is_lingering:
+            return
         self._idle_since, self.timeout_keep_alive = self.loop.time(), self._application.limits.idle_s
         super().on_response_complete()
         self._expect_body()
@@ -145,9 +151,9 @@
         """Reject the latest request and close the connection, after the responses to requests before it."""
         self._timer.cancel()
         if self._is_idle or (self._is_reading_body and not self.pipeline):
-            if not self.transport.is_closing():
-                self.transport.write(STATUS_LINE[status] + CLOSING_HEADERS)
-            self.transport.close()
+            if not self._response_transport.is_closing():
+                self._response_transport.write(STATUS_LINE[status] + CLOSING_HEADERS)
+            self._response_transport.close()
             self._client_disconnected()  # the client can no longer receive a response
         else:
             self._close_after_open_requests()
@@ -164,6 +170,23 @@
             self.cycle = self._open_cycles[-1]
         self.cycle.keep_alive = False
 
+    def _close_after_response(self) -> None:
+        """End the stream after the last response; read and discard what the client sends until it closes.
+
+        Closing a connection with unread bytes resets it, and the client may lose the response (RFC 9112,
+        section 9.6).
+        """
+        if self._is_lingering or self.transport.is_closing():
+            return
+        self._is_lingering = self._discards_input = True
+        self._timer.cancel()
+        self._timer = self.loop.call_later(LINGER_S, self.transport.close)
+        self.flow.resume_reading()
+        try:
+            self.transport.write_eof()
+        except OSError:  # the client has reset the connection, which was not read yet
+            self.transport.close()
+
     # Callbacks of the parser; uvicorn calls send_400_response if one raises
     def on_url(self, url: bytes) -> None:
         """Process a part of a request's target; raises RequestRejected if the head is too large."""
@@ -186,6 +209,7 @@
         scope = cast("Scope", self.scope)
         scope[CONTEXT] = RequestContext(self.url, self._disconnect, self._has_begun_early)
         super().on_headers_complete()
+        self.cycle.transport = self._response_transport  # type: ignore[assignment]
         self._open_cycles = [cycle for cycle in self._open_cycles if not cycle.response_complete]
         self._open_cycles.append(self.cycle)
         self._echo_call_id()
@@ -224,7 +248,7 @@
 
     def shutdown(self) -> None:
         """Close the connection after the current response and those of pipelined requests already started."""
-        if not self._has_begun_early():
+        if not (self._is_lingering or self._has_begun_early()):
             super().shutdown()
 
 
--- a/tests/gateway/scripted_transport.py
+++ b/tests/gateway/scripted_transport.py
@@ -64,6 +64,11 @@
             self.protocol.eof_received()
             self.close()
 
+    def write_eof(self):
+        """Ends the stream to the peer, which closes the connection when it receives that."""
+        if not self.closing:
+            self.loop.call_later(2 * STEP, self.eof)
+
     def reset(self):
         self.end(ConnectionResetError("reset"))
 
