--- a/tests/gateway/rpc/test_protocol.py
+++ b/tests/gateway/rpc/test_protocol.py
@@ -5,6 +5,7 @@
 from ward import each, test
 
 from honeywood.gateway.configuration.model import Limits
+from honeywood.gateway.rpc.protocol import LINGER_S
 
 
 @test("pipelined requests that arrive split at any byte are answered in order, each with its own response")
@@ -125,3 +126,17 @@
     client.run(1.5)
     assert client.ids == [b"a1"] and client.closing
     assert scenario.runs == {b"a1": 1} and not scenario.find_violations()
+
+
+@test("what a client sends behind a closing response is discarded; the connection is closed after LINGER_S")
+def _():
+    scenario = CallScenario("unsafe")
+    client = ScriptedClient(scenario)
+    client.write_eof = lambda: None  # a client that doesn't close its connection
+    client.say(REQUEST % (b"POST", b"a1", b"Connection: close\r\n"))
+    client.run(0.1)
+    client.say(REQUEST % (b"POST", b"a2", b"") + b"\x00")
+    client.protocol.shutdown()  # what a stopping proxy does to idle connections
+    assert not client.run(LINGER_S - 0.05).closing
+    assert client.run(LINGER_S + 0.05).closing
+    assert client.ids == [b"a1"] and scenario.runs == {b"a1": 1}
