--- a/review/harness.py
+++ b/review/harness.py
@@ -321,6 +321,12 @@
             await asyncio.sleep(0.1)
         return status, answer
 
+    async def first_configuration(self, body):
+        """Send the first configuration until it is taken, as the operator does."""
+        status, answer = await self.order("config.replace", body, rounds=200)
+        if status != 200:
+            raise CannotRun(f"the configuration was answered {status} {answer!r}")
+
     async def add_machines(self, service, count, answer, version="v1"):
         new = [
             await Machine(self, service, len(self.machines) + i, answer, version).open() for i in range(count)
