--- a/review/harness.py
+++ b/review/harness.py
@@ -1,6 +1,6 @@
 """Starts the project's programs on loopback, as deploy/system.toml does, with small stand-ins around them.
 
-Nothing here imports the project. All addresses are in 127.0.0.0/8, and all processes that a System starts
+Nothing here imports the project. All addresses are loopback addresses, and all processes that a System starts
 are ended by `close`.
 """
 
