Log how long a configuration takes from its acknowledgement to each proxy

Cause: the log didn't say when a configuration was acknowledged, nor how it reached a proxy.

Change: controllers log `configuration accepted` (version, length, seconds of the order) and `configuration published` (and who sent it). No decision depends on any of it.

--- a/honeywood/gateway/controller/configuration_orders.py
+++ b/honeywood/gateway/controller/configuration_orders.py
@@ -12,6 +12,8 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from honeywood.gateway.configuration.record import ConfigurationRecord
     from honeywood.gateway.controller.register_access import RegisterAccess, StoredValue
     from honeywood.gateway.event_log import EventLog
@@ -27,9 +29,9 @@
 class ConfigurationOrders:
     """Operators' access to the configuration: reads and replaces it."""
 
-    def __init__(self, register: RegisterAccess, log: EventLog) -> None:
-        """Read and change the configuration through `register`."""
-        self.register, self.log = register, log
+    def __init__(self, register: RegisterAccess, clock: Callable[[], float], log: EventLog) -> None:
+        """Read and change the configuration through `register`; `clock` returns monotonic seconds."""
+        self.register, self.clock, self.log = register, clock, log
 
     async def read(self, peer: str) -> str:
         """Return the newest configuration, packed; raises NotFound if a majority holds none."""
@@ -40,7 +42,7 @@
 
     async def replace(self, version: int, raw: bytes, peer: str) -> ReplaceResult:
         """Replace the configuration by `raw`; raises VersionConflict if the version has another content."""
-        digest = record.content_digest(raw)
+        started_at, digest = self.clock(), record.content_digest(raw)
         current = None
         if self._may_be_repeated(version):
             current = await self._current(CallName.REPLACE_CONFIGURATION, peer)
@@ -48,7 +50,14 @@
             current = await self._order(version, raw, digest, peer)
         outcome = record.order_outcome(current, version, digest)
         assert outcome is not None, "an order that a majority holds has an outcome"
-        if outcome is not OrderOutcome.ACCEPTED:
+        if outcome is OrderOutcome.ACCEPTED:
+            self.log.info(
+                "configuration accepted",
+                ordered=f"{version:08x}",
+                characters=len(current.text),
+                order_s=round(self.clock() - started_at, 3),
+            )
+        else:
             self.log.info(
                 outcome.value, ordered=f"{version:08x}", held=f"{current.version:08x}", digest=digest
             )
--- a/honeywood/gateway/controller/program.py
+++ b/honeywood/gateway/controller/program.py
@@ -154,7 +154,7 @@
         settings, clock = self.settings, self.clock
         access = RegisterAccess(self.register, self.publication)
         self.stalls = StallDetector(clock, self.log)
-        self.configuration_orders = ConfigurationOrders(access, self.log)
+        self.configuration_orders = ConfigurationOrders(access, clock, self.log)
         self.rollout_orders = RolloutOrders(
             access,
             self.store,
@@ -217,6 +217,15 @@
         """Process a record that the store received from this or another program."""
         self.local_records.on_update(key)
         self.router.route(key, value)
+        if key == RecordKind.CONFIGURATION:
+            self._log_configuration(str(value))
+
+    def _log_configuration(self, packed: str) -> None:
+        """Log that this controller publishes another configuration, and which controller sent it."""
+        key = RecordKind.CONFIGURATION.value
+        transfer = self.peers.subscriber.transfers.of(key, self.store.stamp(key))
+        peer = transfer.peer if transfer else "register"
+        self.log.info("configuration published", characters=len(packed), peer=peer)
 
     def on_poll(self, requester: Requester, revision: int) -> None:
         """Record a poll; its sender holds all changes of the local store up to `revision`."""
--- a/honeywood/gateway/dissemination/subscriber.py
+++ b/honeywood/gateway/dissemination/subscriber.py
@@ -7,6 +7,7 @@
 
 from honeywood.gateway.dissemination.messages import PollRequest, PollResponse
 from honeywood.gateway.dissemination.record import PATH
+from honeywood.gateway.dissemination.transfers import Transfers
 from honeywood.gateway.errors import CallFailed, GatewayError
 
 TYPE_CHECKING = False
@@ -48,12 +49,14 @@
         backoff: Backoff,
         max_bytes: Callable[[], int],
         records_for: Callable[[str], list[Record]] = no_records,
+        transfers: Transfers | None = None,
     ) -> None:
         """Initially no peer has been polled.
 
         Responses are merged into `store`, chunks of long records into `assembler`. `requester()` returns the
         program that polls, `max_bytes()` the maximum size of the next response, and `records_for(ip)` the
-        records that are sent to a peer with a poll. Peers that fail are recorded in `backoff`.
+        records that are sent to a peer with a poll. Peers that fail are recorded in `backoff`. `transfers`
+        observes the responses.
         """
         self.store = store
         self.assembler = assembler
@@ -62,6 +65,7 @@
         self.backoff = backoff
         self.max_bytes = max_bytes
         self.records_for = records_for
+        self.transfers = transfers or Transfers()
         self.positions: dict[tuple[str, int], Position] = {}
 
     def forget(self, ip: str) -> None:
@@ -82,6 +86,7 @@
             self.backoff.record_failure(ip, loop.time())
             raise
         self.backoff.record_success(ip, loop.time() + (response.retry_after_s or 0.0))
+        self.transfers.observe(ip, response, loop.time())
         self._merge(response)
         self.positions[ip, port] = Position(response.incarnation, response.revision)
         return response
--- a/honeywood/gateway/proxy/program.py
+++ b/honeywood/gateway/proxy/program.py
@@ -12,6 +12,7 @@
 from honeywood.gateway.dissemination.publisher import Publisher
 from honeywood.gateway.dissemination.retired_machines import RetiredMachines
 from honeywood.gateway.dissemination.subscriber import Subscriber
+from honeywood.gateway.dissemination.transfers import Transfers
 from honeywood.gateway.program import COUNTS_INTERVAL_S, Program
 from honeywood.gateway.proxy import status
 from honeywood.gateway.proxy.active_configuration import ActiveConfiguration
@@ -48,7 +49,7 @@
     from honeywood.gateway.event_log import EventLog
     from honeywood.gateway.metrics import Metrics
     from honeywood.gateway.proxy.connection_pool import Connect
-    from honeywood.gateway.proxy.record_handler import JsonValue
+    from honeywood.gateway.proxy.record_handler import Activation, JsonValue
     from honeywood.gateway.rpc.client import Caller
 
 MAX_BACKOFF_S = 1.0  # the longest time for which a peer that doesn't respond is not polled
@@ -145,7 +146,7 @@
             self.traffic_policy,
             self.retired_machines,
             self.peers,
-            lambda: self.log.info("configuration"),
+            self._log_configuration,
         )
         self.reports = RolloutReports(
             self.traffic_policy,
@@ -155,7 +156,7 @@
             self.incarnation,
             store,
         )
-        self.assembler = ChunkAssembler()
+        self.assembler, self.transfers = ChunkAssembler(), Transfers()
         subscriber = Subscriber(
             store,
             self.assembler,
@@ -163,6 +164,7 @@
             self._requester,
             backoff,
             lambda: self.publisher.max_response_bytes,
+            transfers=self.transfers,
         )
         self.subscription = UpdateSubscription(
             self.clock, settings, subscriber, self.peers, self.configuration
@@ -175,6 +177,7 @@
             backoff,
             self._max_poll_bytes,
             self.reports.records_for,
+            self.transfers,
         )
         self.revalidation = MachineRevalidation(self.clock, store, (subscriber, poll_subscriber))
         self.poller = ControllerPoller(
@@ -220,6 +223,20 @@
     def _apply_record(self, key: str, value: JsonValue) -> None:
         self.records.apply(key, value)
 
+    def _log_configuration(self, activation: Activation) -> None:
+        """Logs that another configuration is in force, and how it arrived."""
+        key, now = RecordKind.CONFIGURATION.value, self.clock()
+        transfer = self.transfers.of(key, self.publisher.store.stamp(key))
+        transfer_s = now - activation.duration_s - transfer.started_at if transfer else 0.0
+        self.log.info(
+            "configuration",
+            characters=activation.characters,
+            activation_s=round(activation.duration_s, 3),
+            peer=transfer.peer if transfer else None,
+            chunks=transfer.chunks if transfer else 0,
+            transfer_s=round(transfer_s, 3),
+        )
+
     def _log_violation(self, violation: Violation, details: str) -> None:
         """Logs an invariant that doesn't hold: a defect of this program that operators have to see."""
         what = violation.value
--- a/honeywood/gateway/proxy/record_handler.py
+++ b/honeywood/gateway/proxy/record_handler.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from honeywood.gateway.configuration.packing import unpack
 from honeywood.gateway.configuration.reader import read_configuration
 from honeywood.gateway.dissemination.keys import RecordKind, kind_of, name_of
@@ -23,6 +25,14 @@
     JsonValue = Any  # of a record; each kind has its own decoder
 
 
+@dataclass(frozen=True, slots=True)
+class Activation:
+    """A configuration took effect: the length of its packed text, and the seconds to read and activate it."""
+
+    characters: int
+    duration_s: float
+
+
 class RecordHandler:
     """Updates the proxy's state by one record at a time."""
 
@@ -35,7 +45,7 @@
         traffic_policy: RolloutTrafficPolicy,
         retired_machines: RetiredMachines,
         peers: KnownPeers,
-        on_configuration: Callable[[], None],
+        on_configuration: Callable[[Activation], None],
     ) -> None:
         """Builds the handler; `on_configuration` is called after another configuration has taken effect."""
         self.clock = clock
@@ -64,13 +74,14 @@
             self.peers.add_controllers([name])
 
     def _apply_configuration(self, packed: str) -> None:
+        started_at = self.clock()
         configuration = read_configuration(unpack(packed), hashed_keys=True)
         self.configuration.activate(configuration)
         self.endpoints.max_connections.clear()
         self.endpoints.max_connections.update(
             {name: service.max_connections for name, service in configuration.services.items()}
         )
-        self.on_configuration()
+        self.on_configuration(Activation(len(packed), self.clock() - started_at))
 
     def _apply_machine(self, id: str, value: dict[str, Any]) -> None:
         """Updates an endpoint, and closes its idle connections if it is out of service."""
--- a/honeywood/gateway/proxy/status.py
+++ b/honeywood/gateway/proxy/status.py
@@ -32,6 +32,8 @@
         "fronts": proxy.fleet.count(),
         "told": dict(proxy.publisher.sent_bytes),
         "called": dict(proxy.caller.bytes_by_path),
+        "transfers abandoned": proxy.transfers.counts.abandoned,
+        "characters wasted": proxy.transfers.counts.wasted_characters,
         "ready": proxy.ready,
     }
 
