--- a/tests/gateway/dissemination/test_configuration_storm.py
+++ b/tests/gateway/dissemination/test_configuration_storm.py
@@ -7,9 +7,7 @@
 CHANGES, GAP_S = 14, 0.28
 
 
-@test(
-    "each acknowledged version is in force at all proxies within apply_s while large ones follow quickly"
-)
+@test("each acknowledged version is in force at all proxies within apply_s while large ones follow quickly")
 def _():
     # Complete versions for all proxies take longer than the time between them, so some proxies get none.
     world = SlowFleet(seed=1)
