The report of connections out of balance says how many idle ones are unusable

Neither the two numbers nor the rest of its log tell a connection that nobody refers to any more from one that the pool still keeps and that is no longer reusable, e.g. since a second response to a request arrived on it.

Change: the details also say how many idle connections of the endpoint are not reusable, those that are still open and those that have ended. What is found, and when it is reported, stays: the same details in two checks in a row.

--- a/honeywood/gateway/proxy/invariants.py
+++ b/honeywood/gateway/proxy/invariants.py
@@ -25,6 +25,7 @@
     from collections.abc import Callable, Iterator
 
     from honeywood.gateway.proxy.program import Proxy
+    from honeywood.gateway.routing.endpoint import Endpoint
     from honeywood.gateway.routing.pending_request import PendingRequest
 
     Finding = tuple["Violation", str]  # a violation and its details
@@ -92,7 +93,7 @@
             idle = sum(connection.reusable for connection in endpoint.idle_connections)
             known, counted = idle + in_use[endpoint], endpoint.open_connections
             if known > counted or is_quiescent and known != counted:
-                yield Violation.CONNECTION_COUNT, f"{endpoint.id}: {known} known, {counted} counted"
+                yield Violation.CONNECTION_COUNT, _describe_connections(endpoint, known, counted)
 
     def _stale_configuration(self) -> Iterator[Finding]:
         stamp = self.proxy.publisher.store.stamp(RecordKind.CONFIGURATION)
@@ -103,3 +104,11 @@
 
 def _describe(request: PendingRequest) -> str:
     return request.try_id.decode("latin-1")
+
+
+def _describe_connections(endpoint: Endpoint, known: int, counted: int) -> str:
+    """Returns both counts, and how many idle connections are not reusable, open or ended."""
+    unusable = [connection for connection in endpoint.idle_connections if not connection.reusable]
+    ended = sum(connection.ended for connection in unusable)
+    still_open = len(unusable) - ended
+    return f"{endpoint.id}: {known} known, {counted} counted; unusable: {still_open} open, {ended} ended"
