Invariants: connections that hold an unread long response count as known

Seen: reading for the cause of "connections out of balance" found a second way to report it without a fault. Two pipelined requests, the client reads slowly, so that writing the first response blocks; the second response is longer than the proxy buffers and waits with the rest unread. No request is open and nothing is being relayed yet, but the second one's connection is open: reported at each second check until its deadline closes it.

Cause: the check knew of idle connections and those of attempts. For responses it only had the number being relayed, and while there was any it compared nothing.

Change: the sender keeps the endpoint of each long response whose attempt has ended, weakly, so that one which is dropped unread counts as unknown; its connection is known until it is released or ends. The check compares while responses are relayed, too, which it did not. ResponseWriter.relaying, which nothing else used, goes.

--- a/honeywood/gateway/proxy/attempt_sender.py
+++ b/honeywood/gateway/proxy/attempt_sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from weakref import WeakKeyDictionary
 
 from honeywood.gateway.proxy.attempt_in_flight import NOTHING_SENT, AttemptInFlight, AttemptResult
 from honeywood.gateway.proxy.client_request import TRY_ID_HEADER
@@ -26,6 +27,7 @@
     from honeywood.gateway.routing.endpoint_table import EndpointTable
     from honeywood.gateway.routing.pending_request import PendingRequest
     from honeywood.gateway.rpc.connection import Connection
+    from honeywood.gateway.rpc.reply import BodyRemainder
 
     class OutcomeObserver(Protocol):
         """The part of the rollout traffic policy that counts outcomes."""
@@ -76,6 +78,8 @@
         self.on_last_attempt_ended = on_last_attempt_ended
         self.on_attempt = on_attempt
         self.in_flight: dict[PendingRequest, list[AttemptInFlight]] = {}
+        # The endpoints of long responses that are, or will be, relayed after their attempt has ended.
+        self.remainders: WeakKeyDictionary[BodyRemainder, Endpoint] = WeakKeyDictionary()
         self._tasks: set[asyncio.Task[AttemptResult]] = set()  # the event loop has only weak references
 
     def start(
@@ -238,7 +242,9 @@
             attempt.record_outcome(AttemptOutcome.NO_ANSWER)
         reply = attempt.reply if isinstance(attempt.reply, Reply) else None
         attempt.endpoint.attempt_ended(self.clock(), answered=reply is not None)
-        if attempt.connection is not None and (reply is None or reply.remainder is None):
+        if reply is not None and reply.remainder is not None:
+            self.remainders[reply.remainder] = attempt.endpoint  # it releases the connection at its end
+        elif attempt.connection is not None:
             self.pool.release(attempt.endpoint, attempt.connection)
 
     def _remove(self, attempt: AttemptInFlight) -> None:
--- a/honeywood/gateway/proxy/invariants.py
+++ b/honeywood/gateway/proxy/invariants.py
@@ -5,8 +5,8 @@
 - No attempt starts for a client that has disconnected. No attempt of a non-idempotent request starts while an
   earlier attempt may have run.
 - Each endpoint counts as many attempts in flight as the sender has in flight there.
-- Each endpoint counts at least as many open connections as are idle or in use. While no request is open, the
-  two numbers are equal.
+- Each endpoint counts at least as many open connections as are idle, in use or held by a long response that
+  has not been relayed completely. While no request is open, the two numbers are equal.
 - No idle connection that may not be used again is kept for longer than until the next maintenance.
 - The configuration in effect is the newest one that has been received.
 
@@ -27,7 +27,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+    from honeywood.gateway.proxy.attempt_in_flight import AttemptInFlight
     from honeywood.gateway.proxy.program import Proxy
+    from honeywood.gateway.routing.endpoint import Endpoint
     from honeywood.gateway.routing.pending_request import PendingRequest
     from honeywood.gateway.rpc.connection import Connection
 
@@ -76,7 +78,8 @@
         """Checks the proxy's state; called periodically."""
         found = {
             *self._work_after_disconnect(now),
-            *self._count_mismatches(),
+            *self._attempt_mismatches(),
+            *self._connection_mismatches(),
             *self._unusable_connections(),
             *self._stale_configuration(),
         }
@@ -96,21 +99,29 @@
             if any(attempt.record is not None for attempt in attempts):
                 yield Finding(Violation.WORK_AFTER_DISCONNECT, _describe(request))
 
-    def _count_mismatches(self) -> Iterator[Finding]:
-        in_flight = self.proxy.forwarder.sender.in_flight
-        attempts = [attempt for of_request in in_flight.values() for attempt in of_request]
-        open_attempts = Counter(attempt.endpoint for attempt in attempts)
-        in_use = Counter(attempt.endpoint for attempt in attempts if attempt.holds_connection)
-        is_quiescent = not (attempts or self.proxy.forwarder.open_requests or self.proxy.writer.relaying)
+    def _attempt_mismatches(self) -> Iterator[Finding]:
+        open_attempts = Counter(attempt.endpoint for attempt in self._attempts_in_flight())
         for endpoint in {*self.proxy.endpoints.by_id.values(), *open_attempts}:
-            if open_attempts[endpoint] != endpoint.in_flight:
-                details = f"{endpoint.id}: {open_attempts[endpoint]} known, {endpoint.in_flight} counted"
-                yield Finding(Violation.ATTEMPT_COUNT, details)
+            known, counted = open_attempts[endpoint], endpoint.in_flight
+            if known != counted:
+                yield _mismatch(Violation.ATTEMPT_COUNT, endpoint, known, counted)
+
+    def _connection_mismatches(self) -> Iterator[Finding]:
+        forwarder = self.proxy.forwarder
+        attempts = [*self._attempts_in_flight()]
+        remainders = forwarder.sender.remainders.items()
+        held = Counter(attempt.endpoint for attempt in attempts if attempt.holds_connection)
+        held.update(endpoint for remainder, endpoint in remainders if remainder.holds_connection)
+        is_quiescent = not (attempts or forwarder.open_requests)
+        for endpoint in {*self.proxy.endpoints.by_id.values(), *held}:
             idle = sum(not connection.ended for connection in endpoint.idle_connections)
-            known, counted = idle + in_use[endpoint], endpoint.open_connections
+            known, counted = idle + held[endpoint], endpoint.open_connections
             if known > counted or is_quiescent and known != counted:
-                details = f"{endpoint.id}: {known} known, {counted} counted"
-                yield Finding(Violation.CONNECTION_COUNT, details)
+                yield _mismatch(Violation.CONNECTION_COUNT, endpoint, known, counted)
+
+    def _attempts_in_flight(self) -> Iterator[AttemptInFlight]:
+        for attempts in self.proxy.forwarder.sender.in_flight.values():
+            yield from attempts
 
     def _unusable_connections(self) -> Iterator[Finding]:
         for endpoint in self.proxy.endpoints.by_id.values():
@@ -125,5 +136,9 @@
             yield Finding(Violation.CONFIGURATION, f"{stamp[0]:08x} was received")
 
 
+def _mismatch(violation: Violation, endpoint: Endpoint, known: int, counted: int) -> Finding:
+    return Finding(violation, f"{endpoint.id}: {known} known, {counted} counted")
+
+
 def _describe(request: PendingRequest) -> str:
     return request.try_id.decode("latin-1")
--- a/honeywood/gateway/proxy/response_writer.py
+++ b/honeywood/gateway/proxy/response_writer.py
@@ -19,11 +19,7 @@
 
 
 class ResponseWriter:
-    """Writes responses; `relaying` is the number of long responses that are being relayed."""
-
-    def __init__(self) -> None:
-        """Starts with no response being relayed."""
-        self.relaying = 0
+    """Writes responses."""
 
     async def write(
         self, send: Send, response: ClientResponse, disconnect: ClientDisconnect, close: bool
@@ -43,14 +39,12 @@
         remainder: BodyRemainder,
         disconnect: ClientDisconnect,
     ) -> None:
-        self.relaying += 1
         try:
             await stream_response(send, response.status, headers, _chunks(response.body, remainder))
         except httpcore.ReadTimeout:  # what the iteration raises after `abandon` has closed the connection
             if not disconnect.happened:
                 raise
         finally:
-            self.relaying -= 1
             disconnect.unsubscribe(remainder.abandon)
 
 
--- a/honeywood/gateway/rpc/reply.py
+++ b/honeywood/gateway/rpc/reply.py
@@ -19,7 +19,7 @@
 class BodyRemainder:
     """The rest of a long response body after its buffered start: an asynchronous iterator, read once."""
 
-    __slots__ = ("_chunks", "_connection", "_is_complete")
+    __slots__ = ("__weakref__", "_chunks", "_connection", "_is_complete")
 
     def __init__(self, connection: Connection, chunks: AsyncIterator[bytes]) -> None:
         """`chunks` are read from `connection`, which is released after the last chunk."""
@@ -40,6 +40,11 @@
         if not self._is_complete:
             self._connection.close()
 
+    @property
+    def holds_connection(self) -> bool:
+        """Whether the connection has neither been released nor ended."""
+        return not (self._is_complete or self._connection.ended)
+
 
 @dataclass(frozen=True, slots=True)
 class Reply:
--- a/tests/gateway/proxy/test_invariants.py
+++ b/tests/gateway/proxy/test_invariants.py
@@ -4,9 +4,9 @@
 from contextlib import suppress
 from types import SimpleNamespace
 
-from call_scenario import CallScenario, good
+from call_scenario import CallScenario, ScriptedClient, good
 from scripted_transport import STEP
-from socket_scene import GET, Scene, ok, play
+from socket_scene import GET, HEAD, Scene, ok, play
 from timeline import machine
 from ward import each, test
 
@@ -17,6 +17,8 @@
 from honeywood.gateway.proxy.invariants import ABANDONED_WITHIN_S, Violation
 from honeywood.gateway.routing.attempt_policy import AttemptPolicy
 
+LONG_BODY_BYTES = 400_000  # more than the proxy buffers of a response before it relays it
+LONG_HEAD = HEAD.replace(b"Content-Length: 2", b"Content-Length: %d" % LONG_BODY_BYTES)
 CHECKS, CHECK_INTERVAL_S = 150, 0.02  # on a busy machine the violation may take long to appear
 
 
@@ -28,6 +30,10 @@
     writer.transport.abort()
 
 
+async def long(id, writer):
+    writer.write(LONG_HEAD % id + b"x" * LONG_BODY_BYTES)
+
+
 async def send_and_disconnect(scene, after_s):
     """Sends a client's request, and closes its connection after `after_s` seconds."""
     _, writer = await asyncio.open_connection("127.0.0.1", scene.port)
@@ -75,6 +81,11 @@
     scene.proxy.endpoints.by_id["i-0"].idle_connections.clear()
 
 
+async def long_response_is_not_released(scene, patch):
+    patch(ConnectionPool, "release", lambda self, endpoint, connection: None)
+    assert len(await scene.get()) > LONG_BODY_BYTES
+
+
 async def unusable_connection_is_kept(scene, patch):
     patch(ConnectionPool, "close_expired", lambda self, endpoints: None)
     await scene.get()
@@ -94,6 +105,7 @@
         unsafe_request_is_retried,
         attempt_is_not_finished,
         connection_is_not_counted,
+        long_response_is_not_released,
         unusable_connection_is_kept,
         configuration_is_not_activated,
     ),
@@ -103,11 +115,12 @@
         Violation.UNSAFE_RETRY,
         Violation.ATTEMPT_COUNT,
         Violation.CONNECTION_COUNT,
+        Violation.CONNECTION_COUNT,
         Violation.UNUSABLE_CONNECTION,
         Violation.CONFIGURATION,
     ),
-    script=each(no_answer, no_answer, reset, ok, ok, ok, ok),
-    kind=each("safe", "safe", "unsafe", "safe", "safe", "safe", "safe"),
+    script=each(no_answer, no_answer, reset, ok, ok, long, ok, ok),
+    kind=each("safe", "safe", "unsafe", "safe", "safe", "safe", "safe", "safe"),
 ):
     originals = []
 
@@ -173,3 +186,25 @@
 
     scenario.loop.run_until_complete(work())
     assert scenario.proxy.pool.opened == 2 and not scenario.find_violations()
+
+
+@test("a long response that waits for an earlier one to a slow client is not reported, a lost connection is")
+def _():
+    def answer(transport, id):
+        transport.say(good(id) if id == b"a1" else LONG_HEAD % id + b"x" * (LONG_BODY_BYTES - 1))
+
+    scenario = CallScenario(script=answer, scripts_all=True)
+    client, invariants = ScriptedClient(scenario), scenario.proxy.invariants
+    client.protocol.pause_writing()
+    scenario.loop.call_soon(client.say, GET % b"a1" + GET % b"b1")
+    for until in (0.1, 0.2):
+        client.run(until)
+        invariants.check(until)
+    endpoints = scenario.proxy.endpoints.by_id.values()
+    assert sum(endpoint.open_connections for endpoint in endpoints) == 2 and not client.out
+    assert not scenario.proxy.forwarder.open_requests and not invariants.violations
+    for endpoint in endpoints:
+        endpoint.idle_connections.clear()
+    invariants.check(0.3)
+    invariants.check(0.4)
+    assert [*invariants.violations] == [Violation.CONNECTION_COUNT]
