Silence while heartbeats were refused doesn't make machines lost

What callers saw: for up to a heartbeat interval after the controllers had a quorum again, every proxy had no machine of any service and answered 503; the records of all machines were then disseminated twice, in the seconds in which the links are busiest. In the emulator (three controllers cut from each other for 4, 8 and 30 s, machines that send heartbeats all the while) all machines were lost at once.

Cause: a controller that is not in quorum refuses heartbeats, so nobody records them, and no machine expires. With the first complete exchange after that, `expire` measured each machine's silence from its last accepted heartbeat, which was older than the time-out for all of them.

Change: silence counts from when this controller was in quorum again. A machine that did end meanwhile is lost one time-out later (test). Lapses of the complete view change nothing: heartbeats are accepted elsewhere then.

Measured: the new test failed before in 3 of 3 cases and passes now; tests/gateway/controller passes.

--- a/honeywood/gateway/controller/machine_service.py
+++ b/honeywood/gateway/controller/machine_service.py
@@ -44,6 +44,7 @@
         self.clock, self.log = clock, log
         self.rows = MachineRowWriter(register.write_heartbeats)
         self.machines = MachineTable(store, heartbeat_interval_s, self.rows.update)
+        self._in_quorum_since: float | None = None  # as of the latest call of `expire`
 
     async def heartbeat(self, machine_id: str, heartbeat: Heartbeat) -> None:
         """Record a machine's heartbeat; if it is draining, return only once enough others know it."""
@@ -82,7 +83,13 @@
         """Mark silent machines as lost, if enough others have recently sent everything they know.
 
         While some of their records are missing, a machine may seem silent although its heartbeats reach
-        other controllers.
+        other controllers. Heartbeats are refused by controllers that are not in quorum, so silence counts
+        only from when this controller was in quorum again.
         """
-        if self.contacts.in_quorum(now) and self.contacts.has_complete_view(now):
-            self.machines.expire(now)
+        if not self.contacts.in_quorum(now):
+            self._in_quorum_since = None
+            return
+        if self._in_quorum_since is None:
+            self._in_quorum_since = now
+        if self.contacts.has_complete_view(now):
+            self.machines.expire(now, self._in_quorum_since)
--- a/honeywood/gateway/controller/machine_table.py
+++ b/honeywood/gateway/controller/machine_table.py
@@ -107,15 +107,20 @@
             warmed_up = replace(record, warmup_left_s=0.0)
             self.store.put(RecordKind.MACHINE.key(machine_id), stamp, warmed_up.encode())
 
-    def expire(self, now: float) -> None:
-        """Mark machines that have been silent for too long as lost, and drop those that ended long ago."""
+    def expire(self, now: float, accepting_since: float) -> None:
+        """Mark machines that have been silent for too long as lost, and drop those that ended long ago.
+
+        Silence before `accepting_since` does not count: heartbeats were refused then.
+        """
         for machine_id in self.retired.evict(now):
             self.on_change(machine_id, None)
         known = dict(self._known_records())
         self._forget_unknown(known)
         for machine_id, record in known.items():
-            silent_s = now - self.last_seen_at.setdefault(machine_id, now) if record.in_service else 0.0
-            if silent_s > self.timeout_s:
+            if not record.in_service:
+                continue
+            last_seen_at = self.last_seen_at.setdefault(machine_id, now)
+            if now - max(last_seen_at, accepting_since) > self.timeout_s:
                 self._mark_lost(machine_id, record)
 
     def _forget_unknown(self, known: dict[str, MachineRecord]) -> None:
--- a/tests/gateway/controller/test_machine_table.py
+++ b/tests/gateway/controller/test_machine_table.py
@@ -1,7 +1,7 @@
 """Heartbeats and departures of machines that arrive late, after a restart, or with a wrong clock."""
 
 from timeline import World
-from ward import test
+from ward import each, test
 
 
 def started_world():
@@ -68,3 +68,52 @@
         assert "m/draining" in world.acked and all(world.state(one, "m") == "draining" for one in "abcf")
     finally:
         world.close()
+
+
+def send_heartbeats(world, started_at, until, on_check):
+    """Have six machines send a heartbeat to every controller, each machine every 1.5 s."""
+    next_at = {f"m{number}": started_at + 0.25 * number for number in range(6)}
+    while world.loop.time() < until:
+        for id, at in next_at.items():
+            if world.loop.time() >= at:
+                next_at[id] = at + 1.5
+                for controller in "abc":
+                    world.execute(controller, f"beat {id} ready")
+        world.run(world.loop.time() + 0.05, on_check)
+
+
+@test("machines whose heartbeats every controller refused for {cut_s} s are not lost afterwards")
+def _(cut_s=each(4.0, 8.0, 30.0)):
+    # All machines were lost at once, for up to a heartbeat interval: silence counted while they were refused.
+    world, states = started_world(), set()
+    try:
+        send_heartbeats(world, 1.0, 4.0, lambda: None)
+        world.partition("a", "bc")
+        world.partition("b", "c")
+
+        def record_states():
+            states.update(world.state(name, f"m{number}") for name in "abcf" for number in range(6))
+
+        send_heartbeats(world, 4.0, 4.0 + cut_s, record_states)
+        world.heal()
+        send_heartbeats(world, 4.0 + cut_s, 14.0 + cut_s, record_states)
+        assert states == {"ready"}
+    finally:
+        world.close()
+
+
+@test("a machine that ended while no controller was in quorum is lost soon after there is a quorum again")
+def _():
+    world = started_world()
+    try:
+        world.execute("a", "beat m ready")
+        world.run(2.0)
+        world.partition("a", "bc")
+        world.partition("b", "c")
+        world.run(12.0)
+        assert world.state("f", "m") == "ready"
+        world.heal()
+        world.run(12.0 + 8.0)
+        assert world.state("f", "m") == "silent"
+    finally:
+        world.close()
--- a/tests/gateway/dissemination/test_retired_machines.py
+++ b/tests/gateway/dissemination/test_retired_machines.py
@@ -152,8 +152,8 @@
         machines.record_heartbeat(now, f"i-{incarnation}", heartbeat)
         machines.record_departure(f"i-{incarnation}") if incarnation % 2 else None
         if incarnation % 100 == 0:
-            machines.expire(now)
-    machines.expire(now)
+            machines.expire(now, accepting_since=0.0)
+    machines.expire(now, accepting_since=0.0)
     tombstone_limit = tombstones.BUCKET_COUNT * tombstones.BUCKET_CAPACITY
     assert len(store.records) < 2 * (MAX_RETIRED + 600) + tombstones.BUCKET_COUNT
     assert len(rows) < MAX_RETIRED + 600 and len(machines.last_seen_at) < 600
