Send changes of a large configuration as deltas

Change: a poll carries the digest of the version that the requester has; a peer that keeps this version answers with a delta (ranges of the old version's segments, and new ones), verified by the digests of both versions, in the same chunks as before. Without it, or if a delta can't be applied, the complete value is sent as before. Peers that name no digest are sent complete values. 32 versions or 1 MiB of them are kept in place of 3.

--- a/honeywood/gateway/controller/peer_polling.py
+++ b/honeywood/gateway/controller/peer_polling.py
@@ -55,7 +55,7 @@
         self.clock, self.start_task = clock, start_task
         self.subscriber = Subscriber(
             publisher.store,
-            ChunkAssembler(),
+            ChunkAssembler(publisher.store.large_records.restore),
             caller,
             self._requester,
             Backoff(random, BACKOFF_MAX_S),
--- a/honeywood/gateway/dissemination/change_feed.py
+++ b/honeywood/gateway/dissemination/change_feed.py
@@ -77,22 +77,29 @@
         return [self._record(key) for _, key in sorted(changed)]
 
     def batch(
-        self, changes: Sequence[Record], max_bytes: int, progress: Mapping[str, ChunkProgress] | None = None
+        self,
+        changes: Sequence[Record],
+        max_bytes: int,
+        progress: Mapping[str, ChunkProgress] | None = None,
+        bases: Mapping[str, str] | None = None,
     ) -> Batch:
         """Returns as many of `changes`, which were returned by `since`, as fit into `max_bytes`.
 
-        `progress` is how much the receiver has of large records that it has not completed.
+        `progress` is how much the receiver has of large records that it has not completed, and `bases` are
+        the digests of its versions of large records.
         """
         records: list[Record] = []
         remaining_bytes = max_bytes
         for record in changes:
             key, size = record.key, self.encoded_size(record.key)
-            revision = self.store.records[key].revision
-            if size <= remaining_bytes:
+            revision, base = self.store.records[key].revision, (bases or {}).get(key)
+            has_delta = self.store.large_records.has_delta(key, base)
+            if size <= remaining_bytes and not has_delta:
                 records.append(record)
                 remaining_bytes -= size
-            elif self._fits_chunk(key, size, remaining_bytes, max_bytes):
-                chunk = self.store.large_records.next_chunk(key, remaining_bytes, (progress or {}).get(key))
+            elif self._fits_chunk(key, size, remaining_bytes, max_bytes, has_delta):
+                begun = (progress or {}).get(key)
+                chunk = self.store.large_records.next_chunk(key, remaining_bytes, begun, base)
                 return Batch(records, chunk, revision - 1)
             elif records or size <= max_bytes:
                 return Batch(records, None, revision - 1)
@@ -100,8 +107,8 @@
                 return Batch([record], None, revision)
         return Batch(records, None, self.store.revision)
 
-    def _fits_chunk(self, key: str, size: int, remaining_bytes: int, max_bytes: int) -> bool:
-        if size <= max_bytes or key not in self.store.large_records:
+    def _fits_chunk(self, key: str, size: int, remaining_bytes: int, max_bytes: int, has_delta: bool) -> bool:
+        if key not in self.store.large_records or (size <= max_bytes and not has_delta):
             return False
         return remaining_bytes >= min(MIN_CHUNK_BYTES, max_bytes)
 
--- a/honeywood/gateway/dissemination/chunks.py
+++ b/honeywood/gateway/dissemination/chunks.py
@@ -1,7 +1,8 @@
 """Transfer of records in chunks, for records that are too long for one response.
 
 The receiver reports how much of which value it has, and the peer that it polls next continues there. A value
-is accepted only if its length and digest are those that were announced. This module performs no I/O.
+is accepted only if its length and digest are those that were announced. Chunks may also carry a delta
+(delta.py), from which the value is restored at the end. This module performs no I/O.
 """
 
 from __future__ import annotations
@@ -16,6 +17,8 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from honeywood.gateway.dissemination.record import JsonValue
 
 CHUNK_FIELD = "piece"  # the field of a response that carries a chunk
@@ -23,15 +26,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Chunk:
-    """A chunk of the JSON text of a record's value."""
+    """A chunk of the JSON text of a record's value, or of the text of a delta that produces the value."""
 
     key: str
     stamp: Stamp
     content: TextChunk
+    is_delta: bool = False
 
     def encode(self) -> dict[str, JsonValue]:
         """Returns the chunk as it appears in a response."""
-        return {
+        table: dict[str, JsonValue] = {
             "key": self.key,
             "stamp": self.stamp.encode(),
             "mark": self.content.digest,
@@ -39,6 +43,7 @@
             "at": self.content.offset,
             "text": self.content.text,
         }
+        return {**table, "delta": True} if self.is_delta else table
 
     @classmethod
     def decode(cls, table: dict[str, object], peer: str = "") -> Chunk:
@@ -52,7 +57,7 @@
             offset=need(table, "at", int, where, least=0, peer=peer),
             text=need(table, "text", str, where, peer=peer),
         )
-        return cls(key, stamp, content)
+        return cls(key, stamp, content, need(table, "delta", bool, where, False, peer=peer))
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,12 +98,21 @@
         return chunk.stamp == self.stamp and self.content.is_continued_by(chunk.content)
 
 
+def restore_nothing(key: str, delta_text: str) -> JsonValue:
+    """Returns None; the default of `restore`, for receivers that accept no deltas."""
+    return None
+
+
 class ChunkAssembler:
     """Assembles values from chunks; keeps at most one incomplete value per key, the newest one."""
 
-    def __init__(self) -> None:
-        """Initially there is no incomplete value."""
+    def __init__(self, restore: Callable[[str, str], JsonValue] = restore_nothing) -> None:
+        """Initially there is no incomplete value.
+
+        `restore(key, delta_text)` returns the value that a delta produces, or None if it can't be applied.
+        """
         self.partial: dict[str, PartialValue] = {}
+        self._restore = restore
 
     def progress(self) -> dict[str, ChunkProgress]:
         """Returns how much of each incomplete value has been received, by key."""
@@ -111,7 +125,8 @@
         """Adds a chunk; returns the record once it is complete, None otherwise.
 
         The first chunk of a newer value replaces the incomplete older one. Any other chunk that does not
-        continue the incomplete value is ignored. A value with a wrong length or digest is discarded.
+        continue the incomplete value is ignored. A value with a wrong length or digest is discarded, and so
+        is a delta that can't be applied.
         """
         partial = self.partial.get(chunk.key)
         if chunk.content.offset == 0 and (partial is None or partial.is_replaced_by(chunk)):
@@ -127,4 +142,5 @@
         self.partial.pop(chunk.key, None)
         if len(content.text) > chunk.content.length or not content.is_intact:
             return None
-        return Record(chunk.key, chunk.stamp, json.loads(content.text))
+        value = self._restore(chunk.key, content.text) if chunk.is_delta else json.loads(content.text)
+        return None if value is None else Record(chunk.key, chunk.stamp, value)
--- a/honeywood/gateway/dissemination/large_records.py
+++ b/honeywood/gateway/dissemination/large_records.py
@@ -1,16 +1,21 @@
-"""The latest versions, as text, of large records, which are sent in chunks.
+"""The latest versions of large records, which are sent in chunks or as deltas to an earlier version.
 
-A few previous versions are kept, so that a receiver on a slow link can complete the version that it has begun
-to receive while newer ones are published. This module performs no I/O.
+Several previous versions are kept: a receiver on a slow link can complete the version that it has begun to
+receive while newer ones are published, and a receiver that has one of them is sent a delta. This module
+performs no I/O.
 """
 
 from __future__ import annotations
 
 import json
+from collections import OrderedDict
 from dataclasses import dataclass
 
+from honeywood.gateway.configuration.packing import pack, unpack
 from honeywood.gateway.dissemination.chunks import Chunk
+from honeywood.gateway.dissemination.delta import Delta, content_digest
 from honeywood.gateway.dissemination.keys import RecordKind
+from honeywood.gateway.errors import InvalidInput
 from honeywood.gateway.rpc.text_chunks import TextChunk, text_digest
 
 TYPE_CHECKING = False
@@ -19,24 +24,66 @@
     from honeywood.gateway.dissemination.record import JsonValue, Stamp
 
 LARGE_KEYS: tuple[str, ...] = (RecordKind.CONFIGURATION.value,)
-VERSIONS_KEPT = 3
+VERSIONS_KEPT = 32  # of each record
+MAX_KEPT_CHARACTERS = 1 << 20  # of all versions of a record together, without the newest
+MAX_DELTA_CHARACTERS = 1 << 19  # of a packed value; a longer one is always sent completely
+DELTAS_KEPT = 8  # receivers differ little in the versions that they have
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Version:
-    """One version of a large record, with its value as JSON text."""
+    """One version of a large record, with its value as JSON text.
+
+    `content_digest` identifies the unpacked value. It is None until it is needed, and empty for a value that
+    deltas can't be used with.
+    """
 
     stamp: Stamp
+    value: JsonValue
     text: str
     digest: str
+    content_digest: str | None = None
+
+    def content(self) -> bytes | None:
+        """Returns the unpacked value, or None for a value that is not packed or too long for deltas."""
+        if not isinstance(self.value, str) or len(self.value) > MAX_DELTA_CHARACTERS:
+            return None
+        try:
+            content = unpack(self.value)
+            content.decode()
+        except (InvalidInput, UnicodeDecodeError):
+            return None
+        return content
+
+    def content_identity(self) -> str:
+        """Returns the digest of the unpacked value, or an empty text for a value without deltas."""
+        if self.content_digest is None:
+            content = self.content()
+            self.content_digest = "" if content is None else content_digest(content)
+        return self.content_digest
+
+
+@dataclass(frozen=True, slots=True)
+class Encoding:
+    """The text in which one version is sent: its value as JSON, or a delta."""
+
+    text: str
+    digest: str
+    is_delta: bool
+
+    def chunk(self, key: str, stamp: Stamp, offset: int, max_characters: int) -> Chunk:
+        """Returns the chunk that begins at `offset`, with up to `max_characters`."""
+        content = TextChunk.cut(self.text, self.digest, offset, max_characters)
+        return Chunk(key, stamp, content, self.is_delta)
 
 
 class LargeRecords:
-    """The latest versions of large records, by key."""
+    """The latest versions of large records, by key, the newest last."""
 
     def __init__(self) -> None:
         """Initially no version is known."""
         self.versions: dict[str, list[Version]] = {}
+        self._deltas: OrderedDict[tuple[str, str], str | None] = OrderedDict()  # by both content digests
 
     def __contains__(self, key: str) -> bool:
         """Whether a record can be sent in chunks."""
@@ -47,19 +94,87 @@
         if key not in LARGE_KEYS:
             return
         text = json.dumps(value)
-        versions = [*self.versions.get(key, ()), Version(stamp, text, text_digest(text))]
-        self.versions[key] = versions[-VERSIONS_KEPT:]
-
-    def next_chunk(self, key: str, max_characters: int, progress: ChunkProgress | None) -> Chunk:
+        versions = [*self.versions.get(key, ()), Version(stamp, value, text, text_digest(text))]
+        versions = versions[-VERSIONS_KEPT:]
+        while sum(len(version.text) for version in versions[:-1]) > MAX_KEPT_CHARACTERS:
+            del versions[0]
+        self.versions[key] = versions
+
+    def bases(self) -> dict[str, str]:
+        """Returns the content digests of the newest versions, to which this program accepts deltas."""
+        digests = {key: versions[-1].content_identity() for key, versions in self.versions.items()}
+        return {key: digest for key, digest in digests.items() if digest}
+
+    def has_delta(self, key: str, base: str | None) -> bool:
+        """Whether the newest version can be sent as a delta to a receiver whose version has this digest."""
+        return key in self and self._delta(key, base, self.versions[key][-1]) is not None
+
+    def next_chunk(
+        self, key: str, max_characters: int, progress: ChunkProgress | None, base: str | None = None
+    ) -> Chunk:
         """Returns the chunk that continues `progress`.
 
         If there is no progress, or its version is no longer kept, this is the first chunk of the newest
-        version.
+        version: of a delta, if the version that the receiver has, with the content digest `base`, is kept. A
+        delta that fits into one chunk is preferred to the rest of another transfer.
+        """
+        newest = self.versions[key][-1]
+        preferred = self._encodings(key, base, newest)[0]
+        fits_at_once = preferred.is_delta and len(preferred.text) <= max_characters
+        if progress is not None and not fits_at_once:
+            begun = self._begun(key, base, progress)
+            if begun is not None:
+                return begun.chunk(key, progress.stamp, progress.received, max_characters)
+        return preferred.chunk(key, newest.stamp, 0, max_characters)
+
+    def restore(self, key: str, delta_text: str) -> JsonValue:
+        """Returns the value that a delta produces, or None if it can't be applied.
+
+        In that case the newest version is not offered as a base any more, so that peers send complete values.
         """
-        version, offset = self.versions[key][-1], 0
-        for kept in self.versions[key]:
-            if progress and (kept.stamp, kept.digest) == (progress.stamp, progress.digest):
-                version, offset = kept, progress.received
-                break
-        content = TextChunk.cut(version.text, version.digest, offset, max_characters)
-        return Chunk(key, version.stamp, content)
+        try:
+            delta = Delta.decode(delta_text)
+            return pack(delta.apply(self._content(key, delta.base) or b""))
+        except InvalidInput:
+            if key in self.versions:
+                self.versions[key][-1].content_digest = ""
+            return None
+
+    def _begun(self, key: str, base: str | None, progress: ChunkProgress) -> Encoding | None:
+        """Returns the text of which a receiver has the beginning, or None if its version is not kept."""
+        versions = [version for version in self.versions[key] if version.stamp == progress.stamp]
+        encodings = [encoding for version in versions for encoding in self._encodings(key, base, version)]
+        return next((encoding for encoding in encodings if encoding.digest == progress.digest), None)
+
+    def _encodings(self, key: str, base: str | None, version: Version) -> list[Encoding]:
+        """Returns the texts in which a version can be sent, the preferred one first."""
+        complete = Encoding(version.text, version.digest, is_delta=False)
+        delta = self._delta(key, base, version)
+        if delta is None:
+            return [complete]
+        return [Encoding(delta, text_digest(delta), is_delta=True), complete]
+
+    def _delta(self, key: str, base: str | None, version: Version) -> str | None:
+        """Returns the text of a delta; None if there is none that is shorter than the complete value."""
+        if not base or not version.content_identity():
+            return None
+        identity = (base, version.content_identity())
+        if identity not in self._deltas:
+            self._deltas[identity] = self._make_delta(key, base, version)
+            while len(self._deltas) > DELTAS_KEPT:
+                self._deltas.popitem(last=False)
+        return self._deltas[identity]
+
+    def _make_delta(self, key: str, base: str, version: Version) -> str | None:
+        old, new = self._content(key, base), version.content()
+        if old is None or new is None:
+            return None
+        text = Delta.between(old, new).encode()
+        return text if len(text) < len(version.text) else None
+
+    def _content(self, key: str, digest: str) -> bytes | None:
+        """Returns the content with a digest, or None if no kept version has it."""
+        for version in reversed(self.versions.get(key, ())):
+            if version.content_identity() == digest:
+                return version.content()
+        return None
--- a/honeywood/gateway/dissemination/messages.py
+++ b/honeywood/gateway/dissemination/messages.py
@@ -24,6 +24,11 @@
     return [Record.decode(record, "notes", peer) for record in records]
 
 
+def _decode_bases(table: dict[str, object], peer: str) -> dict[str, str]:
+    bases = need(table, "bases", dict, PATH, {}, peer=peer)
+    return {key: need(bases, key, str, f"{PATH}: bases", peer=peer) for key in bases}
+
+
 @dataclass(frozen=True, slots=True)
 class Requester:
     """The program that polls: a proxy, or a controller, which also receives the records for controllers only.
@@ -82,8 +87,8 @@
     The requester has all changes up to `revision` of the store with this `incarnation`, and all records of a
     store whose digest is `digest`. The response may be held for `hold_s` seconds until there is a change, and
     may have at most `max_bytes`. `known_stamps` are the stamps of the large records that the requester has
-    from any peer, `progress` says how much it has of those that arrive in chunks, and `records` are its own,
-    which the peer merges.
+    from any peer, and `bases` the content digests of those for which it accepts deltas. `progress` says how
+    much it has of those that arrive in chunks, and `records` are its own, which the peer merges.
     """
 
     requester: Requester
@@ -95,10 +100,11 @@
     max_bytes: int | None = None
     known_stamps: dict[str, Stamp] = field(default_factory=dict)
     progress: dict[str, ChunkProgress] = field(default_factory=dict)
+    bases: dict[str, str] = field(default_factory=dict)
 
     def encode(self) -> dict[str, JsonValue]:
         """Returns the poll as it is sent."""
-        return {
+        table: dict[str, JsonValue] = {
             "who": self.requester.encode(),
             "life": self.incarnation,
             "rev": self.revision,
@@ -109,6 +115,7 @@
             "held": {key: stamp.encode() for key, stamp in self.known_stamps.items()},
             "have": {key: progress.encode() for key, progress in self.progress.items()},
         }
+        return {**table, "bases": {**self.bases}} if self.bases else table
 
     @classmethod
     def decode(cls, table: dict[str, object], peer: str = "") -> PollRequest:
@@ -125,6 +132,7 @@
             max_bytes=need(table, "most", int, PATH, None, least=1, peer=peer),
             known_stamps={key: Stamp.decode(stamp, f"held: {key}", peer) for key, stamp in stamps.items()},
             progress={key: ChunkProgress.decode(value, peer) for key, value in progress.items()},
+            bases=_decode_bases(table, peer),
         )
 
 
--- a/honeywood/gateway/dissemination/publisher.py
+++ b/honeywood/gateway/dissemination/publisher.py
@@ -117,7 +117,7 @@
     async def _respond(self, changes: list[Record], revision: int, poll: PollRequest) -> PollResponse:
         """Returns the response with the changes that fit, once the link is free for it."""
         max_bytes = min(self.max_response_bytes, poll.max_bytes or self.max_response_bytes)
-        batch = self.feed.batch(changes, max_bytes, poll.progress)
+        batch = self.feed.batch(changes, max_bytes, poll.progress, poll.bases)
         sizes = [(record.key, self.feed.encoded_size(record.key)) for record in batch.records]
         if batch.chunk:
             sizes.append((batch.chunk.key, len(batch.chunk.content.text)))
--- a/honeywood/gateway/dissemination/subscriber.py
+++ b/honeywood/gateway/dissemination/subscriber.py
@@ -107,6 +107,7 @@
             max_bytes=self.max_bytes(),
             known_stamps=self.store.large_record_stamps(),
             progress=self.assembler.progress(),
+            bases=self.store.large_records.bases(),
         )
 
     def _merge(self, response: PollResponse) -> None:
--- a/honeywood/gateway/proxy/program.py
+++ b/honeywood/gateway/proxy/program.py
@@ -155,7 +155,7 @@
             self.incarnation,
             store,
         )
-        self.assembler = ChunkAssembler()
+        self.assembler = ChunkAssembler(store.large_records.restore)
         subscriber = Subscriber(
             store,
             self.assembler,
