Reuse unchanged routes when the next configuration is read

Cause: a proxy and a controller check every route of each version anew. Change: a program keeps the routes of the configuration that it read last, by their encoded entries, and takes equal ones from there. Entries are compared in marshal's form, which distinguishes 1, 1.0 and true.

--- a/honeywood/gateway/configuration/reader.py
+++ b/honeywood/gateway/configuration/reader.py
@@ -29,6 +29,7 @@
 if TYPE_CHECKING:
     from typing import Any
 
+    from honeywood.gateway.configuration.route_cache import RouteCache
     from honeywood.gateway.configuration.tenants import Tenant
 
 OPERATION = "config.replace"  # the operation that errors name
@@ -51,17 +52,22 @@
     tenants: dict[str, Tenant] = field(default_factory=dict)
 
 
-def read_configuration(raw: bytes, peer: str = "", hashed_keys: bool = False) -> Configuration:
+def read_configuration(
+    raw: bytes, peer: str = "", hashed_keys: bool = False, route_cache: RouteCache | None = None
+) -> Configuration:
     """Return the configuration parsed from the bytes that `peer` sent.
 
-    `hashed_keys` means that it has the form in which controllers pass it on to proxies. Raises InvalidInput,
+    `hashed_keys` means that it has the form in which controllers pass it on to proxies. Routes that
+    `route_cache` holds are taken from there; it then holds those of this configuration. Raises InvalidInput,
     which names the item and the key, if the configuration is invalid.
     """
     table = read_json(raw, OPERATION, peer)
     version = read_version(table.get("ver"), peer)
-    items = _Items()
-    for index, entry in enumerate(need(table, "res", list, OPERATION)):
-        _read_item(entry, f"{OPERATION}: res[{index}]", items, hashed_keys, peer)
+    entries, items = need(table, "res", list, OPERATION), _Items()
+    if route_cache is None:
+        _read_items(entries, items, hashed_keys, peer)
+    else:
+        _read_items_with_cache(entries, items, hashed_keys, peer, route_cache)
     _check_routes(items, peer)
     tenants = tuple(items.tenants.values())
     check_keys_differ(tenants, OPERATION, peer)
@@ -77,6 +83,29 @@
     return int(digits, 16)
 
 
+def _read_items(entries: list[object], items: _Items, hashed_keys: bool, peer: str) -> None:
+    for index, entry in enumerate(entries):
+        _read_item(entry, f"{OPERATION}: res[{index}]", items, hashed_keys, peer)
+
+
+def _read_items_with_cache(
+    entries: list[object], items: _Items, hashed_keys: bool, peer: str, route_cache: RouteCache
+) -> None:
+    """Parse the items whose routes are not in the cache."""
+    try:
+        for index, entry in enumerate(entries):
+            route = route_cache.find(entry)
+            if route is not None and route.name not in items.routes:
+                items.routes[route.name] = route
+                continue
+            route_count = len(items.routes)
+            _read_item(entry, f"{OPERATION}: res[{index}]", items, hashed_keys, peer)
+            if len(items.routes) > route_count:
+                route_cache.add(entry, next(reversed(items.routes.values())))
+    finally:
+        route_cache.finish()
+
+
 def _read_item(entry: object, where: str, items: _Items, hashed_keys: bool, peer: str) -> None:
     """Parse one item of a configuration and add it to `items`."""
     if not isinstance(entry, dict):
--- a/honeywood/gateway/controller/operations.py
+++ b/honeywood/gateway/controller/operations.py
@@ -5,6 +5,7 @@
 from honeywood.gateway.configuration import packing
 from honeywood.gateway.configuration.check import read_json
 from honeywood.gateway.configuration.reader import read_configuration
+from honeywood.gateway.configuration.route_cache import RouteCache
 from honeywood.gateway.controller import heartbeat as heartbeats
 from honeywood.gateway.controller.call import CallName
 from honeywood.gateway.controller.rollout_orders import RolloutOrder
@@ -31,6 +32,7 @@
     ) -> None:
         """Pass calls on to these services."""
         self.machines, self.configurations, self.rollouts = machines, configurations, rollouts
+        self.route_cache = RouteCache()
         self.handlers: dict[CallName, Handler] = {
             CallName.HEARTBEAT: self.heartbeat,
             CallName.LEAVE: self.leave,
@@ -55,7 +57,7 @@
 
     async def replace_configuration(self, call: Call) -> Answer:
         """Replace the configuration by an operator's."""
-        version = read_configuration(call.body, call.peer).version
+        version = read_configuration(call.body, call.peer, route_cache=self.route_cache).version
         result = await self.configurations.replace(version, call.body, call.peer)
         return {"outcome": result.outcome, "ver": f"{result.version:08x}"}
 
--- a/honeywood/gateway/proxy/record_handler.py
+++ b/honeywood/gateway/proxy/record_handler.py
@@ -6,6 +6,7 @@
 
 from honeywood.gateway.configuration.packing import unpack
 from honeywood.gateway.configuration.reader import read_configuration
+from honeywood.gateway.configuration.route_cache import RouteCache
 from honeywood.gateway.dissemination.keys import RecordKind, kind_of, name_of
 from honeywood.gateway.rollout import record as rollout_record
 from honeywood.gateway.routing.endpoint_record import EndpointRecord
@@ -56,6 +57,7 @@
         self.retired_machines = retired_machines
         self.peers = peers
         self.on_configuration = on_configuration
+        self.route_cache = RouteCache()
 
     def apply(self, key: str, value: JsonValue) -> None:
         """Applies a record that is new or has changed.
@@ -75,7 +77,7 @@
 
     def _apply_configuration(self, packed: str) -> None:
         started_at = self.clock()
-        configuration = read_configuration(unpack(packed), hashed_keys=True)
+        configuration = read_configuration(unpack(packed), hashed_keys=True, route_cache=self.route_cache)
         self.configuration.activate(configuration)
         self.endpoints.max_connections.clear()
         self.endpoints.max_connections.update(
--- a/tests/gateway/configuration/test_reader.py
+++ b/tests/gateway/configuration/test_reader.py
@@ -6,9 +6,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from timeline import config
-from ward import each, test
+from ward import each, raises, test
 
 from honeywood.gateway.configuration.reader import read_configuration
+from honeywood.gateway.configuration.route_cache import RouteCache
 from honeywood.gateway.errors import InvalidInput
 
 
@@ -174,3 +175,33 @@
         refused(sent)
 
     tried()
+
+
+@test("a route read with a cache is the one read without it, also if only a type differs: {value!r}")
+def _(value=each(1, 1.0, True, 2, "1", None)):
+    cache = RouteCache()
+    read_configuration(json.dumps(config(7, routes=3)).encode(), route_cache=cache)
+    sent = modified_configuration(lambda sent, spec, _: spec.update(tries=value, timeout_s=value))
+    outcomes = []
+    for route_cache in (None, cache):
+        try:
+            outcomes.append(read_configuration(json.dumps(sent).encode(), route_cache=route_cache))
+        except InvalidInput as error:
+            outcomes.append(str(error))
+    assert outcomes[0] == outcomes[1]
+
+
+@test(
+    "unchanged routes are not read again, and those that are gone are not kept, also after an invalid order"
+)
+def _():
+    cache = RouteCache()
+    first = read_configuration(json.dumps(config(7, routes=3)).encode(), route_cache=cache)
+    sent = modified_configuration(lambda sent, spec, other: other.update(timeout_s=0.7))
+    second = read_configuration(json.dumps(sent).encode(), route_cache=cache)
+    assert second.routes[0] is first.routes[0] and second.routes[1] != first.routes[1]
+    assert len(cache) == 2
+    with raises(InvalidInput):
+        broken = modified_configuration(lambda sent, spec, other: other.update(timeout_s=-1))
+        read_configuration(json.dumps(broken).encode(), route_cache=cache)
+    assert len(cache) == 1
