--- a/honeywood/gateway/dissemination/delta.py
+++ b/honeywood/gateway/dissemination/delta.py
@@ -1,6 +1,6 @@
 """Deltas between two versions of a long text, for receivers that have the old one.
 
-Both versions are split into segments at SEPARATOR, which ends the entries of a JSON array. A delta lists the
+Both versions are split into segments at SEPARATOR, which ends the objects of a JSON text. A delta lists the
 segments of the new version: a range of the old version's segments, or the text of a new one. It names the
 digests of both versions, so a receiver detects that it lacks the old one or that the result differs.
 This module performs no I/O.
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from typing import TypeAlias
 
-SEPARATOR = b"},{"
+SEPARATOR = b"}"
 DIGEST_BYTES = 16
 WHERE = f"{PATH}: delta"
 
@@ -38,10 +38,6 @@
         """The index after the last segment of the range."""
         return self.start + self.count
 
-    def extended(self) -> SegmentRange:
-        """Return the range with one more segment."""
-        return SegmentRange(self.start, self.count + 1)
-
 
 if TYPE_CHECKING:
     Operation: TypeAlias = SegmentRange | str
@@ -107,14 +103,20 @@
     """Return the operations that produce the segments `result` from the segments `base`."""
     indexes = {segment: index for index, segment in reversed(list(enumerate(base)))}
     operations: list[Operation] = []
+    start = end = 0  # the range of the base that the latest segments repeat
     for segment in result:
-        previous = operations[-1] if operations else ""
-        if isinstance(previous, SegmentRange) and previous.end < len(base) and base[previous.end] == segment:
-            operations[-1] = previous.extended()
-        elif segment in indexes:
-            operations.append(SegmentRange(indexes[segment], 1))
-        else:
+        if start < end < len(base) and base[end] == segment:
+            end += 1
+            continue
+        if start < end:
+            operations.append(SegmentRange(start, end - start))
+        start = indexes.get(segment, -1)
+        end = start + 1
+        if start < 0:
+            start = end
             operations.append(segment.decode())
+    if start < end:
+        operations.append(SegmentRange(start, end - start))
     return tuple(operations)
 
 
--- a/tests/gateway/dissemination/test_delta.py
+++ b/tests/gateway/dissemination/test_delta.py
@@ -19,8 +19,8 @@
 MAX_BYTES = 30_000  # of a response on a link of 2 Mbit/s
 
 
-def encode(table):
-    return json.dumps(table, separators=(",", ":")).encode()
+def encode(table, indent=None):
+    return json.dumps(table, separators=(",", ":"), indent=indent).encode()
 
 
 def configuration(version, routes=ROUTES):
@@ -93,6 +93,14 @@
         Delta.decode(text)
 
 
+@test("a change is sent as a short delta, however the text is formatted: {indent}")
+def _(indent=each(None, 0, 2)):
+    table = config(1, ROUTES)
+    base = encode(table, indent)
+    table["res"][7]["spec"]["timeout_s"] = 9.5
+    assert len(Delta.between(base, encode(table, indent)).encode()) < 500
+
+
 @test("a change of one route is sent in a few hundred bytes, whatever the size of the configuration")
 def _():
     # Each of 195 proxies received each version completely, 24 to 60 KB over links that carry 150 KB/s.
