Deltas only of values that don't fit into any response

Cause: polls of proxies with a small configuration named it as a base, so recorded polls differed, for nothing: a small value is sent at once. Change: values below 2,048 packed characters are sent completely.

--- a/honeywood/gateway/dissemination/large_records.py
+++ b/honeywood/gateway/dissemination/large_records.py
@@ -26,7 +26,9 @@
 LARGE_KEYS: tuple[str, ...] = (RecordKind.CONFIGURATION.value,)
 VERSIONS_KEPT = 32  # of each record
 MAX_KEPT_CHARACTERS = 1 << 20  # of all versions of a record together, without the newest
-MAX_DELTA_CHARACTERS = 1 << 19  # of a packed value; a longer one is always sent completely
+# Lengths of the packed values that are sent as deltas: shorter ones fit into any response, longer ones take
+# long to compare.
+MIN_DELTA_CHARACTERS, MAX_DELTA_CHARACTERS = 2048, 1 << 19
 DELTAS_KEPT = 8  # receivers differ little in the versions that they have
 
 
@@ -45,8 +47,10 @@
     content_digest: str | None = None
 
     def content(self) -> bytes | None:
-        """Returns the unpacked value, or None for a value that is not packed or too long for deltas."""
-        if not isinstance(self.value, str) or len(self.value) > MAX_DELTA_CHARACTERS:
+        """Returns the unpacked value, or None for a value that is not packed, too short or too long."""
+        if not isinstance(self.value, str):
+            return None
+        if not MIN_DELTA_CHARACTERS <= len(self.value) <= MAX_DELTA_CHARACTERS:
             return None
         try:
             content = unpack(self.value)
