--- a/honeywood/gateway/proxy/invariants.py
+++ b/honeywood/gateway/proxy/invariants.py
@@ -5,17 +5,20 @@
 - No attempt starts for a client that has disconnected. No attempt of a non-idempotent request starts while an
   earlier attempt may have run.
 - Each endpoint counts as many attempts in flight as the sender has in flight there.
-- Each endpoint counts at least as many open connections as are idle or in use. While no request is open, the
-  two numbers are equal.
+- Each endpoint counts at least as many open connections as are idle, in use or held by a long response that
+  has not been relayed completely. While no request is open, the two numbers are equal.
+- No idle connection that may not be used again is kept for longer than until the next maintenance.
 - The configuration in effect is the newest one that has been received.
 
-Counts that are kept in several objects don't change in one step. A violation that the periodic check finds is
-therefore reported only if two checks in a row find it.
+Counts that are kept in several objects don't change in one step, and the pool closes unusable connections
+right after a check. A violation that the periodic check finds is therefore reported only if two checks in a
+row find it: that of a single connection if both find it at this connection.
 """
 
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import dataclass
 from enum import StrEnum
 
 from honeywood.gateway.dissemination.keys import RecordKind
@@ -24,10 +27,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+    from honeywood.gateway.proxy.attempt_in_flight import AttemptInFlight
     from honeywood.gateway.proxy.program import Proxy
+    from honeywood.gateway.routing.endpoint import Endpoint
     from honeywood.gateway.routing.pending_request import PendingRequest
-
-    Finding = tuple["Violation", str]  # a violation and its details
+    from honeywood.gateway.rpc.connection import Connection
 
 ABANDONED_WITHIN_S = 0.25
 
@@ -40,9 +44,19 @@
     UNSAFE_RETRY = "unsafe attempt repeated"
     ATTEMPT_COUNT = "attempts out of balance"
     CONNECTION_COUNT = "connections out of balance"
+    UNUSABLE_CONNECTION = "unusable connection kept"
     CONFIGURATION = "configuration not in force"
 
 
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """A violation that one check has found, and its connection if it is one of a single connection."""
+
+    violation: Violation
+    details: str
+    connection: Connection | None = None
+
+
 class InvariantChecks:
     """The checks of one proxy; `violations` counts the violations that were reported."""
 
@@ -62,9 +76,15 @@
 
     def check(self, now: float) -> None:
         """Checks the proxy's state; called periodically."""
-        found = {*self._work_after_disconnect(now), *self._count_mismatches(), *self._stale_configuration()}
-        for violation, details in found & self._suspected:
-            self._report(violation, details)
+        found = {
+            *self._work_after_disconnect(now),
+            *self._attempt_mismatches(),
+            *self._connection_mismatches(),
+            *self._unusable_connections(),
+            *self._stale_configuration(),
+        }
+        for finding in found & self._suspected:
+            self._report(finding.violation, finding.details)
         self._suspected = found - self._suspected
 
     def _report(self, violation: Violation, details: str) -> None:
@@ -77,28 +97,47 @@
             if not request.route.idempotent or left_at is None or now - left_at <= ABANDONED_WITHIN_S:
                 continue
             if any(attempt.record is not None for attempt in attempts):
-                yield Violation.WORK_AFTER_DISCONNECT, _describe(request)
-
-    def _count_mismatches(self) -> Iterator[Finding]:
-        in_flight = self.proxy.forwarder.sender.in_flight
-        attempts = [attempt for of_request in in_flight.values() for attempt in of_request]
-        open_attempts = Counter(attempt.endpoint for attempt in attempts)
-        in_use = Counter(attempt.endpoint for attempt in attempts if attempt.holds_connection)
-        is_quiescent = not (attempts or self.proxy.forwarder.open_requests or self.proxy.writer.relaying)
+                yield Finding(Violation.WORK_AFTER_DISCONNECT, _describe(request))
+
+    def _attempt_mismatches(self) -> Iterator[Finding]:
+        open_attempts = Counter(attempt.endpoint for attempt in self._attempts_in_flight())
         for endpoint in {*self.proxy.endpoints.by_id.values(), *open_attempts}:
-            if open_attempts[endpoint] != endpoint.in_flight:
-                details = f"{endpoint.id}: {open_attempts[endpoint]} known, {endpoint.in_flight} counted"
-                yield Violation.ATTEMPT_COUNT, details
-            idle = sum(connection.reusable for connection in endpoint.idle_connections)
-            known, counted = idle + in_use[endpoint], endpoint.open_connections
+            known, counted = open_attempts[endpoint], endpoint.in_flight
+            if known != counted:
+                yield _mismatch(Violation.ATTEMPT_COUNT, endpoint, known, counted)
+
+    def _connection_mismatches(self) -> Iterator[Finding]:
+        forwarder = self.proxy.forwarder
+        attempts = [*self._attempts_in_flight()]
+        remainders = forwarder.sender.remainders.items()
+        held = Counter(attempt.endpoint for attempt in attempts if attempt.holds_connection)
+        held.update(endpoint for remainder, endpoint in remainders if remainder.holds_connection)
+        is_quiescent = not (attempts or forwarder.open_requests)
+        for endpoint in {*self.proxy.endpoints.by_id.values(), *held}:
+            idle = sum(not connection.ended for connection in endpoint.idle_connections)
+            known, counted = idle + held[endpoint], endpoint.open_connections
             if known > counted or is_quiescent and known != counted:
-                yield Violation.CONNECTION_COUNT, f"{endpoint.id}: {known} known, {counted} counted"
+                yield _mismatch(Violation.CONNECTION_COUNT, endpoint, known, counted)
+
+    def _attempts_in_flight(self) -> Iterator[AttemptInFlight]:
+        for attempts in self.proxy.forwarder.sender.in_flight.values():
+            yield from attempts
+
+    def _unusable_connections(self) -> Iterator[Finding]:
+        for endpoint in self.proxy.endpoints.by_id.values():
+            for connection in endpoint.idle_connections:
+                if not connection.reusable:
+                    yield Finding(Violation.UNUSABLE_CONNECTION, endpoint.id, connection)
 
     def _stale_configuration(self) -> Iterator[Finding]:
         stamp = self.proxy.publisher.store.stamp(RecordKind.CONFIGURATION)
         current = self.proxy.configuration.version
         if stamp is not None and stamp[0] != current:
-            yield Violation.CONFIGURATION, f"{stamp[0]:08x} was received"
+            yield Finding(Violation.CONFIGURATION, f"{stamp[0]:08x} was received")
+
+
+def _mismatch(violation: Violation, endpoint: Endpoint, known: int, counted: int) -> Finding:
+    return Finding(violation, f"{endpoint.id}: {known} known, {counted} counted")
 
 
 def _describe(request: PendingRequest) -> str:
