--- a/honeywood/gateway/proxy/program.py
+++ b/honeywood/gateway/proxy/program.py
@@ -156,7 +156,7 @@
             self.incarnation,
             store,
         )
-        self.assembler, self.transfers = ChunkAssembler(), Transfers()
+        self.assembler, self.transfers = ChunkAssembler(store.large_records.restore), Transfers()
         subscriber = Subscriber(
             store,
             self.assembler,
