A controller that ends as planned hands its place in the register over

Cause: SIGTERM did nothing about the place. The predecessor stayed a member for 3 x (contact_s + sync_s) = 21 s after its end, since its successor had been in contact before; the next loss in that time left one member of three.

Change: - On SIGTERM a member proposes another controller in its place (the existing agreed change of epoch) and ends once a majority of the new members and the new one itself have entered the epoch, within half of grace_s. Candidates are asked first: their disk must work and be in the epoch, and they must not be leaving themselves (`disk: leaving` in polls). With no candidate in contact the controller ends at once and keeps its place, so that a restart without a spare changes nothing. - A silent member is replaced after contact_s, also by a spare that was there before.

--- a/honeywood/gateway/controller/contacts.py
+++ b/honeywood/gateway/controller/contacts.py
@@ -85,6 +85,7 @@
         self.tolerated_failures = tolerated_failures
         self.members = members
         self.peers: dict[str, PeerContact] = {}
+        self._member_since: dict[str, float] = {}  # since when each member and this one are members together
 
     def _peer(self, ip: str) -> PeerContact:
         return self.peers.setdefault(ip, PeerContact())
@@ -174,15 +175,19 @@
         recent = {ip for ip, peer in self.peers.items() if now - peer.contact_at < OBSERVER_TIMEOUT_S}
         return {self.local_ip} | recent
 
-    def peer_states(self) -> dict[str, PeerState]:
+    def peer_states(self, now: float) -> dict[str, PeerState]:
         """Return, as input of the replacement rule, the state of each other known controller or member."""
+        members = self.members()
+        since = self._member_since if self.local_ip in members else {}
+        self._member_since = {ip: since.get(ip, now) for ip in members}
         states = {}
-        for ip in {*self.peers, *self.members()} - {self.local_ip}:
+        for ip in {*self.peers, *members} - {self.local_ip}:
             peer = self.peers.get(ip) or PeerContact()
             states[ip] = PeerState(
                 contact_at=max(peer.contact_at, self.started_at),
                 usable_at=max(peer.usable_at, self.started_at),
                 contact_since=peer.contact_since,
                 disk=peer.disk,
+                member_since=self._member_since.get(ip, -inf),
             )
         return states
--- /dev/null
+++ b/honeywood/gateway/controller/handover.py
@@ -0,0 +1,105 @@
+"""Hands this controller's place in the register over to another controller before it ends as planned.
+
+If the controller is killed in the middle, either the old or the new members stand: the change is agreed on by
+the members, as any other. Without a controller that could take the place, nothing changes, so that a restart
+of a member costs no place.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+
+from honeywood.gateway.errors import GatewayError
+from honeywood.gateway.register.errors import RegisterUnavailable
+from honeywood.gateway.register.replacement import DiskState, possible_successors
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from honeywood.gateway.configuration.settings import Settings
+    from honeywood.gateway.controller.contacts import Contacts
+    from honeywood.gateway.controller.membership import Membership
+    from honeywood.gateway.controller.peer_polling import PeerPolling
+    from honeywood.gateway.event_log import EventLog
+    from honeywood.gateway.register.register import Register
+
+CHECK_INTERVAL_S = 0.05  # seconds between two steps of a handover
+
+
+class Handover:
+    """The handover of this controller's place."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        register: Register,
+        membership: Membership,
+        contacts: Contacts,
+        peers: PeerPolling,
+        clock: Callable[[], float],
+        log: EventLog,
+    ) -> None:
+        """Do nothing until `run` is called; `clock` returns monotonic seconds."""
+        self._settings, self._register, self._membership = settings, register, membership
+        self._contacts, self._peers, self._clock, self._log = contacts, peers, clock, log
+
+    async def run(self, timeout_s: float) -> None:
+        """Return once this controller's disk isn't needed any more, or can't be replaced.
+
+        Waits at most `timeout_s` seconds, during which this controller must go on serving the register.
+        """
+        self._membership.is_leaving = True
+        if not self._is_member:
+            return
+        began_at, old_members = self._clock(), {*self._register.membership.members}
+        while self._clock() - began_at < timeout_s:
+            if not self._is_member:
+                new_members = {*self._register.membership.newest_known.members} - old_members
+                if await self._register.manager.has_entered_newest(new_members):
+                    self._log.info("place handed over", after_s=round(self._clock() - began_at, 3))
+                    return
+            elif not await self._propose():
+                return
+            await asyncio.sleep(CHECK_INTERVAL_S)
+        self._log.info("place not handed over", after_s=round(timeout_s, 3))
+
+    @property
+    def _is_member(self) -> bool:
+        """Whether this controller is among the newest members that it knows."""
+        return self._settings.ip in self._register.membership.newest_known.members
+
+    async def _propose(self) -> bool:
+        """Propose a successor once one is ready; return False if none is in contact."""
+        membership = self._register.membership
+        if not membership.is_bootstrapped or self._membership.disk is not DiskState.LEAVING:
+            return False
+        if not membership.is_synchronized:
+            return True  # another change of members is under way
+        candidates = self._candidates()
+        if not candidates:
+            return False
+        ready = await asyncio.gather(*[self._is_ready(ip) for ip in candidates])
+        successor = next((ip for ip, is_ready in zip(candidates, ready, strict=True) if is_ready), None)
+        if successor is not None:
+            with suppress(RegisterUnavailable):  # it is proposed again until the time is over
+                await self._register.manager.replace_member(self._settings.ip, successor)
+        return True
+
+    def _candidates(self) -> list[str]:
+        now = self._clock()
+        configuration = self._register.membership.configuration
+        states = self._contacts.peer_states(now)
+        return possible_successors(configuration, states, now, self._settings.bounds.contact_s)
+
+    async def _is_ready(self, candidate: str) -> bool:
+        """Ask a candidate itself: what is known of it may be older than its loss, or than its own SIGTERM.
+
+        It must be in this epoch, so that one other member is enough for it to enter the next one.
+        """
+        try:
+            disk = await self._peers.ask_disk_state(candidate)
+            return disk is DiskState.WORKS and await self._register.manager.is_in_epoch(candidate)
+        except GatewayError:
+            return False
--- a/honeywood/gateway/controller/membership.py
+++ b/honeywood/gateway/controller/membership.py
@@ -23,9 +23,6 @@
     from honeywood.gateway.event_log import EventLog
     from honeywood.gateway.register.register import Register
 
-# Multiple of `contact_s` + `sync_s` after which a member that can't be used is replaced by a spare that has
-# been in contact all the time. A member that restarts with its disk is back sooner.
-REPLACE_AFTER_FACTOR = 3.0
 LOG_INTERVAL_S = 1.0  # minimum seconds between log lines about a member that can't be used
 
 
@@ -46,13 +43,16 @@
         self.settings, self.register, self.contacts, self.peers = settings, register, contacts, peers
         self.publish, self.clock, self.log = publish, clock, log
         self.disk_health = DiskHealth(lambda: register.write_heartbeats({}), clock, log)
+        self.is_leaving = False  # set once this controller is ending as planned
 
     @property
     def disk(self) -> DiskState:
         """The state of this disk as reported to other controllers."""
         if not self.register.membership.intact:
             return DiskState.LOST
-        return DiskState.REFUSES if self.disk_health.refuses_writes else DiskState.WORKS
+        if self.disk_health.refuses_writes:
+            return DiskState.REFUSES
+        return DiskState.LEAVING if self.is_leaving else DiskState.WORKS
 
     async def synchronize(self) -> None:
         """Bring this disk into the register's newest epoch."""
@@ -68,14 +68,10 @@
             return
         if self.disk is not DiskState.WORKS:  # the other members may replace this one
             return
-        bounds = self.settings.bounds
-        short_timeout_s = bounds.contact_s
-        long_timeout_s = REPLACE_AFTER_FACTOR * (bounds.contact_s + bounds.sync_s)
-        states, now = self.contacts.peer_states(), self.clock()
-        configuration = self.register.membership.configuration
-        proposed = propose_replacement(
-            configuration, self.settings.ip, states, now, short_timeout_s, long_timeout_s
-        )
+        now = self.clock()
+        configuration, states = self.register.membership.configuration, self.contacts.peer_states(now)
+        bounds, local_ip = self.settings.bounds, self.settings.ip
+        proposed = propose_replacement(configuration, local_ip, states, now, bounds.contact_s, bounds.sync_s)
         if proposed is None:
             return
         self.log.info(
--- a/honeywood/gateway/controller/peer_polling.py
+++ b/honeywood/gateway/controller/peer_polling.py
@@ -115,6 +115,14 @@
         backoff_s = self.subscriber.backoff.remaining_s(ip, self.clock())
         await asyncio.sleep(min(BACKOFF_MAX_S, backoff_s))
 
+    async def ask_disk_state(self, ip: str) -> DiskState:
+        """Return the state of a controller's disk as it is now; raises CallFailed."""
+        sent_at = self.clock()
+        response = await self.subscriber.poll(ip, self.settings.controller_port, 0.0)
+        disk = decode_disk_state(response.disk)
+        self.contacts.record_response(ip, sent_at, response.is_complete, response.echo_stamp, disk)
+        return disk
+
     async def poll_all(self) -> bool:
         """Poll all other controllers now; return whether enough of them sent everything they know."""
         others = [ip for ip in self.addresses if ip != self.settings.ip]
--- a/honeywood/gateway/controller/program.py
+++ b/honeywood/gateway/controller/program.py
@@ -9,6 +9,7 @@
 from honeywood.gateway.controller.configuration_orders import ConfigurationOrders
 from honeywood.gateway.controller.contacts import Contacts
 from honeywood.gateway.controller.count_retention import is_count_needed
+from honeywood.gateway.controller.handover import Handover
 from honeywood.gateway.controller.machine_service import MachineService
 from honeywood.gateway.controller.membership import Membership
 from honeywood.gateway.controller.operations import Operations
@@ -56,6 +57,7 @@
 MAINTENANCE_INTERVAL_S = 0.5
 SAVE_ROWS_INTERVAL_S = 0.5
 CLOSE_MARGIN_S = 1.0  # seconds of the grace period that are reserved for ending the process
+HANDOVER_SHARE = 0.5  # share of the grace period within which a member hands its place over
 
 
 class Controller(Program):
@@ -118,6 +120,9 @@
         self.membership = Membership(
             settings, self.register, self.contacts, self.peers, self.publication.publish, clock, self.log
         )
+        self.handover = Handover(
+            settings, self.register, self.membership, self.contacts, self.peers, clock, self.log
+        )
         self.replication = Replication(self.store, self.contacts, clock)
 
     def _make_machines(self) -> None:
@@ -245,9 +250,15 @@
         self.log.info("started", role=settings.role)
         self.begin()
         await self.wait_until_stopped()
-        await server.close(settings.bounds.grace_s - CLOSE_MARGIN_S)
+        stopping_at = self.clock()
+        await self.leave()
+        await server.close(settings.bounds.grace_s - CLOSE_MARGIN_S - (self.clock() - stopping_at))
         self.log.info("stopped")
 
+    async def leave(self) -> None:
+        """Hand this controller's place in the register over, if another controller can take it."""
+        await self.handover.run(HANDOVER_SHARE * self.settings.bounds.grace_s)
+
     def begin(self) -> None:
         """Publish this controller's own record and the rows on its disk, and start the periodic tasks."""
         self.local_records.publish(RecordKind.CONTROLLER.key(self.settings.ip), self.settings.node)
--- a/honeywood/gateway/register/membership_manager.py
+++ b/honeywood/gateway/register/membership_manager.py
@@ -13,13 +13,15 @@
     next_incarnation,
 )
 from honeywood.gateway.register.membership_configuration import MembershipConfiguration
-from honeywood.gateway.register.membership_rules import BOOTSTRAP_EPOCH, JoinQuorum
-from honeywood.gateway.register.requests import TransferState
+from honeywood.gateway.register.membership_rules import BOOTSTRAP_EPOCH, SUCCESSOR_KEY, JoinQuorum
+from honeywood.gateway.register.replies import Fenced, ReadReply
+from honeywood.gateway.register.requests import Read, TransferState
+from honeywood.gateway.register.row import NO_BALLOT
 from honeywood.gateway.register.state_update import StateUpdate
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping, Sequence
+    from collections.abc import Collection, Iterable, Mapping, Sequence
 
     from honeywood.gateway.configuration.settings import Settings
     from honeywood.gateway.event_log import EventLog
@@ -28,7 +30,7 @@
     from honeywood.gateway.register.peer_client import PeerClient
     from honeywood.gateway.register.persistent_state import PersistentState
     from honeywood.gateway.register.proposer import Proposer
-    from honeywood.gateway.register.replies import TransferStateReply
+    from honeywood.gateway.register.replies import Reply, TransferStateReply
     from honeywood.gateway.register.state_transfer import StateTransfer
 
 BOOTSTRAP_STAGGER_S = 0.3
@@ -127,6 +129,35 @@
         self._log.info("member replaced", member=member, spare=spare, **agreed.encode_members())
         return agreed
 
+    async def is_in_epoch(self, spare: str) -> bool:
+        """Return whether the disk of a controller that isn't a member is intact and in this disk's epoch.
+
+        One that is behind is told of the epoch. Raises GatewayError.
+        """
+        epoch = self._membership.epoch
+        reply = await self._peers.call(spare, Read(SUCCESSOR_KEY, NO_BALLOT, epoch))
+        if not isinstance(reply, Fenced):
+            return False
+        if reply.configuration.epoch < epoch:
+            self._peers.announce_configuration([spare])
+        return reply.configuration.epoch == epoch
+
+    async def has_entered_newest(self, new_members: Collection[str]) -> bool:
+        """Return whether a majority of the newest members, and all `new_members`, have entered their epoch.
+
+        A member that has not can then do so with any one of the others.
+        """
+        newest = self._membership.newest_known
+        entered: set[str] = set()
+
+        def on_reply(ip: str, reply: Reply) -> bool:
+            if isinstance(reply, ReadReply):
+                entered.add(ip)
+            return len(entered) >= membership_rules.majority(newest) and entered.issuperset(new_members)
+
+        request = Read(SUCCESSOR_KEY, NO_BALLOT, newest.epoch)
+        return await self._peers.call_all(newest.members, request, on_reply)
+
     async def _agree(self, members: Sequence[str]) -> MembershipConfiguration:
         """Return the next configuration, once a majority of this epoch has agreed on it.
 
--- a/honeywood/gateway/register/membership_state.py
+++ b/honeywood/gateway/register/membership_state.py
@@ -72,6 +72,11 @@
         """The newest agreed configuration on this disk: the current one's successor, else the current one."""
         return self.configuration.successor or self.configuration
 
+    @property
+    def newest_known(self) -> MembershipConfiguration:
+        """The newest configuration that this disk has learned of, whether it is stored on it or not."""
+        return self.pending or self.newest
+
     def restore(self) -> None:
         """Use the configuration stored on this disk, which took part in the register before."""
         assert self._state.configuration is not None, "a disk with an incarnation stores its configuration"
--- a/honeywood/lab/emulator/world.py
+++ b/honeywood/lab/emulator/world.py
@@ -163,6 +163,17 @@
         if name in self.processes:
             self.processes.pop(name).terminate()
 
+    def terminate(self, name: str) -> asyncio.Task[None]:
+        """Send SIGTERM to a controller, which ends by itself; it is killed after grace_s seconds."""
+        return self.loop.create_task(self._terminate(name, self.incarnations.get(name, 0)))
+
+    async def _terminate(self, name: str, incarnation: int) -> None:
+        program, process = self.nodes.get(name), self.processes.get(name)
+        if isinstance(program, Controller) and process is not None:
+            await asyncio.wait([process.run(program.leave())], timeout=self.bounds["grace_s"])
+        if self.incarnations.get(name, 0) == incarnation:  # not killed or restarted meanwhile
+            self.kill(name)
+
     def wipe(self, name: str) -> None:
         """Terminate a program and delete its disk."""
         self.kill(name)
