One attempt in flight no longer hides the slow bins from the test of slow answers

Cause: beyond the longest observation of a sample nothing is known if it belongs to an attempt without an answer, however few such attempts are. The test then used the next lower bin, which says something else, for as long as that attempt was in flight. Change: if at most a twentieth of the sample, half of the margin, is unknown in that way, it counts as slow and the bin is compared. Such a share can't reject a version by itself.

--- a/honeywood/release_analysis/censored_latencies.py
+++ b/honeywood/release_analysis/censored_latencies.py
@@ -25,6 +25,9 @@
 
 # A bin is too uncertain to compare if an attempt that was observed until then stands for more attempts.
 MAX_WEIGHT = 2.0
+# Share of a sample that may be unknown beyond the longest observation. It is half of the margin by which a
+# release may have more slow answers, so counting it as slow can't reject a good one.
+MAX_UNKNOWN_SHARE = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,7 +39,8 @@
         bins: The estimated number of attempts in each bin. The last one also has the attempts of which
             nothing is known beyond the longest observation.
         weights: By bin, how many attempts of the sample are represented by one that was observed at least
-            until that bin; infinite if nothing is known of the bin.
+            until that bin; infinite if nothing is known of more than MAX_UNKNOWN_SHARE of the sample in
+            that bin and above.
     """
 
     total: float
@@ -74,7 +78,7 @@
     weights: list[float] = []
     observed, weight, unknown = total, 1.0, 0.0
     for ended, waiting in zip(answered, censored):
-        weights.append(weight if not unknown else inf)
+        weights.append(weight if unknown <= MAX_UNKNOWN_SHARE * total else inf)
         if observed > 0:
             weight *= observed / (observed - waiting / 2)
         bins.append(weight * ended)
--- a/tests/release_analysis/test_censored_latencies.py
+++ b/tests/release_analysis/test_censored_latencies.py
@@ -40,6 +40,15 @@
     assert estimate_latencies([0, 0], [7, 0]).highest_known_bin(1) == 0
 
 
+def test_a_few_attempts_in_flight_do_not_hide_that_almost_all_answers_are_quicker():
+    # One attempt that had waited longer than all others made the next bin unknown, so that the test of slow
+    # answers used a lower bin for as long as the attempt was in flight.
+    estimate = estimate_latencies([1, 1, 8, 0, 0], [1, 0, 1, 0, 0])
+    assert estimate.highest_known_bin(3) == 3
+    assert 0 < estimate.count_from(3) < 1 and 10 < estimate.sample_size(3) <= 12
+    assert estimate_latencies([1, 1, 8, 0, 0], [1, 0, 3, 0, 0]).highest_known_bin(3) == 2
+
+
 def test_a_bin_that_few_observations_stand_for_is_not_compared():
     estimate = estimate_latencies([6, 0, 1], [0, 5, 0])
     assert estimate.weights[2] == 6 and estimate.highest_known_bin(2) == 1
