A version that turns slow in the full stage is reverted: its trial no longer outweighs it

What callers saw: nothing in service. Ruled out: attempts in flight still undercounted (98 of 200 found slow), latencies reduced as on trial (by reading). Change: proxies also count and report by themselves the attempts sent at the new version since the full stage began. Slow answers among these are one more hypothesis a route in the sorted cut, at proxies and controllers; the counts stay when the stage is lost, so that a rejection can be confirmed. Done needs 40 attempts of the full stage of which it is known whether they are slow, before 0.9 of the time. Reports have a new key, left out if empty; without it controllers decide as before (recorded decisions unchanged). Recorded reports of scenes get that key from recorded/rollout_full_stage.json, checked by hand against the scene's steps (3 reads, 10 writes). The log's `compared` has the new counts and p-values. Left: a second test of failures in the full stage reverted 5 of 30 good versions of which one of ten requests fails for 0.3 s there; holding up only `done`, without a rejection, left the version all traffic for longer.

--- a/honeywood/gateway/rollout/comparison_summary.py
+++ b/honeywood/gateway/rollout/comparison_summary.py
@@ -22,6 +22,9 @@
         route: {"new": _counts(new), "earlier": _counts(pooled.established.get(route))}
         for route, new in pooled.new.items()
     }
+    for route, sample in pooled.full_stage.items():
+        bins = {"latencies": sample.answered, "unanswered": sample.unanswered}
+        summary[route]["new, in the full stage"] = bins
     for result in compare(pooled):
         summary[result.route][f"p of {result.kind}"] = float(format(result.p_value, P_VALUE_FORMAT))
     return summary
--- a/honeywood/gateway/rollout/evaluator.py
+++ b/honeywood/gateway/rollout/evaluator.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from honeywood.gateway.rollout.comparison import count_ended
+from honeywood.gateway.rollout.comparison import count_ended, known_in_full_stage, pool
 from honeywood.gateway.rollout.condition_timer import ConditionTimer
 from honeywood.gateway.rollout.record import RolloutStage, RolloutState
 from honeywood.gateway.rollout.rejection import RejectionMonitor
@@ -26,6 +26,9 @@
 MIN_WIDE_S = 0.6
 MAX_WIDE_FRACTION = 0.85  # afterwards few outcomes are due to few requests, not to a small allowance
 MIN_DONE_OUTCOMES = MIN_OUTCOMES  # required before the established endpoints are given up
+# Attempts sent in the full stage of which it is known whether they are slow, required for the same. If half
+# of all are slow, at most a third of 40 are with a probability of 0.02, of 20 with 0.13.
+MIN_DONE_FULL_STAGE_ATTEMPTS = 40
 MIN_DONE_FRACTION = 0.9  # afterwards a rollout with fewer or doubtful outcomes is done as well
 MIN_DRAINED_S = 0.4  # for which all proxies must have left the established endpoints
 
@@ -79,7 +82,8 @@
             return self._leave_trial(fraction, ended, votes)
         if rollout.stage is RolloutStage.WIDE:
             return self._leave_wide(now, fraction, ended)
-        return self._finish(now, fraction, ended, drained)
+        is_known = _full_stage_is_known(rollout, outcome_counts)
+        return self._finish(now, fraction, ended, is_known, drained)
 
     @staticmethod
     def _leave_trial(fraction: float, ended: float, votes: Sequence[Vote | None]) -> RolloutChange | None:
@@ -98,9 +102,18 @@
             return RolloutChange(stage=RolloutStage.FULL)
         return None
 
-    def _finish(self, now: float, fraction: float, ended: float, drained: bool) -> RolloutChange | None:
+    def _finish(
+        self, now: float, fraction: float, ended: float, is_known: bool, drained: bool
+    ) -> RolloutChange | None:
+        is_late = fraction >= MIN_DONE_FRACTION
         is_accepted = ended >= MIN_DONE_OUTCOMES and not self._rejection.is_doubtful
-        may_finish = drained and (fraction >= MIN_DONE_FRACTION or is_accepted)
-        if self._drained.check(now, may_finish) >= MIN_DRAINED_S:
+        may_finish = drained and (is_late or is_accepted)
+        if self._drained.check(now, may_finish) >= MIN_DRAINED_S and (is_late or is_known):
             return RolloutChange(state=RolloutState.DONE)
         return None
+
+
+def _full_stage_is_known(rollout: Rollout, outcome_counts: Sequence[OutcomeCounts]) -> bool:
+    """Return whether enough is known of the full stage, or only proxies of earlier releases report."""
+    known = known_in_full_stage(pool(outcome_counts, rollout.service, rollout.version))
+    return known is None or known >= MIN_DONE_FULL_STAGE_ATTEMPTS
--- a/honeywood/gateway/rollout/report.py
+++ b/honeywood/gateway/rollout/report.py
@@ -2,8 +2,9 @@
 
 A report is {"rows": [[service, route, version, failed, ended, latency bins]], "votes": {service: [revision,
 vote]}, "left": {service: [revision, pending]}, "known": {service: [revision, seconds]}, "unanswered":
-[[service, route, version, latency bins]]}. "votes" and "known" contain active rollouts only. "unanswered" is
-omitted if it would be empty, as in the reports of earlier releases.
+[[service, route, version, latency bins]], "full": [[service, route, version, answered bins, unanswered
+bins]]}. "votes" and "known" contain active rollouts only. "unanswered" and "full" are omitted if they would
+be empty, as in the reports of earlier releases.
 """
 
 from __future__ import annotations
@@ -21,6 +22,9 @@
 OPERATION = "count"  # names the operation in errors
 ROW_ITEMS = 6
 UNANSWERED_ROW_ITEMS = 4
+FULL_STAGE_ROW_ITEMS = 5
+
+RowKey = tuple[str, str, str]  # service, route and version
 
 
 class Vote(StrEnum):
@@ -30,6 +34,19 @@
     REVERT = "back"
 
 
+@dataclass(frozen=True, slots=True)
+class FullStageCounts:
+    """Latency bins of those attempts that were sent at a new version since it last got all traffic.
+
+    `answered_bins` has the attempts that ended, `unanswered_bins` those that were abandoned or are in flight,
+    by the time for which they were waited for. Latencies are reduced as on trial. Both are empty if there are
+    no such attempts.
+    """
+
+    answered_bins: tuple[float, ...] = ()
+    unanswered_bins: tuple[float, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class OutcomeCounts:
     """How the attempts of one route's requests at one version ended.
@@ -37,7 +54,8 @@
     `latency_bins` has the number of ended attempts in each latency bin of
     release_analysis/outcome_statistics.py. `unanswered_bins` has the attempts that were abandoned or are in
     flight, by the time for which they were waited for; these are not in `ended`. It is empty if there are
-    none.
+    none. `full_stage` has the part of these attempts that was sent in the full stage; it is None if the
+    version hasn't reached that stage, and in reports of earlier releases.
     """
 
     service: str
@@ -47,6 +65,7 @@
     ended: float
     latency_bins: tuple[float, ...]
     unanswered_bins: tuple[float, ...] = ()
+    full_stage: FullStageCounts | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,7 +106,14 @@
         "known": {service: [one.revision, one.revision_age_s] for service, one in active.items()},
     }
     unanswered = [_encode_unanswered(one) for one in report.outcome_counts if one.unanswered_bins]
-    return {**message, "unanswered": unanswered} if unanswered else message
+    if unanswered:
+        message["unanswered"] = unanswered
+    full_stage = [
+        _encode_full_stage(one, one.full_stage) for one in report.outcome_counts if one.full_stage is not None
+    ]
+    if full_stage:
+        message["full"] = full_stage
+    return message
 
 
 def _encode_counts(counts: OutcomeCounts) -> list[Any]:
@@ -105,6 +131,11 @@
     return [counts.service, counts.route, counts.version, list(counts.unanswered_bins)]
 
 
+def _encode_full_stage(counts: OutcomeCounts, full_stage: FullStageCounts) -> list[Any]:
+    bins = list(full_stage.answered_bins), list(full_stage.unanswered_bins)
+    return [counts.service, counts.route, counts.version, *bins]
+
+
 def decode(value: dict[str, Any], peer: str = "") -> ProxyReport:
     """Return the report of a message that was received from `peer`.
 
@@ -117,15 +148,15 @@
     )
     if any(len(row) != ROW_ITEMS for row in rows):
         raise InvalidMessage(OPERATION, f"rows must have {ROW_ITEMS} items", peer)
-    unanswered = _decode_unanswered(value, peer)
+    unanswered, full_stage = _decode_unanswered(value, peer), _decode_full_stage(value, peer)
     statuses = {
         service: _decode_status(votes.get(service), pending.get(service), ages.get(service))
         for service in {**pending, **ages}
     }
-    return ProxyReport(tuple(_decode_counts(row, unanswered) for row in rows), statuses)
+    return ProxyReport(tuple(_decode_counts(row, unanswered, full_stage) for row in rows), statuses)
 
 
-def _decode_unanswered(value: dict[str, Any], peer: str) -> dict[tuple[str, str, str], tuple[float, ...]]:
+def _decode_unanswered(value: dict[str, Any], peer: str) -> dict[RowKey, tuple[float, ...]]:
     """Return the bins of unanswered attempts by service, route and version."""
     if "unanswered" not in value:
         return {}
@@ -135,12 +166,26 @@
     return {(service, route, version): tuple(bins) for service, route, version, bins in rows}
 
 
+def _decode_full_stage(value: dict[str, Any], peer: str) -> dict[RowKey, FullStageCounts]:
+    """Return the counts of the full stage by service, route and version."""
+    if "full" not in value:
+        return {}
+    rows = need(value, "full", list, OPERATION, peer=peer)
+    if any(len(row) != FULL_STAGE_ROW_ITEMS for row in rows):
+        raise InvalidMessage(OPERATION, f"rows of full must have {FULL_STAGE_ROW_ITEMS} items", peer)
+    return {
+        (service, route, version): FullStageCounts(tuple(answered_bins), tuple(unanswered_bins))
+        for service, route, version, answered_bins, unanswered_bins in rows
+    }
+
+
 def _decode_counts(
-    row: list[Any], unanswered: dict[tuple[str, str, str], tuple[float, ...]]
+    row: list[Any], unanswered: dict[RowKey, tuple[float, ...]], full_stage: dict[RowKey, FullStageCounts]
 ) -> OutcomeCounts:
     service, route, version, failed, ended, latency_bins = row
-    unanswered_bins = unanswered.get((service, route, version), ())
-    return OutcomeCounts(service, route, version, failed, ended, tuple(latency_bins), unanswered_bins)
+    key = service, route, version
+    bins = tuple(latency_bins), unanswered.get(key, ())
+    return OutcomeCounts(*key, failed, ended, *bins, full_stage.get(key))
 
 
 def _decode_status(vote: list[Any] | None, pending: list[Any] | None, age: list[Any] | None) -> RolloutStatus:
--- a/honeywood/gateway/rollout/traffic_policy.py
+++ b/honeywood/gateway/rollout/traffic_policy.py
@@ -65,8 +65,12 @@
         current = self._statuses.rollouts.get(rollout.service)
         if current is not None and rollout.revision <= current.revision:
             return
-        if current is None or current.order_revision != rollout.order_revision:
+        is_new_order = current is None or current.order_revision != rollout.order_revision
+        if is_new_order:
             self._begin_trial(now, rollout.service)
+        was_full = not is_new_order and current is not None and current.stage is RolloutStage.FULL
+        if rollout.stage is RolloutStage.FULL and not was_full:
+            self._counters.begin_full_stage(now, rollout)
         self._statuses.rollouts[rollout.service] = rollout
 
     def _begin_trial(self, now: float, service: str) -> None:
--- a/tests/gateway/test_pinned_rollout.py
+++ b/tests/gateway/test_pinned_rollout.py
@@ -28,6 +28,8 @@
 # The scenes of rollout.json report nothing of abandoned attempts, since that revision left them out. This
 # file has what has to be added to these reports, by scene and by position in its results.
 RECORDED_UNANSWERED = json.loads((RECORDED_FOLDER / "rollout_unanswered.json").read_text())
+# Nor do they report the attempts sent in the full stage by themselves; this file has those, in the same form.
+RECORDED_FULL_STAGE = json.loads((RECORDED_FOLDER / "rollout_full_stage.json").read_text())
 
 
 # Accessors. Only these use names of the tested code.
@@ -283,4 +285,7 @@
     for position, rows in RECORDED_UNANSWERED.get(str(number), {}).items():
         _, _, message, *_ = expected[int(position)]
         message["unanswered"] = rows
+    for position, rows in RECORDED_FULL_STAGE.get(str(number), {}).items():
+        _, _, message, *_ = expected[int(position)]
+        message["full"] = rows
     assert [to_json(one) for one in run_scene(case)] == [to_json(one) for one in expected]
