--- a/honeywood/gateway/dissemination/large_records.py
+++ b/honeywood/gateway/dissemination/large_records.py
@@ -41,19 +41,19 @@
     """
 
     stamp: Stamp
-    value: JsonValue
     text: str
     digest: str
     content_digest: str | None = None
 
     def content(self) -> bytes | None:
         """Returns the unpacked value, or None for a value that is not packed, too short or too long."""
-        if not isinstance(self.value, str):
+        if not MIN_DELTA_CHARACTERS <= len(self.text) <= MAX_DELTA_CHARACTERS:
             return None
-        if not MIN_DELTA_CHARACTERS <= len(self.value) <= MAX_DELTA_CHARACTERS:
+        value = json.loads(self.text)
+        if not isinstance(value, str):
             return None
         try:
-            content = unpack(self.value)
+            content = unpack(value)
             content.decode()
         except (InvalidInput, UnicodeDecodeError):
             return None
@@ -98,7 +98,7 @@
         if key not in LARGE_KEYS:
             return
         text = json.dumps(value)
-        versions = [*self.versions.get(key, ()), Version(stamp, value, text, text_digest(text))]
+        versions = [*self.versions.get(key, ()), Version(stamp, text, text_digest(text))]
         versions = versions[-VERSIONS_KEPT:]
         while sum(len(version.text) for version in versions[:-1]) > MAX_KEPT_CHARACTERS:
             del versions[0]
