Invariants: compare the connections of a removed machine with an attempt that has none

Seen: in review. The comparison of connections covered each machine that an attempt in flight was sent to, also one whose record is gone; since only if the attempt, or a long response, holds a connection there.

Change: it covers them all again. A comment at the pool's connections is clearer.

--- a/honeywood/gateway/proxy/connection_pool.py
+++ b/honeywood/gateway/proxy/connection_pool.py
@@ -30,7 +30,7 @@
         self.clock = clock
         self.connect = connect
         self.opened = 0  # connections opened or attempted since the start
-        # Those opened, idle or in use; without those closed here or found to have ended by `close_expired`.
+        # Open connections, idle or in use. One that ends by itself is kept until `close_expired`.
         self.connections: dict[Connection, Endpoint] = {}
         self.idle_limits = IdleLimits()
 
--- a/honeywood/gateway/proxy/invariants.py
+++ b/honeywood/gateway/proxy/invariants.py
@@ -113,7 +113,8 @@
         forwarder = self.proxy.forwarder
         attempts = [*self._attempts_in_flight()]
         remainders = forwarder.sender.remainders.items()
-        held = Counter(attempt.endpoint for attempt in attempts if attempt.holds_connection)
+        held = Counter({attempt.endpoint: 0 for attempt in attempts})  # also those without a connection
+        held.update(attempt.endpoint for attempt in attempts if attempt.holds_connection)
         held.update(endpoint for remainder, endpoint in remainders if remainder.holds_connection)
         is_quiescent = not (attempts or forwarder.open_requests)
         for endpoint in {*self.proxy.endpoints.by_id.values(), *held}:
