--- a/honeywood/lab/emulator/faults/membership.py
+++ b/honeywood/lab/emulator/faults/membership.py
@@ -82,9 +82,9 @@
     await _wait_until_undisturbed(world, world.controllers[:-1])
     await _end(world, predecessor, end, fault)
     world.controllers = tuple(name for name in world.controllers if name != predecessor)
-    await _wait_until_undisturbed(world, world.controllers)
     if end in (PlannedEnd.SILENT, PlannedEnd.KILLED_EARLY):
         await asyncio.sleep(world.bounds["sync_s"])
+    await _wait_until_undisturbed(world, world.controllers)
     await _lose_others(world, fault)
     if end is PlannedEnd.RETURNS:
         world.removed.discard(predecessor)
