A controller whose disk hangs or refuses at SIGTERM ends in time all the same

What callers would see: a controller whose disk hangs when it gets SIGTERM doesn't end by itself and is killed at the end of grace_s, with the requests that it still holds; one whose disk refuses ends by an exception, without closing its server.

Cause: the handover's time was looked at between its steps only, and one step waits for this controller's own disk to seal its epoch; a refused seal was not caught.

Change: `run` waits for the handover's task at most the given time and doesn't cancel it (a write in progress may still take effect). Errors are logged with `place not handed over` and its `why`.

The emulator reports an error of a handover as an unexpected one.

--- a/honeywood/gateway/controller/handover.py
+++ b/honeywood/gateway/controller/handover.py
@@ -11,7 +11,6 @@
 from contextlib import suppress
 
 from honeywood.gateway.errors import GatewayError
-from honeywood.gateway.register.errors import RegisterUnavailable
 from honeywood.gateway.register.replacement import DiskState, possible_successors
 
 TYPE_CHECKING = False
@@ -54,15 +53,23 @@
         if not self._is_member:
             return
         began_at = self._clock()
-        while self._clock() - began_at < timeout_s:
-            if not self._is_member:
-                if await self._register.manager.is_handed_over():
-                    self._log.info("place handed over", after_s=round(self._clock() - began_at, 3))
-                    return
-            elif not await self._propose():
-                return
+        handover = asyncio.ensure_future(self._hand_over())
+        await asyncio.wait((handover,), timeout=timeout_s)  # it may hang with this controller's own disk
+        took_s = round(self._clock() - began_at, 3)
+        if not handover.done():
+            self._log.info("place not handed over", after_s=took_s, why="timeout")
+        elif error := handover.exception():  # whatever it is, the controller must end in time
+            self._log.info("place not handed over", after_s=took_s, why=repr(error))
+        elif handover.result():
+            self._log.info("place handed over", after_s=took_s)
+
+    async def _hand_over(self) -> bool:
+        """Return True once the place is handed over, and False if there is no possible successor."""
+        while self._is_member or not await self._register.manager.is_handed_over():
+            if self._is_member and not await self._propose():
+                return False
             await asyncio.sleep(CHECK_INTERVAL_S)
-        self._log.info("place not handed over", after_s=round(timeout_s, 3))
+        return True
 
     @property
     def _is_member(self) -> bool:
@@ -82,7 +89,7 @@
         ready = await asyncio.gather(*[self._is_ready(ip) for ip in candidates])
         successor = next((ip for ip, is_ready in zip(candidates, ready, strict=True) if is_ready), None)
         if successor is not None:
-            with suppress(RegisterUnavailable):  # it is proposed again until the time is over
+            with suppress(GatewayError):  # it is proposed again until the time is over
                 await self._register.manager.replace_member(self._settings.ip, successor)
         return True
 
--- a/honeywood/lab/emulator/world.py
+++ b/honeywood/lab/emulator/world.py
@@ -170,7 +170,10 @@
     async def _terminate(self, name: str, incarnation: int) -> None:
         program, process = self.nodes.get(name), self.processes.get(name)
         if isinstance(program, Controller) and process is not None:
-            await asyncio.wait([process.run(program.leave())], timeout=self.bounds["grace_s"])
+            leaving = process.run(program.leave())
+            await asyncio.wait([leaving], timeout=self.bounds["grace_s"])
+            if leaving.done() and not leaving.cancelled() and (error := leaving.exception()):
+                self.unexpected_errors.append(error)
         if self.incarnations.get(name, 0) == incarnation:  # not killed or restarted meanwhile
             self.kill(name)
 
--- a/tests/gateway/controller/test_handover.py
+++ b/tests/gateway/controller/test_handover.py
@@ -206,6 +206,27 @@
         world.close()
 
 
+@test("a member that gets SIGTERM {after_s} s after its own disk {fault} ends in time, and is replaced")
+def _(
+    fault=each("refuses writes", "refuses writes", "hangs", "hangs", "hangs"),
+    after_s=each(0.0, 2.0, 0.0, 0.02, 2.0),
+):
+    world = started_world()
+    try:
+        world.start("d")
+        world.run(6.0)
+        world.set_disk_fault("a", REFUSING_DISK if fault == "refuses writes" else HANGING_DISK)
+        world.run(6.0 + after_s)
+        ending = world.terminate("a")
+        world.run(6.0 + after_s + GRACE_S - 1.5)
+        assert ending.done() and "a" not in world.nodes and not world.unexpected_errors
+        world.run(6.0 + after_s + GRACE_S)
+        assert members_of(world) == {"bcd"}, configurations(world)
+        assert_survives_loss(world, "b")
+    finally:
+        world.close()
+
+
 @test("a successor that is lost {after_ms} ms after the predecessor's SIGTERM is replaced in turn")
 def _(after_ms=each(5, 15, 25, 40, 60, 100)):
     world = started_world()
