--- a/honeywood/cli/emulator.py
+++ b/honeywood/cli/emulator.py
@@ -31,7 +31,6 @@
             show_default=True,
             help="Maximum number of faults in each eight seconds.",
         ),
-        click.option("--always", multiple=True, help="A kind of fault that each day has once; repeatable."),
         click.option("--changes", type=click.IntRange(0), default=0, help="Configuration changes."),
         click.option(
             "--link", type=float, default=0.0, help="Bytes per second of a proxy's link; 0: unlimited."
@@ -63,21 +62,25 @@
 @click.option("--first", type=int, default=0, show_default=True, help="The first seed.")
 @click.option("--jobs", type=click.IntRange(1), help="Cores to use; all of them by default.")
 @click.option("--out", type=click.Path(), help="File for the minimised failing days, for replay.")
+@click.option("--always", multiple=True, help="A kind of fault that each day has once; repeatable.")
 @day_options
-def hunt(days, first, jobs, out, **options):
+def hunt(days, first, jobs, out, always, **options):
     """Run many days with random faults to find violations of rules; failing days are minimised."""
     from rich.progress import Progress
 
     from honeywood.lab.emulator import day_codec
     from honeywood.lab.emulator import hunt as hunts
+    from honeywood.lab.emulator.faults.fault import FaultKind
 
+    required = [FaultKind(kind) for kind in always]
     with Progress(transient=True) as progress_display:
         task = progress_display.add_task("days", total=days)
 
         def progress(done, failed):
             progress_display.update(task, completed=done, description=f"days, {failed} failed")
 
-        result = hunts.hunt(day_codec.from_options(options), first, days, jobs, progress)
+        shape = day_codec.from_options(options)
+        result = hunts.hunt(shape, first, days, jobs, progress, required)
     totals = result.totals
     click.echo(
         f"{totals.days} days, {totals.faults} faults, {totals.requests} requests "
--- a/honeywood/lab/emulator/day.py
+++ b/honeywood/lab/emulator/day.py
@@ -17,8 +17,8 @@
     be lost at once. `bounds` are the bounds that differ from boot.BOUNDS. With `omniscient_routing`, a router
     that sees the true state of all machines replaces the real one. `configuration_changes` is the number of
     consecutive configuration changes, in addition to those that faults cause. At most `max_faults` faults are
-    drawn for each eight seconds of traffic, and one of each kind in `always` for the day. `link_bytes_per_s`
-    is the bandwidth of a proxy's link; 0 means unlimited.
+    drawn for each eight seconds of traffic. `link_bytes_per_s` is the bandwidth of a proxy's link; 0 means
+    unlimited.
     """
 
     seed: int
@@ -34,7 +34,6 @@
     configuration_changes: int = 0
     max_faults: int = 6
     link_bytes_per_s: float = 0.0
-    always: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
--- a/honeywood/lab/emulator/faults/draw.py
+++ b/honeywood/lab/emulator/faults/draw.py
@@ -37,16 +37,16 @@
 """At most one of these occurs in a day as well."""
 
 
-def draw_day(day: Day) -> Day:
-    """Return a day with the faults that are determined by its seed."""
-    return replace(day, faults=_draw_faults(random.Random(day.seed), day))
+def draw_day(day: Day, required: Sequence[FaultKind] = ()) -> Day:
+    """Return a day with the faults that are determined by its seed, and one of each kind in `required`."""
+    return replace(day, faults=_draw_faults(random.Random(day.seed), day, required))
 
 
-def _draw_faults(random: random.Random, day: Day) -> tuple[Fault, ...]:
+def _draw_faults(random: random.Random, day: Day, required: Sequence[FaultKind]) -> tuple[Fault, ...]:
     periods = max(1, round(day.traffic_s / FAULT_PERIOD_S))
     count = sum(random.randrange(1, day.max_faults + 1) for _ in range(periods))
     last_s = day.traffic_s - FAULT_FREE_END_S
-    faults = [_draw_fault(random, FaultKind(kind), REQUIRED_BEFORE_SHARE * last_s) for kind in day.always]
+    faults = [_draw_fault(random, kind, REQUIRED_BEFORE_SHARE * last_s) for kind in required]
     for _ in range(count):
         fault = _draw_fault(random, random.choice(sorted(FaultKind)), last_s)
         if not _is_excluded(fault.kind, faults):
--- a/honeywood/lab/emulator/hunt.py
+++ b/honeywood/lab/emulator/hunt.py
@@ -4,14 +4,16 @@
 
 import os
 import warnings
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
+from functools import partial
 from multiprocessing import get_context
 from time import monotonic
 
 from honeywood.lab.emulator import emulated_day
 from honeywood.lab.emulator.day import Day, Outcome
 from honeywood.lab.emulator.faults.draw import draw_day
+from honeywood.lab.emulator.faults.fault import FaultKind
 from honeywood.lab.emulator.rules.rule import Rule, Violation
 
 DAYS_PER_PROCESS = 500
@@ -27,8 +29,8 @@
         return Outcome(violations=[Violation(Rule.EMULATOR, 0.0, repr(error))])
 
 
-def _draw_and_play(shape: Day) -> tuple[Day, Outcome]:
-    day = draw_day(shape)
+def _draw_and_play(shape: Day, required: Sequence[FaultKind]) -> tuple[Day, Outcome]:
+    day = draw_day(shape, required)
     return day, play(day)
 
 
@@ -72,16 +74,20 @@
     count: int,
     jobs: int | None = None,
     on_progress: Callable[[int, int], object] = lambda done, failed: None,
+    required: Sequence[FaultKind] = (),
 ) -> HuntResult:
     """Play `count` days with consecutive seeds from `first_seed`; the other parameters are those of `shape`.
 
+    Each day has a fault of each kind in `required`, besides those that its seed determines.
+
     `on_progress` is called with the number of days that were played and the number of days that failed. By
     default `jobs` is the number of cores.
     """
     result, began_at = HuntResult(), monotonic()
+    draw_and_play = partial(_draw_and_play, required=required)
     days = [replace(shape, seed=seed) for seed in range(first_seed, first_seed + count)]
     with get_context("spawn").Pool(jobs or os.cpu_count(), maxtasksperchild=DAYS_PER_PROCESS) as pool:
-        for day, outcome in pool.imap_unordered(_draw_and_play, days, chunksize=DAYS_PER_TASK):
+        for day, outcome in pool.imap_unordered(draw_and_play, days, chunksize=DAYS_PER_TASK):
             result.totals.add(day, outcome)
             if outcome.violations:
                 result.failures[day.seed] = Failure(day, outcome.violations)
