Apply a complete delta although a newer version has begun to arrive

What callers saw: nothing yet; found by review. A proxy that had begun the complete text of version 3 (from a controller that had just started and keeps no base) ignored the delta of 340 bytes to version 2 that its relay sent, and the relay sent it again with every poll until it had version 3 itself.

Cause: a first chunk counts only if it belongs to a newer value than the one that has begun, also if the chunk is the complete value.

Change: a chunk that has a complete value is applied at once; the newer value goes on where it is.

Measured: the new test fails before (the version stays at 1) and passes now, with the other 49 of test_delta, test_chunks and test_change_feed.

--- a/honeywood/gateway/dissemination/chunks.py
+++ b/honeywood/gateway/dissemination/chunks.py
@@ -125,10 +125,12 @@
         """Adds a chunk; returns the record once it is complete, None otherwise.
 
         The first chunk of a newer value replaces the incomplete older one. Any other chunk that does not
-        continue the incomplete value is ignored. A value with a wrong length or digest is discarded, and so
-        is a delta that can't be applied.
+        continue the incomplete value is ignored, unless it has a complete value. A value with a wrong length
+        or digest is discarded, and so is a delta that can't be applied.
         """
         partial = self.partial.get(chunk.key)
+        if chunk.content.is_complete and partial is not None and chunk.stamp < partial.stamp:
+            return self._decode(chunk, PartialText(chunk.content.digest).extended(chunk.content))
         if chunk.content.offset == 0 and (partial is None or partial.is_replaced_by(chunk)):
             content = PartialText(chunk.content.digest)
         elif partial is not None and partial.is_continued_by(chunk):
@@ -140,6 +142,10 @@
             self.partial[chunk.key] = PartialValue(chunk.stamp, content)
             return None
         self.partial.pop(chunk.key, None)
+        return self._decode(chunk, content)
+
+    def _decode(self, chunk: Chunk, content: PartialText) -> Record | None:
+        """Returns the record with this text, of which `chunk` is the last part; None if it is invalid."""
         if len(content.text) > chunk.content.length or not content.is_intact:
             return None
         value = self._restore(chunk.key, content.text) if chunk.is_delta else json.loads(content.text)
--- a/honeywood/gateway/rpc/text_chunks.py
+++ b/honeywood/gateway/rpc/text_chunks.py
@@ -31,6 +31,11 @@
         """Return the chunk of `text` that begins at `offset`, with up to `max_characters`."""
         return cls(digest, len(text), offset, text[offset : offset + max_characters])
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the chunk has the complete text."""
+        return self.offset == 0 and len(self.text) == self.length
+
 
 @dataclass(frozen=True, slots=True)
 class PartialText:
--- a/tests/gateway/dissemination/test_delta.py
+++ b/tests/gateway/dissemination/test_delta.py
@@ -162,3 +162,17 @@
     while receiver.stamp("config") != (2,):
         receive(sender, receiver, assembler)
     assert unpack(receiver.get("config")) == configuration(2)
+
+
+@test("a delta that arrives at once is applied although a newer version has begun to arrive")
+def _():
+    # The relay has version 2; a controller that has just started has version 3 only, and sends it completely.
+    relay, controller, (receiver, assembler) = store_with(1, 2), store_with(3, incarnation="c"), receiver_of(1)
+    receive(controller, receiver, assembler, 10_000)
+    begun = assembler.progress()["config"]
+    assert begun.stamp == (3,) and receive(relay, receiver, assembler) < 1000
+    assert receiver.stamp("config") == (2,)
+    assert assembler.progress()["config"] == begun, "the newer version is still continued"
+    while receiver.stamp("config") != (3,):
+        receive(controller, receiver, assembler)
+    assert receiver.get("config") == controller.get("config")
