--- a/tests/gateway/dissemination/test_delta.py
+++ b/tests/gateway/dissemination/test_delta.py
@@ -167,7 +167,11 @@
 @test("a delta that arrives at once is applied although a newer version has begun to arrive")
 def _():
     # The relay has version 2; a controller that has just started has version 3 only, and sends it completely.
-    relay, controller, (receiver, assembler) = store_with(1, 2), store_with(3, incarnation="c"), receiver_of(1)
+    relay, controller, (receiver, assembler) = (
+        store_with(1, 2),
+        store_with(3, incarnation="c"),
+        receiver_of(1),
+    )
     receive(controller, receiver, assembler, 10_000)
     begun = assembler.progress()["config"]
     assert begun.stamp == (3,) and receive(relay, receiver, assembler) < 1000
