Don't request the rest of a version that has arrived from another peer

What callers saw: nothing that is traced to it; found by review. A poll that is held while the other loop completes a version is answered with the first chunk of that version. It stood as an incomplete value, and once a newer version came whose delta didn't fit into one response, the sender went on with the older one: a complete text of no use, 59 KB over 2 Mbit/s, before the new one.

Cause: the progress that a poll reports was never compared with the versions that the requester has.

Change: before each poll, incomplete values that are not newer than the stored ones are dropped.

--- a/honeywood/gateway/dissemination/chunks.py
+++ b/honeywood/gateway/dissemination/chunks.py
@@ -17,7 +17,7 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from honeywood.gateway.dissemination.record import JsonValue
 
@@ -121,6 +121,12 @@
             for key, partial in self.partial.items()
         }
 
+    def drop_superseded(self, known_stamps: Mapping[str, Stamp]) -> None:
+        """Drops incomplete values that are not newer than those that the receiver has, by their stamps."""
+        for key, stamp in known_stamps.items():
+            if key in self.partial and self.partial[key].stamp <= stamp:
+                del self.partial[key]
+
     def add(self, chunk: Chunk) -> Record | None:
         """Adds a chunk; returns the record once it is complete, None otherwise.
 
--- a/honeywood/gateway/dissemination/subscriber.py
+++ b/honeywood/gateway/dissemination/subscriber.py
@@ -102,6 +102,8 @@
 
     def _request(self, ip: str, port: int, hold_s: float) -> PollRequest:
         position = self.positions.get((ip, port), Position())
+        known_stamps = self.store.large_record_stamps()
+        self.assembler.drop_superseded(known_stamps)
         return PollRequest(
             requester=replace(self.requester(), epoch=self.store.epoch),
             incarnation=position.incarnation,
@@ -110,7 +112,7 @@
             hold_s=hold_s,
             digest=self.store.digest,
             max_bytes=self.max_bytes(),
-            known_stamps=self.store.large_record_stamps(),
+            known_stamps=known_stamps,
             progress=self.assembler.progress(),
             bases=self.store.large_records.bases(),
         )
--- a/tests/gateway/dissemination/test_subscriber.py
+++ b/tests/gateway/dissemination/test_subscriber.py
@@ -41,3 +41,36 @@
         assert [record.key for record in response.records] == ["machine/7"]
     finally:
         loop.close()
+
+
+@test("the rest of a version that has arrived from another peer meanwhile is not requested")
+def _():
+    # A poll that is held while another loop receives the same version is answered with its first chunk.
+    loop = Loop()
+    asyncio.set_event_loop(loop)
+    try:
+        sender, receiver = Publisher("l", link_bytes_per_s=100e3), Publisher("h")
+        old, new = (character * 40_000 for character in "ab")
+        characters = []
+
+        class Caller:
+            async def call(self, ip, port, path, body, timeout_s, idempotent=False):
+                response = await sender.serve(PollRequest.decode(body, ip))
+                if response.chunk:
+                    characters.append(len(response.chunk.content.text))
+                return response.encode()
+
+        assembler, backoff = ChunkAssembler(), Backoff(random.Random(0), 1.0)
+        subscriber = Subscriber(
+            receiver.store, assembler, Caller(), lambda: Requester(is_proxy=True), backoff, lambda: 12_000
+        )
+        sender.store.put("config", Stamp.of(1), old)
+        loop.run_until_complete(subscriber.poll("p", 1, 0.0))
+        assert characters == [12_000]
+        receiver.store.put("config", Stamp.of(1), old)
+        sender.store.put("config", Stamp.of(2), new)
+        while receiver.store.stamp("config") != (2,):
+            loop.run_until_complete(subscriber.poll("p", 1, 0.0))
+        assert sum(characters) <= 12_000 + len(new) + 2, f"{characters}"
+    finally:
+        loop.close()
