Refuse a delta whose result is longer than any configuration

What callers saw: nothing; found by review. A delta of 188 characters whose ranges repeat the whole base 2,000 times took 3.4 GB before its digest was compared; a program has 300 MB.

Cause: complete texts are unpacked up to MAX_UNPACKED_BYTES, the result of a delta had no bound.

Change: a delta is refused as soon as its result exceeds MAX_UNPACKED_BYTES.

Measured: the new test fails before (17 MB are accepted) and passes now, with the other 41 of test_delta.

--- a/honeywood/gateway/dissemination/delta.py
+++ b/honeywood/gateway/dissemination/delta.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 
 from honeywood.gateway.configuration.check import need, read_json
-from honeywood.gateway.configuration.packing import pack, unpack
+from honeywood.gateway.configuration.packing import MAX_UNPACKED_BYTES, pack, unpack
 from honeywood.gateway.dissemination.record import PATH
 from honeywood.gateway.errors import InvalidInput, InvalidMessage
 
@@ -64,15 +64,23 @@
         return cls(content_digest(base), content_digest(result), operations)
 
     def apply(self, base: bytes) -> bytes:
-        """Return the new version; raises InvalidMessage if `base` is another text or the result differs."""
+        """Return the new version.
+
+        Raises InvalidMessage if `base` is another text, or if the result differs or is longer than
+        MAX_UNPACKED_BYTES.
+        """
         if content_digest(base) != self.base:
             raise InvalidMessage(WHERE, "it is for another base")
-        base_segments, segments = base.split(SEPARATOR), []
+        base_segments, segments, size = base.split(SEPARATOR), [], 0
         for operation in self.operations:
             if isinstance(operation, str):
-                segments.append(operation.encode())
+                added = [operation.encode()]
             else:
-                segments += base_segments[operation.start : operation.end]
+                added = base_segments[operation.start : operation.end]
+            size += sum(len(segment) + len(SEPARATOR) for segment in added)
+            if size > MAX_UNPACKED_BYTES:
+                raise InvalidMessage(WHERE, "the result is too long")
+            segments += added
         result = SEPARATOR.join(segments)
         if content_digest(result) != self.result:
             raise InvalidMessage(WHERE, "the result has another digest")
--- a/tests/gateway/dissemination/test_delta.py
+++ b/tests/gateway/dissemination/test_delta.py
@@ -10,7 +10,7 @@
 from honeywood.gateway.configuration.packing import pack, unpack
 from honeywood.gateway.dissemination.change_feed import ChangeFeed
 from honeywood.gateway.dissemination.chunks import ChunkAssembler
-from honeywood.gateway.dissemination.delta import Delta
+from honeywood.gateway.dissemination.delta import Delta, SegmentRange, content_digest
 from honeywood.gateway.dissemination.record import Record, Stamp
 from honeywood.gateway.dissemination.store import Store
 from honeywood.gateway.errors import InvalidMessage
@@ -93,6 +93,16 @@
         Delta.decode(text)
 
 
+@test("a delta whose result is longer than any configuration is refused")
+def _():
+    # A few hundred characters can repeat ranges of the base up to gigabytes.
+    base, repetitions = b"}" * (1 << 20), 17
+    result = b"}".join([base] * repetitions)
+    operations = (SegmentRange(0, len(base) + 1),) * repetitions
+    with raises(InvalidMessage):
+        Delta(content_digest(base), content_digest(result), operations).apply(base)
+
+
 @test("a change is sent as a short delta, however the text is formatted: {indent}")
 def _(indent=each(None, 0, 2)):
     table = config(1, ROUTES)
