--- a/tests/gateway/slow_fleet.py
+++ b/tests/gateway/slow_fleet.py
@@ -16,7 +16,7 @@
 CONTROLLERS = tuple(f"core-{number}" for number in range(5))
 PROXY_BYTES_PER_S, CONTROLLER_BYTES_PER_S = 250e3, 3.75e6  # 2 and 30 Mbit/s
 HEAD_BYTES = 250  # of a request or response
-APPLY_S = 3.0  # `apply_s` of the deployment
+APPLY_S, CONTACT_S = 3.0, 6.0  # `apply_s` and `contact_s` of the deployment
 PACKED_ROUTE_BITS = 800  # of a prefix that doesn't compress, so that few routes make a long configuration
 
 
@@ -32,8 +32,8 @@
 class SlowFleet(World):
     """A world whose links have a speed: polls and their responses take turns on them, in each direction.
 
-    `acknowledged` has the time at which each version was acknowledged, `used` the times from which each
-    proxy used which version, a list for each of its starts.
+    `acknowledged` has the time at which each version was acknowledged, `used` the times from which the latest
+    process of each proxy used which version, and `started` when that process was started.
     """
 
     def __init__(self, seed=0):
@@ -42,9 +42,9 @@
             for zone, size in enumerate(ZONE_SIZES)
             for number in range(size)
         }
-        bounds = {**BOUNDS, "contact_s": 6, "ack_s": 8, "sync_s": 6, "apply_s": APPLY_S}
+        bounds = {**BOUNDS, "contact_s": CONTACT_S, "ack_s": 8, "sync_s": 6, "apply_s": APPLY_S}
         super().__init__(CONTROLLERS, tuple(zones), seed, tolerated_failures=2, zones=zones, bounds=bounds)
-        self.acknowledged, self.used, self.free_at = {}, {name: [] for name in zones}, {}
+        self.acknowledged, self.used, self.started, self.free_at = {}, {}, {}, {}
 
     def bytes_per_second(self, name):
         return CONTROLLER_BYTES_PER_S if name in self.controllers else PROXY_BYTES_PER_S
@@ -57,9 +57,9 @@
         original = emulator_world.settings
         with patch.object(emulator_world, "settings", settings):
             program = super()._make_program(name)
-        if name in self.used:
+        if name not in self.controllers:
             versions, on_configuration = [], program.records.on_configuration
-            self.used[name].append(versions)
+            self.used[name], self.started[name] = versions, self.loop.time()
 
             def record(activation):
                 versions.append((self.loop.time(), program.configuration.version))
@@ -105,15 +105,16 @@
         self.loop.create_task(ask())
 
     def late(self):
-        """(version, proxy, seconds, None if never) of each use later than APPLY_S after an acknowledgement.
+        """(version, proxy, seconds since the acknowledgement, None if never) of each use that is late.
 
-        Only proxies that haven't been restarted are considered.
+        A version must be in force APPLY_S after its acknowledgement, and CONTACT_S after the proxy's start.
         """
-        uses = {name: starts[0] for name, starts in self.used.items() if len(starts) == 1}
         found = []
         for version, acknowledged_at in self.acknowledged.items():
-            for name, versions in uses.items():
-                lag_s = next((at - acknowledged_at for at, used in versions if used >= version), None)
-                if lag_s is None or lag_s > APPLY_S:
-                    found.append((version, name, lag_s))
+            for name, versions in self.used.items():
+                used_at = next((at for at, used in versions if used >= version), None)
+                if used_at is None:
+                    found.append((version, name, None))
+                elif used_at > max(acknowledged_at + APPLY_S, self.started[name] + CONTACT_S):
+                    found.append((version, name, used_at - acknowledged_at))
         return found
