A member that was replaced just before its SIGTERM waits until it isn't needed

What callers would see: a member is out of contact for contact_s, is replaced, comes back, and gets SIGTERM within 90 ms of that. It ended at once. If one of the two other members is lost next, no majority of the old epoch is left whose state the new members need: nothing can be read or changed, for good.

Cause: a controller that isn't a member at SIGTERM didn't ask whether its state is still needed; only one that hands its place over itself did.

Change: every controller with a state asks (one call to the newest members). A spare gets the answer at once; without a majority it waits as long as a member, half of grace_s.

--- a/honeywood/gateway/controller/handover.py
+++ b/honeywood/gateway/controller/handover.py
@@ -51,13 +51,14 @@
         Waits at most `timeout_s` seconds, during which this controller must go on serving the register.
         """
         self._membership.is_leaving = True
-        if not self._is_member:
+        if not self._register.membership.is_bootstrapped:
             return
-        began_at = self._clock()
+        was_member, began_at = self._is_member, self._clock()
         while self._clock() - began_at < timeout_s:
-            if not self._is_member:
+            if not self._is_member:  # others may still need the state of a member that was replaced before
                 if await self._register.manager.is_handed_over():
-                    self._log.info("place handed over", after_s=round(self._clock() - began_at, 3))
+                    if was_member:
+                        self._log.info("place handed over", after_s=round(self._clock() - began_at, 3))
                     return
             elif not await self._propose():
                 return
@@ -71,10 +72,9 @@
 
     async def _propose(self) -> bool:
         """Propose a successor once one is ready; return False if none is in contact."""
-        membership = self._register.membership
-        if not membership.is_bootstrapped or self._membership.disk is not DiskState.LEAVING:
+        if self._membership.disk is not DiskState.LEAVING:
             return False
-        if not membership.is_synchronized:
+        if not self._register.membership.is_synchronized:
             return True  # another change of members is under way
         candidates = self._candidates()
         if not candidates:
--- a/tests/gateway/controller/test_handover.py
+++ b/tests/gateway/controller/test_handover.py
@@ -168,6 +168,30 @@
         world.close()
 
 
+@test("a member that was replaced just before its SIGTERM stays until it isn't needed; {lost} is lost next")
+def _(lost=each("b", "c", "d")):
+    # It ended at once, before any other had entered the new epoch; after the next loss no majority of the old
+    # epoch was left, for good.
+    world = started_world()
+    try:
+        world.start("d")
+        world.run(6.0)
+        world.partition("a", "bcd")
+        memberships = {name: world.nodes[name].register.membership for name in "abcd"}
+        while all(membership.newest_known.epoch == 1 for membership in memberships.values()):
+            world.run(world.loop.time() + 0.001)
+        world.heal()
+        while "a" in memberships["a"].newest_known.members:
+            world.run(world.loop.time() + 0.001)
+        assert {memberships[name].epoch for name in "bcd"} == {1}, "no successor has entered epoch 2"
+        world.terminate("a")
+        while "a" in world.nodes:
+            world.run(world.loop.time() + 0.001)
+        assert_survives_loss(world, lost)
+    finally:
+        world.close()
+
+
 @test("two members that get SIGTERM {apart_s} s apart are both replaced")
 def _(apart_s=each(0.0, 0.01, 0.03, 0.1, 0.3, 0.6)):
     for lost in "cde":
