--- a/honeywood/gateway/controller/handover.py
+++ b/honeywood/gateway/controller/handover.py
@@ -50,9 +50,9 @@
         Waits at most `timeout_s` seconds, during which this controller must go on serving the register.
         """
         self._membership.is_leaving = True
-        if not self._is_member:
+        if not self._register.membership.is_bootstrapped:
             return
-        began_at = self._clock()
+        was_member, began_at = self._is_member, self._clock()
         handover = asyncio.ensure_future(self._hand_over())
         await asyncio.wait((handover,), timeout=timeout_s)  # it may hang with this controller's own disk
         took_s = round(self._clock() - began_at, 3)
@@ -60,11 +60,14 @@
             self._log.info("place not handed over", after_s=took_s, why="timeout")
         elif error := handover.exception():  # whatever it is, the controller must end in time
             self._log.info("place not handed over", after_s=took_s, why=repr(error))
-        elif handover.result():
+        elif handover.result() and was_member:
             self._log.info("place handed over", after_s=took_s)
 
     async def _hand_over(self) -> bool:
-        """Return True once the place is handed over, and False if there is no possible successor."""
+        """Return True once the place is handed over, and False if there is no possible successor.
+
+        Others may also need the state of a member that was replaced before: it waits, too.
+        """
         while self._is_member or not await self._register.manager.is_handed_over():
             if self._is_member and not await self._propose():
                 return False
@@ -78,10 +81,9 @@
 
     async def _propose(self) -> bool:
         """Propose a successor once one is ready; return False if none is in contact."""
-        membership = self._register.membership
-        if not membership.is_bootstrapped or self._membership.disk is not DiskState.LEAVING:
+        if self._membership.disk is not DiskState.LEAVING:
             return False
-        if not membership.is_synchronized:
+        if not self._register.membership.is_synchronized:
             return True  # another change of members is under way
         candidates = self._candidates()
         if not candidates:
