--- a/tests/gateway/controller/test_handover.py
+++ b/tests/gateway/controller/test_handover.py
@@ -227,6 +227,27 @@
         world.close()
 
 
+@test("all controllers get SIGTERM within {spread_s} s, and restart: nothing is lost")
+def _(spread_s=each(0.0, 0.05, 0.3, 1.0)):
+    for seed in range(3):
+        world = started_world(seed=seed)
+        try:
+            world.start("d")
+            world.run(6.0)
+            put(world, "a", 2)
+            for index, name in enumerate("cadb"):
+                world.loop.call_at(7.5 + spread_s * index / 3, world.terminate, name)
+            world.run(7.5 + spread_s + GRACE_S / 2)
+            assert not world.nodes and not world.unexpected_errors
+            for name in "abcd":
+                world.start(name)
+            world.run(world.loop.time() + SYNC_S)
+            assert len(members_of(world)) == 1, configurations(world)
+            assert_survives_loss(world, members_of(world).pop()[seed])
+        finally:
+            world.close()
+
+
 @test("a successor that is lost {after_ms} ms after the predecessor's SIGTERM is replaced in turn")
 def _(after_ms=each(5, 15, 25, 40, 60, 100)):
     world = started_world()
