Changes of machines don't wait behind a large new configuration

What callers saw: requests could still reach a machine up to 2.9 s after its `draining` was acknowledged (drain_s is 3 s on the larger sites), while large configurations came in quick succession.

Cause: a poll is answered in the order of changes. A new version that is longer than a response is cut into chunks, and what changed after it waited until the receiver had completed it. A poll that found the link busy got nothing at all.

Change: at a receiver that has an earlier version, each response holds the newest later changes beside the chunk, at most half of its space, so that chunks progress; a deferred poll gets up to 2 KB of changes. The revision in the response stays below the unfinished record, so nothing is skipped; stamps make repeated records harmless.

--- a/honeywood/gateway/dissemination/change_feed.py
+++ b/honeywood/gateway/dissemination/change_feed.py
@@ -10,12 +10,13 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Container, Mapping, Sequence
 
     from honeywood.gateway.dissemination.chunks import Chunk, ChunkProgress
     from honeywood.gateway.dissemination.record import Stamp
     from honeywood.gateway.dissemination.store import Store
 
+LATER_CHANGES_SHARE = 0.5  # of the space for a chunk that later changes may take, so that chunks progress
 MIN_CHUNK_BYTES = 1024  # with less space left in a response, a chunk is not worth sending
 
 
@@ -77,21 +78,30 @@
         return [self._record(key) for _, key in sorted(changed)]
 
     def batch(
-        self, changes: Sequence[Record], max_bytes: int, progress: Mapping[str, ChunkProgress] | None = None
+        self,
+        changes: Sequence[Record],
+        max_bytes: int,
+        progress: Mapping[str, ChunkProgress] | None = None,
+        known_keys: Container[str] = (),
     ) -> Batch:
         """Returns as many of `changes`, which were returned by `since`, as fit into `max_bytes`.
 
-        `progress` is how much the receiver has of large records that it has not completed.
+        `progress` is how much the receiver has of large records that it has not completed. Later changes
+        don't wait for one among `known_keys`, of which the receiver has an earlier version: the newest ones
+        are sent beside its chunk, again with each chunk.
         """
         records: list[Record] = []
         remaining_bytes = max_bytes
-        for record in changes:
+        for index, record in enumerate(changes):
             key, size = record.key, self.encoded_size(record.key)
             revision = self.store.records[key].revision
             if size <= remaining_bytes:
                 records.append(record)
                 remaining_bytes -= size
             elif self._fits_chunk(key, size, remaining_bytes, max_bytes):
+                if key in known_keys:
+                    records += self._newest(changes[index + 1 :], remaining_bytes * LATER_CHANGES_SHARE)
+                    remaining_bytes = max_bytes - sum(self.encoded_size(one.key) for one in records)
                 chunk = self.store.large_records.next_chunk(key, remaining_bytes, (progress or {}).get(key))
                 return Batch(records, chunk, revision - 1)
             elif records or size <= max_bytes:
@@ -100,6 +110,16 @@
                 return Batch([record], None, revision)
         return Batch(records, None, self.store.revision)
 
+    def _newest(self, changes: Sequence[Record], max_bytes: float) -> list[Record]:
+        """Returns the newest ones of `changes` that fit into `max_bytes`."""
+        newest: list[Record] = []
+        for record in reversed(changes):
+            max_bytes -= self.encoded_size(record.key)
+            if max_bytes < 0:
+                break
+            newest.append(record)
+        return newest
+
     def _fits_chunk(self, key: str, size: int, remaining_bytes: int, max_bytes: int) -> bool:
         if size <= max_bytes or key not in self.store.large_records:
             return False
--- a/honeywood/gateway/dissemination/messages.py
+++ b/honeywood/gateway/dissemination/messages.py
@@ -158,7 +158,8 @@
     """The changes of a store up to `revision`.
 
     `has_more` says that there are further changes. `chunk` is the next part of a long record. With
-    `retry_after_s`, nothing is sent because the link is busy; the requester polls again after these seconds.
+    `retry_after_s`, only little is sent because the link is busy; the requester polls again after these
+    seconds.
 
     Controllers add whether they are `in_quorum`. For proxies they add the `fleet`, and the number of the
     latest counts that they received from the proxy (`counts_number`); for controllers, the state of their
--- a/honeywood/gateway/dissemination/publisher.py
+++ b/honeywood/gateway/dissemination/publisher.py
@@ -117,23 +117,38 @@
     async def _respond(self, changes: list[Record], revision: int, poll: PollRequest) -> PollResponse:
         """Returns the response with the changes that fit, once the link is free for it."""
         max_bytes = min(self.max_response_bytes, poll.max_bytes or self.max_response_bytes)
-        batch = self.feed.batch(changes, max_bytes, poll.progress)
+        batch = self.feed.batch(changes, max_bytes, poll.progress, poll.known_stamps)
         sizes = [(record.key, self.feed.encoded_size(record.key)) for record in batch.records]
         if batch.chunk:
             sizes.append((batch.chunk.key, len(batch.chunk.content.text)))
         retry_after_s = await self._wait_for_link(sum(size for _, size in sizes), poll)
         if retry_after_s is not None:
-            return PollResponse(self.store.incarnation, revision, retry_after_s=retry_after_s)
+            return self._defer(changes, revision, poll, retry_after_s)
         for key, size in sizes:
             self.sent_bytes[kind_of(key)] += size
         has_more = batch.chunk is not None or len(batch.records) < len(changes)
         return PollResponse(self.store.incarnation, batch.revision, batch.records, batch.chunk, has_more)
 
+    def _defer(
+        self, changes: list[Record], revision: int, poll: PollRequest, retry_after_s: float
+    ) -> PollResponse:
+        """Returns a response with those changes only that are sent without a turn on the link.
+
+        A program that has no large record yet gets all changes in their order, when it has its turn.
+        """
+        records: list[Record] = []
+        if poll.known_stamps:
+            batch = self.feed.batch(changes, UNPACED_BYTES, None, poll.known_stamps)
+            records, revision = batch.records, batch.revision
+        for record in records:
+            self.sent_bytes[kind_of(record.key)] += self.feed.encoded_size(record.key)
+        return PollResponse(self.store.incarnation, revision, records, retry_after_s=retry_after_s)
+
     async def _wait_for_link(self, size: int, poll: PollRequest) -> float | None:
         """Waits until a response may be sent, then returns None.
 
         If the wait would be too long, it returns at once the seconds after which the requester should poll
-        again.
+        again for the rest.
         """
         if size <= UNPACED_BYTES:
             return None
--- a/tests/gateway/dissemination/test_publisher.py
+++ b/tests/gateway/dissemination/test_publisher.py
@@ -37,6 +37,32 @@
         loop.close()
 
 
+@test("proxies that are deferred while a large record is sent get the changes of machines at once")
+def _():
+    loop = Loop()
+    asyncio.set_event_loop(loop)
+    try:
+        publisher, responses = Publisher("l", link_bytes_per_s=250_000), []
+        publisher.store.put("config", Stamp.of(2), "x" * 29_000)
+        publisher.store.put("machine/m", Stamp.of(1), {"state": "draining"})
+
+        async def one():
+            body = {"who": {"front": True}, "rev": 0, "hold": 1.0, "held": {"config": [1]}}
+            response = await publisher.serve(PollRequest.decode(body))
+            responses.append((response, loop.time()))
+
+        async def all_at_once():
+            await asyncio.gather(*[one() for _ in range(20)])
+
+        loop.run_until_complete(all_at_once())
+        deferred = [response for response, _ in responses if response.retry_after_s is not None]
+        assert len(deferred) >= 17 and all(at <= 0.4 for _, at in responses)
+        assert all("machine/m" in [record.key for record in response.records] for response, _ in responses)
+        assert all(response.revision == 0 and not response.is_complete for response in deferred)
+    finally:
+        loop.close()
+
+
 @test("a record that wakes no poll and arrives while one is held is in its response")
 def _():
     # Records that arrived in the last moments of a held poll were never sent.
