Log the peer of a version that arrives as a delta beside its complete text

What operators saw: `configuration` with peer null and no chunks, as if no peer had sent it, and the delta counted as wasted, where a version arrived as a delta while its complete text had begun to arrive.

Cause: the transfers that are observed had no digest, so a chunk at offset 0 with the stamp of an incomplete transfer counted as one that arrives twice.

Change: a transfer is of one text, as in the assembler; a complete chunk is recorded also beside a newer incomplete one.

--- a/honeywood/gateway/dissemination/transfers.py
+++ b/honeywood/gateway/dissemination/transfers.py
@@ -31,6 +31,30 @@
     characters: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class IncompleteTransfer:
+    """A transfer whose text, with this digest, has not arrived to its end."""
+
+    transfer: Transfer
+    digest: str
+
+    def is_replaced_by(self, chunk: Chunk) -> bool:
+        """Whether a chunk begins a newer version, or another text of the same one."""
+        is_other = chunk.content.digest != self.digest
+        is_newer = chunk.stamp > self.transfer.stamp
+        return chunk.content.offset == 0 and (is_newer or chunk.stamp == self.transfer.stamp and is_other)
+
+    def is_continued_by(self, chunk: Chunk) -> bool:
+        """Whether a chunk begins where this transfer ends."""
+        begun = self.transfer.stamp, self.digest, self.transfer.characters
+        return (chunk.stamp, chunk.content.digest, chunk.content.offset) == begun
+
+    def extended(self, peer: str, chunk: Chunk) -> Transfer:
+        """Returns the transfer with a chunk that `peer` sent."""
+        begun, characters = self.transfer, self.transfer.characters + len(chunk.content.text)
+        return Transfer(begun.stamp, peer, begun.started_at, begun.chunks + 1, characters)
+
+
 @dataclass(slots=True)
 class TransferCounts:
     """Chunks that were of no use, since the start.
@@ -50,7 +74,7 @@
         """Initially nothing has arrived."""
         self.counts = TransferCounts()
         self._complete: dict[str, Transfer] = {}
-        self._incomplete: dict[str, Transfer] = {}
+        self._incomplete: dict[str, IncompleteTransfer] = {}
 
     def observe(self, peer: str, response: PollResponse, now: float) -> None:
         """Records what a response of `peer` contains of large records, before it is merged."""
@@ -66,19 +90,22 @@
         return transfer if transfer is not None and transfer.stamp == stamp else None
 
     def _observe_chunk(self, peer: str, chunk: Chunk, now: float) -> None:
-        content, transfer = chunk.content, self._incomplete.get(chunk.key)
-        if content.offset == 0 and (transfer is None or chunk.stamp > transfer.stamp):
-            if transfer is not None:
-                self.counts.abandoned += 1
-                self.counts.wasted_characters += transfer.characters
-            transfer = Transfer(chunk.stamp, peer, now)
-        if transfer is None or (chunk.stamp, content.offset) != (transfer.stamp, transfer.characters):
+        key, content, begun = chunk.key, chunk.content, self._incomplete.get(chunk.key)
+        if begun is not None and begun.is_replaced_by(chunk):
+            self.counts.abandoned += 1
+            self.counts.wasted_characters += begun.transfer.characters
+            begun = None
+            del self._incomplete[key]
+        if content.offset == 0 and (begun is None or content.is_complete):
+            transfer = Transfer(chunk.stamp, peer, now, 1, len(content.text))
+        elif begun is not None and begun.is_continued_by(chunk):
+            transfer = begun.extended(peer, chunk)
+        else:
             self.counts.wasted_characters += len(content.text)
             return
-        characters = transfer.characters + len(content.text)
-        transfer = Transfer(transfer.stamp, peer, transfer.started_at, transfer.chunks + 1, characters)
-        if characters < content.length:
-            self._incomplete[chunk.key] = transfer
-        else:
-            self._incomplete.pop(chunk.key, None)
-            self._complete[chunk.key] = transfer
+        if transfer.characters < content.length:
+            self._incomplete[key] = IncompleteTransfer(transfer, content.digest)
+            return
+        self._complete[key] = transfer
+        if begun is not None and begun.transfer.stamp == transfer.stamp:
+            del self._incomplete[key]
