A handover whose own disk refuses a write doesn't end the program

What callers saw: a controller whose disk had just begun to refuse writes got SIGTERM; the handover raised DiskRefused out of the program's run, which ended with a traceback instead of finishing the calls in progress.

Cause: the members agree without this disk, then this disk must seal its epoch, and only RegisterUnavailable was expected there.

Change: DiskUnavailable is expected as well; once the disk's health is known the handover gives up as before, and the others replace the silent member.

Measured: the new test fails before (exception=DiskRefused), passes now.

--- a/honeywood/gateway/controller/handover.py
+++ b/honeywood/gateway/controller/handover.py
@@ -11,7 +11,7 @@
 from contextlib import suppress
 
 from honeywood.gateway.errors import GatewayError
-from honeywood.gateway.register.errors import RegisterUnavailable
+from honeywood.gateway.register.errors import DiskUnavailable, RegisterUnavailable
 from honeywood.gateway.register.replacement import DiskState, possible_successors
 
 TYPE_CHECKING = False
@@ -82,7 +82,7 @@
         ready = await asyncio.gather(*[self._is_ready(ip) for ip in candidates])
         successor = next((ip for ip, is_ready in zip(candidates, ready, strict=True) if is_ready), None)
         if successor is not None:
-            with suppress(RegisterUnavailable):  # it is proposed again until the time is over
+            with suppress(RegisterUnavailable, DiskUnavailable):  # proposed again until the time is over
                 await self._register.manager.replace_member(self._settings.ip, successor)
         return True
 
--- a/tests/gateway/controller/test_handover.py
+++ b/tests/gateway/controller/test_handover.py
@@ -270,6 +270,25 @@
         world.close()
 
 
+@test("a member whose disk starts to refuse writes just before its SIGTERM ends in order, and is replaced")
+def _():
+    # The handover raised the disk's error: the program broke off the calls that were in progress.
+    world = started_world()
+    try:
+        world.start("d")
+        world.run(6.0)
+        world.set_disk_fault("a", REFUSING_DISK)
+        leaving = world.processes["a"].run(world.nodes["a"].leave())
+        world.run(6.0 + GRACE_S / 2 + 0.1)
+        assert leaving.done() and leaving.exception() is None, leaving
+        world.kill("a")
+        world.run(world.loop.time() + CONTACT_S + SYNC_S)
+        assert members_of(world) == {"bcd"}
+        assert_survives_loss(world, "c")
+    finally:
+        world.close()
+
+
 @test("a predecessor that returns after {pause_s} s, with its disk {kept}, is a spare, and replaces the next")
 def _(pause_s=each(0.1, 2.0, 10.0, 0.1, 10.0), kept=each("kept", "kept", "kept", "lost", "lost")):
     world = started_world()
