Activate at most as many configurations as take a tenth of the time

Cause: reading a version costs the same however quickly the next one follows. Change: after an activation a proxy pauses until it was a tenth of the time, a quarter of apply_s at most, and then activates the newest version. Versions are passed on at once.

--- a/honeywood/gateway/proxy/program.py
+++ b/honeywood/gateway/proxy/program.py
@@ -147,6 +147,7 @@
             self.retired_machines,
             self.peers,
             self._log_configuration,
+            settings.bounds.apply_s,
         )
         self.reports = RolloutReports(
             self.traffic_policy,
--- a/honeywood/gateway/proxy/record_handler.py
+++ b/honeywood/gateway/proxy/record_handler.py
@@ -8,6 +8,7 @@
 from honeywood.gateway.configuration.reader import read_configuration
 from honeywood.gateway.configuration.route_cache import RouteCache
 from honeywood.gateway.dissemination.keys import RecordKind, kind_of, name_of
+from honeywood.gateway.proxy.activation_schedule import ActivationSchedule
 from honeywood.gateway.rollout import record as rollout_record
 from honeywood.gateway.routing.endpoint_record import EndpointRecord
 
@@ -47,8 +48,12 @@
         retired_machines: RetiredMachines,
         peers: KnownPeers,
         on_configuration: Callable[[Activation], None],
+        apply_s: float,
     ) -> None:
-        """Builds the handler; `on_configuration` is called after another configuration has taken effect."""
+        """Builds the handler; `on_configuration` is called after another configuration has taken effect.
+
+        A configuration must be in effect within `apply_s` seconds.
+        """
         self.clock = clock
         self.configuration = configuration
         self.endpoints = endpoints
@@ -58,6 +63,7 @@
         self.peers = peers
         self.on_configuration = on_configuration
         self.route_cache = RouteCache()
+        self.activations = ActivationSchedule(clock, self._activate, apply_s)
 
     def apply(self, key: str, value: JsonValue) -> None:
         """Applies a record that is new or has changed.
@@ -67,7 +73,7 @@
         """
         kind, name = kind_of(key), name_of(key)
         if kind == RecordKind.CONFIGURATION:
-            self._apply_configuration(value)
+            self.activations.submit(value)
         elif kind == RecordKind.MACHINE:
             self._apply_machine(name, value)
         elif kind == RecordKind.ROLLOUT:
@@ -75,7 +81,8 @@
         elif kind == RecordKind.CONTROLLER:
             self.peers.add_controllers([name])
 
-    def _apply_configuration(self, packed: str) -> None:
+    def _activate(self, packed: str) -> None:
+        """Puts a configuration into effect."""
         started_at = self.clock()
         configuration = read_configuration(unpack(packed), hashed_keys=True, route_cache=self.route_cache)
         self.configuration.activate(configuration)
