A member that missed two changes of members enters the epoch from one other

What operators would see: members restart in turn with a spare, so places are handed over within a second of each other. A member that is away meanwhile misses two changes. All lose power, f disks are lost, the member returns: nothing can be read or changed, for good, though no more than f disks are lost.

Cause: one change behind, one reply of a member of the next epoch is enough (transition_quorum). Further behind, a majority of the *other* members was required, as for a lost disk: f lost ones and itself leave f. Before places were handed over, two changes within an absence were rare.

Change: join_quorum requires a majority only for lost disks. An intact disk in an earlier epoch never served a request in the newest one, and a member in it has every value of the earlier ones; the argument of transition_quorum doesn't depend on how many epochs lie between.

Not run: an exhaustive search of the new chain.

--- a/honeywood/gateway/register/membership_rules.py
+++ b/honeywood/gateway/register/membership_rules.py
@@ -115,11 +115,16 @@
 
 
 def join_quorum(ip: str, replies: Mapping[str, TransferStateReply], lost: bool) -> JoinQuorum | None:
-    """Return the newest configuration in the replies, if a majority of its members other than `ip` replied.
+    """Return the newest configuration in the replies, if enough of its members other than `ip` replied.
 
-    For a disk that was lost, is new, or missed a membership change. A `lost` disk does not enter an epoch
-    that may be over: it may already have been in the next epoch, and if it entered that one again with the
-    state of this epoch's members, the values that it had accepted there would be missing.
+    For a disk that was lost, is new, or missed a membership change. A `lost` disk needs the replies of a
+    majority, and does not enter an epoch that may be over: it may already have been in the next epoch, and if
+    it entered that one again with the state of this epoch's members, the values that it had accepted there
+    would be missing.
+
+    For another disk one member in the newest epoch is enough, as in `transition_quorum`: this disk never
+    served a request in that epoch, and that member has every value of the earlier ones. With a majority of
+    the others, a member that was away during two changes could not replace the next one that is lost.
     """
     configurations = [reply.configuration for reply in replies.values()]
     newest = max(configurations, key=lambda configuration: configuration.epoch, default=None)
@@ -131,7 +136,8 @@
         if sender != ip and sender in newest.members and reply.configuration.epoch == newest.epoch
     }
     current = list(current_replies(entered).values())
-    if len(current) < majority(newest) or lost and any(_may_be_over(reply) for reply in current):
+    needed = majority(newest) if lost else 1
+    if len(current) < needed or lost and any(_may_be_over(reply) for reply in current):
         return None
     successors = (reply.configuration.successor for reply in current)
     successor = next((candidate for candidate in successors if candidate is not None), None)
--- a/honeywood/lab/model/membership_chain.py
+++ b/honeywood/lab/model/membership_chain.py
@@ -48,3 +48,5 @@
 """Disk 3 replaces disk 2."""
 REPLACED_MEMBER_OF_FIVE = MembershipChain(((0, 1, 2, 3, 4), (0, 1, 2, 3, 5)))
 """Disk 5 replaces disk 4."""
+REPLACED_TWICE = MembershipChain(((0, 1, 2), (1, 2, 3), (2, 3, 4)))
+"""Disks 3 and 4 replace disks 0 and 1, one after the other; disk 2 may miss both changes."""
--- a/tests/gateway/controller/test_handover.py
+++ b/tests/gateway/controller/test_handover.py
@@ -192,6 +192,33 @@
         world.close()
 
 
+@test("a member that missed two changes of members is needed after the loss of {lost}, while all lose power")
+def _(lost=each("d", "e")):
+    # It waited for a majority of the other members of the newest epoch, of which only one was left, for good.
+    world = started_world()
+    try:
+        world.start("d")
+        world.start("e")
+        world.run(6.0)
+        world.kill("c")
+        world.terminate("a")
+        world.run(6.5)
+        world.terminate("b")
+        world.run(7.0)
+        assert members_of(world) == {"cde"}, configurations(world)
+        assert world.nodes.keys() == set("de")
+        world.wipe(lost)
+        for name in "abcde":
+            world.kill(name)
+        for name in "cde":
+            world.start(name)
+        world.run(7.0 + SYNC_S)
+        assert members_of(world) == {"cde"} and {c.epoch for c in configurations(world)} == {3}
+        assert_survives_loss(world, lost)
+    finally:
+        world.close()
+
+
 @test("two members that get SIGTERM {apart_s} s apart are both replaced")
 def _(apart_s=each(0.0, 0.01, 0.03, 0.1, 0.3, 0.6)):
     for lost in "cde":
