--- a/honeywood/gateway/dissemination/publisher.py
+++ b/honeywood/gateway/dissemination/publisher.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from honeywood.gateway.dissemination.chunks import Chunk
     from honeywood.gateway.dissemination.messages import PollRequest, Requester
     from honeywood.gateway.dissemination.record import JsonValue, Record
 
@@ -117,23 +118,45 @@
     async def _respond(self, changes: list[Record], revision: int, poll: PollRequest) -> PollResponse:
         """Returns the response with the changes that fit, once the link is free for it."""
         max_bytes = min(self.max_response_bytes, poll.max_bytes or self.max_response_bytes)
-        batch = self.feed.batch(changes, max_bytes, poll.progress, poll.bases)
-        sizes = [(record.key, self.feed.encoded_size(record.key)) for record in batch.records]
-        if batch.chunk:
-            sizes.append((batch.chunk.key, len(batch.chunk.content.text)))
+        batch = self.feed.batch(changes, max_bytes, poll.progress, poll.bases, poll.known_stamps)
+        sizes = self._sizes(batch.records, batch.chunk)
         retry_after_s = await self._wait_for_link(sum(size for _, size in sizes), poll)
         if retry_after_s is not None:
+            return self._defer(changes, revision, poll, retry_after_s)
+        self._count_sent(sizes)
+        has_more = batch.chunk is not None or len(batch.records) < len(changes)
+        return PollResponse(self.store.incarnation, batch.revision, batch.records, batch.chunk, has_more)
+
+    def _defer(
+        self, changes: list[Record], revision: int, poll: PollRequest, retry_after_s: float
+    ) -> PollResponse:
+        """Returns a response with those changes only that are sent without a turn on the link.
+
+        A program that has no large record yet gets all changes in their order, when it has its turn.
+        """
+        if not poll.known_stamps:
             return PollResponse(self.store.incarnation, revision, retry_after_s=retry_after_s)
+        batch = self.feed.batch(changes, UNPACED_BYTES, poll.progress, poll.bases, poll.known_stamps)
+        chunk = batch.chunk if batch.chunk and batch.chunk.content.is_complete else None
+        self._count_sent(self._sizes(batch.records, chunk))
+        return PollResponse(
+            self.store.incarnation, batch.revision, batch.records, chunk, retry_after_s=retry_after_s
+        )
+
+    def _sizes(self, records: list[Record], chunk: Chunk | None) -> list[tuple[str, int]]:
+        """Returns the keys of what a response contains, with the sizes in bytes."""
+        sizes = [(record.key, self.feed.encoded_size(record.key)) for record in records]
+        return [*sizes, (chunk.key, len(chunk.content.text))] if chunk else sizes
+
+    def _count_sent(self, sizes: list[tuple[str, int]]) -> None:
         for key, size in sizes:
             self.sent_bytes[kind_of(key)] += size
-        has_more = batch.chunk is not None or len(batch.records) < len(changes)
-        return PollResponse(self.store.incarnation, batch.revision, batch.records, batch.chunk, has_more)
 
     async def _wait_for_link(self, size: int, poll: PollRequest) -> float | None:
         """Waits until a response may be sent, then returns None.
 
         If the wait would be too long, it returns at once the seconds after which the requester should poll
-        again.
+        again for the rest.
         """
         if size <= UNPACED_BYTES:
             return None
--- a/tests/gateway/dissemination/test_delta.py
+++ b/tests/gateway/dissemination/test_delta.py
@@ -10,7 +10,7 @@
 from honeywood.gateway.configuration.packing import pack, unpack
 from honeywood.gateway.dissemination.change_feed import ChangeFeed
 from honeywood.gateway.dissemination.chunks import ChunkAssembler
-from honeywood.gateway.dissemination.delta import Delta
+from honeywood.gateway.dissemination.delta import Delta, SegmentRange, content_digest
 from honeywood.gateway.dissemination.record import Record, Stamp
 from honeywood.gateway.dissemination.store import Store
 from honeywood.gateway.errors import InvalidMessage
@@ -93,6 +93,16 @@
         Delta.decode(text)
 
 
+@test("a delta whose result is longer than any configuration is refused")
+def _():
+    # A few hundred characters can repeat ranges of the base up to gigabytes.
+    base, repetitions = b"}" * (1 << 20), 17
+    result = b"}".join([base] * repetitions)
+    operations = (SegmentRange(0, len(base) + 1),) * repetitions
+    with raises(InvalidMessage):
+        Delta(content_digest(base), content_digest(result), operations).apply(base)
+
+
 @test("a change is sent as a short delta, however the text is formatted: {indent}")
 def _(indent=each(None, 0, 2)):
     table = config(1, ROUTES)
@@ -162,3 +172,21 @@
     while receiver.stamp("config") != (2,):
         receive(sender, receiver, assembler)
     assert unpack(receiver.get("config")) == configuration(2)
+
+
+@test("a delta that arrives at once is applied although a newer version has begun to arrive")
+def _():
+    # The relay has version 2; a controller that has just started has version 3 only, and sends it completely.
+    relay, controller, (receiver, assembler) = (
+        store_with(1, 2),
+        store_with(3, incarnation="c"),
+        receiver_of(1),
+    )
+    receive(controller, receiver, assembler, 10_000)
+    begun = assembler.progress()["config"]
+    assert begun.stamp == (3,) and receive(relay, receiver, assembler) < 1000
+    assert receiver.stamp("config") == (2,)
+    assert assembler.progress()["config"] == begun, "the newer version is still continued"
+    while receiver.stamp("config") != (3,):
+        receive(controller, receiver, assembler)
+    assert receiver.get("config") == controller.get("config")
