--- a/honeywood/gateway/configuration/reader.py
+++ b/honeywood/gateway/configuration/reader.py
@@ -23,7 +23,7 @@
     read_hashed_tenant,
     read_tenant,
 )
-from honeywood.gateway.errors import InvalidConfiguration
+from honeywood.gateway.errors import InvalidConfiguration, InvalidInput
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -98,16 +98,17 @@
             if route is not None and route.name not in items.routes:
                 items.routes[route.name] = route
                 continue
-            route_count = len(items.routes)
-            _read_item(entry, f"{OPERATION}: res[{index}]", items, hashed_keys, peer)
-            if len(items.routes) > route_count:
-                route_cache.add(entry, next(reversed(items.routes.values())))
-    finally:
-        route_cache.finish()
+            route = _read_item(entry, f"{OPERATION}: res[{index}]", items, hashed_keys, peer)
+            if route is not None:
+                route_cache.add(entry, route)
+    except InvalidInput:
+        route_cache.abort()
+        raise
+    route_cache.finish()
 
 
-def _read_item(entry: object, where: str, items: _Items, hashed_keys: bool, peer: str) -> None:
-    """Parse one item of a configuration and add it to `items`."""
+def _read_item(entry: object, where: str, items: _Items, hashed_keys: bool, peer: str) -> Route | None:
+    """Parse one item of a configuration and add it to `items`; return it if it is a route."""
     if not isinstance(entry, dict):
         raise InvalidConfiguration(where, "must be an object", peer)
     item_type = need(entry, "type", str, where)
@@ -127,7 +128,8 @@
     where_in_item = f"{where} {name}"
     if item_type == ROUTES:
         items.routes[name] = _read_route(name, spec, where_in_item)
-    elif item_type == SERVICES:
+        return items.routes[name]
+    if item_type == SERVICES:
         items.services[name] = _read_service(name, spec, where_in_item)
     elif item_type == LIMITS:
         items.limits[name] = _read_limits(spec, where_in_item)
@@ -135,6 +137,7 @@
         items.tenants[name] = read_hashed_tenant(name, spec, where_in_item)
     else:
         items.tenants[name] = read_tenant(name, spec, where_in_item)
+    return None
 
 
 def _read_route(name: str, spec: dict[str, Any], where: str) -> Route:
--- a/honeywood/gateway/configuration/route_cache.py
+++ b/honeywood/gateway/configuration/route_cache.py
@@ -46,3 +46,7 @@
     def finish(self) -> None:
         """Drop all routes that were neither found nor added since the last call."""
         self._routes, self._next = self._next, {}
+
+    def abort(self) -> None:
+        """Drop what was added since the last call of `finish`: the configuration is invalid."""
+        self._next = {}
