--- a/honeywood/gateway/proxy/update_subscription.py
+++ b/honeywood/gateway/proxy/update_subscription.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 
 from honeywood.gateway.dissemination.backoff import INITIAL_DELAY_S
 from honeywood.gateway.dissemination.publisher import MAX_HOLD_S, UNPACED_BYTES
@@ -15,7 +14,6 @@
     from collections.abc import Callable
 
     from honeywood.gateway.configuration.settings import Settings
-    from honeywood.gateway.dissemination.messages import PollResponse
     from honeywood.gateway.dissemination.subscriber import Subscriber
     from honeywood.gateway.proxy.active_configuration import ActiveConfiguration
     from honeywood.gateway.proxy.known_peers import KnownPeers
@@ -25,21 +23,8 @@
 CONTROLLERS_ONLY_S = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class PollTarget:
-    """The address of a relay or a controller."""
-
-    ip: str
-    port: int
-    is_relay: bool
-
-
 class UpdateSubscription:
-    """Polls the nearest relay that responds, or else a controller. A poll is held until there are updates.
-
-    A proxy without a configuration is not held by a relay that has none either, and goes on to the next peer
-    from one whose link is busy.
-    """
+    """Polls the nearest relay that responds, or else a controller. A poll is held until there are updates."""
 
     def __init__(
         self,
@@ -58,42 +43,25 @@
         self.started_at = self.answered_at = clock()
 
     async def poll_once(self) -> None:
-        """Polls one peer after the other until one responds, and sends what this proxy still lacks."""
-        for target in self._targets():
+        """Polls one peer after the other until one responds."""
+        for ip, port in self._candidates():
             try:
-                response = await self.subscriber.poll(target.ip, target.port, self._hold_s(target))
+                response = await self.subscriber.poll(ip, port, MAX_HOLD_S)
             except CallFailed:
                 continue
             self.answered_at = self.clock()
-            if self._sends_configuration(target, response):
-                await asyncio.sleep(min(MAX_HOLD_S, response.retry_after_s or 0.0))
-                return
+            await asyncio.sleep(min(MAX_HOLD_S, response.retry_after_s or 0.0))
+            return
         await asyncio.sleep(INITIAL_DELAY_S)
 
-    def _targets(self) -> list[PollTarget]:
-        """Returns the peers to poll, in order: relays, then controllers, without peers in backoff."""
+    def _candidates(self) -> list[tuple[str, int]]:
+        """Returns the addresses to poll, in order: relays, then controllers, without peers in backoff."""
         now, backoff = self.clock(), self.subscriber.backoff
-        starting = self._lacks_configuration and now - self.started_at < CONTROLLERS_ONLY_S
+        starting = self.configuration.table is None and now - self.started_at < CONTROLLERS_ONLY_S
         relays = [] if starting else [ip for ip in self.peers.relays if not backoff.remaining_s(ip, now)]
-        if self._lacks_configuration:
-            relays = relays[:1]  # the others are asked by many, and may lack it as well
         controllers = backoff.available(rank(self.peers.controllers, self.settings.node), now)
-        targets = [PollTarget(ip, self.settings.proxy_port, is_relay=True) for ip in relays]
-        return targets + [PollTarget(ip, self.settings.controller_port, is_relay=False) for ip in controllers]
-
-    @property
-    def _lacks_configuration(self) -> bool:
-        return self.configuration.table is None
-
-    def _hold_s(self, target: PollTarget) -> float:
-        """Returns for how many seconds a peer may hold a poll while it has no updates."""
-        return 0.0 if target.is_relay and self._lacks_configuration else MAX_HOLD_S
-
-    def _sends_configuration(self, target: PollTarget, response: PollResponse) -> bool:
-        """Whether this proxy has a configuration after a response, or should poll the same peer for it."""
-        if not self._lacks_configuration or response.has_more:
-            return True
-        return not target.is_relay and response.retry_after_s is None
+        candidates = [(ip, self.settings.proxy_port) for ip in relays]
+        return candidates + [(ip, self.settings.controller_port) for ip in controllers]
 
     def max_poll_bytes(self) -> int | None:
         """Returns the limit on the response to a poll of another loop, None for no limit.
@@ -102,4 +70,4 @@
         that is polled at the same time would send all its records as well.
         """
         is_answered = self.clock() - self.answered_at < MAX_HOLD_S
-        return UNPACED_BYTES if self._lacks_configuration and is_answered else None
+        return UNPACED_BYTES if self.configuration.table is None and is_answered else None
