--- a/tests/gateway/proxy/test_update_subscription.py
+++ b/tests/gateway/proxy/test_update_subscription.py
@@ -35,3 +35,17 @@
         assert world.version(relay) is None and world.version(proxy) == 5
     finally:
         world.close()
+
+
+@test("a starting proxy and its relay both receive a long configuration before they are in touch")
+def _():
+    world = World(proxies="fg")
+    try:
+        for name in (*world.controllers, "f", "g"):
+            world.start(name)
+        world.run(3.0)
+        world.loop.create_task(world.ask("a", "config.replace", "", long_config(5)))
+        world.run(3.0 + CONTACT_S)
+        assert world.version("f") == 5 and world.version("g") == 5
+    finally:
+        world.close()
